--- /dev/null
+++ b/goldcrest/clock.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// Time types and the clock interface. Decision modules take a time_point argument and never read a
+// clock.
+
+#include <chrono>
+
+namespace goldcrest {
+
+using duration = std::chrono::milliseconds;
+
+// Monotonic time of one process. Two processes never compare their time points; messages carry ages
+// and durations.
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+using std::chrono_literals::operator""min;
+using std::chrono_literals::operator""h;
+
+// Source of monotonic time. Tests replace it by virtual time.
+class clock
+{
+public:
+    virtual ~clock() = default;
+
+    // Returns the current monotonic time.
+    virtual time_point now() const = 0;
+};
+
+// The clock of the operating system.
+class steady_clock final : public clock
+{
+public:
+    time_point now() const override
+    {
+        return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    }
+};
+
+} // namespace goldcrest
--- /dev/null
+++ b/goldcrest/platform_store.cc
@@ -0,0 +1,38 @@
+#include "goldcrest/platform_store.h"
+
+namespace goldcrest {
+
+store_transaction &store_transaction::requireAbsent(std::string_view key)
+{
+    conditions.push_back({std::string(key), true, 0});
+    return *this;
+}
+
+store_transaction &store_transaction::requireModRevision(std::string_view key,
+                                                         store_revision expected)
+{
+    conditions.push_back({std::string(key), false, expected});
+    return *this;
+}
+
+store_transaction &store_transaction::requireCreateRevision(std::string_view key,
+                                                            store_revision expected)
+{
+    conditions.push_back({std::string(key), true, expected});
+    return *this;
+}
+
+store_transaction &store_transaction::put(std::string_view key, std::string_view value,
+                                          lease_id lease)
+{
+    writes.push_back({std::string(key), std::string(value), lease});
+    return *this;
+}
+
+store_transaction &store_transaction::remove(std::string_view key)
+{
+    writes.push_back({std::string(key), std::nullopt, 0});
+    return *this;
+}
+
+} // namespace goldcrest
--- /dev/null
+++ b/goldcrest/platform_store.h
@@ -0,0 +1,149 @@
+#pragma once
+
+// Abstract client of the platform's key-value service.
+//
+//   store->commit(store_transaction{}.requireAbsent(key).put(key, value), options,
+//   [](result<commit_reply> reply) {
+//       ...
+//   });
+//
+// All calls are asynchronous; callbacks run on the process's event loop, never inside the call. A
+// write that fails with code::StoreAmbiguous may have taken effect; code::StoreUnavailable means
+// that it did not.
+
+#include "goldcrest/clock.h"
+#include "goldcrest/outcome.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace goldcrest {
+
+using lease_id = std::int64_t; // 0 means no lease
+using store_revision = std::int64_t;
+
+// Largest value that one key holds.
+constexpr std::size_t maxStoreValueBytes = 1024 * 1024;
+
+struct store_entry
+{
+    std::string key;
+    std::string value;
+    store_revision createRevision = 0;
+    store_revision modRevision = 0;
+    lease_id lease = 0;
+};
+
+enum class call_priority { Urgent, Normal, Background };
+
+struct call_options
+{
+    call_priority priority = call_priority::Normal;
+    duration deadline = 2s; // for the whole call with its retries
+};
+
+// A write that takes effect if all its conditions hold, else not at all.
+struct store_transaction
+{
+    struct condition
+    {
+        std::string key;
+        bool onCreateRevision = false; // compare createRevision, else modRevision
+        store_revision expected = 0; // 0 means that the key is absent
+    };
+    struct write
+    {
+        std::string key;
+        std::optional<std::string> value; // empty deletes the key
+        lease_id lease = 0;
+    };
+
+    std::vector<condition> conditions;
+    std::vector<write> writes;
+
+    store_transaction &requireAbsent(std::string_view key);
+    store_transaction &requireModRevision(std::string_view key, store_revision expected);
+    store_transaction &requireCreateRevision(std::string_view key, store_revision expected);
+    store_transaction &put(std::string_view key, std::string_view value, lease_id lease = 0);
+    store_transaction &remove(std::string_view key);
+};
+
+struct commit_reply
+{
+    bool applied = false; // false: a condition did not hold and nothing was written
+    store_revision at = 0; // revision of the store after the call
+    std::vector<store_entry> current; // if not applied: the keys of the conditions that exist
+};
+
+struct watch_event
+{
+    store_entry entry;
+    bool deleted = false;
+};
+
+// A batch of changes in revision order; `broken` asks the caller to read again and start a new
+// watch.
+struct watch_batch
+{
+    std::vector<watch_event> events;
+    store_revision at = 0;
+    bool broken = false;
+};
+
+template<typename T>
+using store_callback = std::function<void(result<T>)>;
+
+// Ends its watch when it is destroyed.
+class store_watch
+{
+public:
+    virtual ~store_watch() = default;
+};
+
+class platform_store
+{
+public:
+    virtual ~platform_store() = default;
+
+    // Reads one key; an absent key gives an empty optional.
+    virtual void get(std::string_view key, const call_options &options,
+                     store_callback<std::optional<store_entry>> callback)
+        = 0;
+
+    // Reads all keys with a prefix, in key order, at most `limit` of them (0: all).
+    virtual void list(std::string_view prefix, std::size_t limit, const call_options &options,
+                      store_callback<std::vector<store_entry>> callback)
+        = 0;
+
+    // Applies a transaction.
+    virtual void commit(store_transaction transaction, const call_options &options,
+                        store_callback<commit_reply> callback)
+        = 0;
+
+    // Creates a lease. Keys that are written with it vanish when it ends.
+    virtual void grantLease(duration lifetime, const call_options &options,
+                            store_callback<lease_id> callback)
+        = 0;
+
+    // Renews a lease; gives the remaining lifetime, or code::LeaseLost if it has ended.
+    virtual void renewLease(lease_id lease, const call_options &options,
+                            store_callback<duration> callback)
+        = 0;
+
+    // Ends a lease and removes its keys.
+    virtual void revokeLease(lease_id lease, const call_options &options,
+                             store_callback<done> callback)
+        = 0;
+
+    // Reports changes of keys with a prefix from `from` on, until the returned object is destroyed.
+    virtual std::unique_ptr<store_watch> watch(std::string_view prefix, store_revision from,
+                                               std::function<void(watch_batch)> callback)
+        = 0;
+};
+
+} // namespace goldcrest
--- /dev/null
+++ b/testing/empty.cc
@@ -0,0 +1,1 @@
+// Keeps the support library buildable while it has no other source.
