--- a/goldcrest/message_codec.h
+++ b/goldcrest/message_codec.h
@@ -22,7 +22,8 @@
 // Errors: MalformedMessage with the field, UnsupportedVersion.
 result<message> decodeMessage(std::string_view frame);
 
-// Gang data as stored in the metadata of a task at its backend server.
+// Gang data as stored in the metadata of a task at its backend server. It is JSON text, since the
+// backend server's interface carries metadata as a JSON string.
 std::string encodeGangInfo(const gang_info &gang);
 result<gang_info> decodeGangInfo(std::string_view bytes);
 
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -336,6 +336,7 @@
     std::vector<std::string> unmetGuarantees;
 };
 
+// The position in the variant is the kind number on the wire: append only.
 using message = std::variant<
     hello_message, hold_message, hold_reply_message, start_message, task_started_message,
     abort_message, abort_reply_message, stop_message, throttle_message, task_finished_message,
