--- /dev/null
+++ b/goldcrest/asio_event_loop.cc
@@ -0,0 +1,168 @@
+#include "goldcrest/asio_event_loop.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+// Keeps the Asio timer alive while a wait is pending, and drops the task when the handle goes.
+struct timer_state : std::enable_shared_from_this<timer_state>
+{
+    timer_state(asio::io_context &context, duration interval, bool repeats,
+                std::function<void()> callback)
+        : waiter(context)
+        , period(interval)
+        , periodic(repeats)
+        , task(std::move(callback))
+    { }
+
+    void start(std::chrono::steady_clock::time_point due)
+    {
+        waiter.expires_at(due);
+        waiter.async_wait([self = shared_from_this()](const asio::error_code &error) {
+            if (!error && !self->cancelled)
+                self->fire();
+        });
+    }
+
+    void fire()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        // The task may destroy the handle, so it runs from a copy.
+        const std::function<void()> running = task;
+        if (periodic) {
+            // After a pause of the process one call makes up for all missed periods.
+            auto next = waiter.expiry() + period;
+            start(next < now ? now + period : next);
+        }
+        running();
+    }
+
+    void cancel()
+    {
+        cancelled = true;
+        task = nullptr;
+        waiter.cancel();
+    }
+
+    asio::steady_timer waiter;
+    duration period;
+    bool periodic = false;
+    bool cancelled = false;
+    std::function<void()> task;
+};
+
+class asio_timer final : public timer
+{
+public:
+    explicit asio_timer(std::shared_ptr<timer_state> state)
+        : m_state(std::move(state))
+    { }
+    ~asio_timer() override { m_state->cancel(); }
+    asio_timer(const asio_timer &) = delete;
+    asio_timer &operator=(const asio_timer &) = delete;
+
+private:
+    std::shared_ptr<timer_state> m_state;
+};
+
+} // namespace
+
+struct asio_event_loop::state
+{
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work
+        = asio::make_work_guard(context);
+    asio::signal_set signals{context};
+    std::function<void()> signalCallback;
+
+    void waitForSignal()
+    {
+        signals.async_wait([this](const asio::error_code &error, int) {
+            if (error)
+                return;
+            waitForSignal();
+            signalCallback();
+        });
+    }
+};
+
+asio_event_loop::asio_event_loop()
+    : m_state(std::make_unique<state>())
+{ }
+
+asio_event_loop::~asio_event_loop() = default;
+
+time_point asio_event_loop::now() const
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+void asio_event_loop::post(std::function<void()> task)
+{
+    asio::post(m_state->context, std::move(task));
+}
+
+timer_handle asio_event_loop::after(duration delay, std::function<void()> task)
+{
+    auto waiting = std::make_shared<timer_state>(m_state->context, delay, false, std::move(task));
+    waiting->start(std::chrono::steady_clock::now() + delay);
+    return std::make_unique<asio_timer>(std::move(waiting));
+}
+
+timer_handle asio_event_loop::every(duration period, std::function<void()> task)
+{
+    auto waiting = std::make_shared<timer_state>(m_state->context, period, true, std::move(task));
+    waiting->start(std::chrono::steady_clock::now() + period);
+    return std::make_unique<asio_timer>(std::move(waiting));
+}
+
+void asio_event_loop::run()
+{
+    m_state->context.restart();
+    m_state->context.run();
+}
+
+bool asio_event_loop::runUntil(const std::function<bool()> &condition, duration limit)
+{
+    constexpr duration step = 10ms;
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    m_state->context.restart();
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        m_state->context.run_one_for(step);
+    }
+    return true;
+}
+
+void asio_event_loop::stop()
+{
+    m_state->context.stop();
+}
+
+void asio_event_loop::onSignal(std::function<void()> callback)
+{
+    const bool first = !m_state->signalCallback;
+    m_state->signalCallback = std::move(callback);
+    if (!first)
+        return;
+    m_state->signals.add(SIGTERM);
+    m_state->signals.add(SIGINT);
+    m_state->waitForSignal();
+}
+
+asio::io_context &asio_event_loop::context()
+{
+    return m_state->context;
+}
+
+} // namespace goldcrest
