Add the HTTP client on libcurl

All transfers run on one thread, and results are posted to the loop. libcurl repeats a request by itself when a reused connection closes without an answer; a write could then take effect twice, so bodies refuse the rewind and the exchange is reported as ambiguous.

--- /dev/null
+++ b/goldcrest/http_client.cc
@@ -0,0 +1,493 @@
+#include "goldcrest/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace goldcrest {
+
+namespace {
+
+constexpr duration connectTimeout = 1s;
+
+// A stream has no timeout for the whole exchange, but its headers must arrive within this time.
+constexpr duration streamHeaderTimeout = 5s;
+
+// A stream that carries no byte for this long is not ended here: a watch may be silent for hours.
+// TCP keep-alive finds dead peers instead.
+constexpr long keepAliveIdleSeconds = 5;
+constexpr long keepAliveIntervalSeconds = 2;
+
+constexpr long maxConnectionsPerHost = 32;
+constexpr long maxIdleConnections = 64;
+constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024;
+
+void initialiseCurlOnce()
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(initialised);
+}
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+// Whether the callbacks of an exchange may still run. Belongs to the loop's thread.
+struct liveness
+{
+    bool alive = true;
+};
+
+// One exchange. Belongs to the transfer thread once it was handed over.
+struct exchange
+{
+    std::uint64_t id = 0;
+    http_request request;
+    http_response response;
+    curl_slist *headers = nullptr;
+    CURL *handle = nullptr;
+    event_loop *loop = nullptr;
+    std::shared_ptr<liveness> live = std::make_shared<liveness>();
+    std::function<void(result<http_response>)> onResponse; // of a plain exchange
+    std::function<void(std::string_view)> onData; // of a stream
+    std::function<void(result<done>)> onEnd;
+    std::size_t bodySent = 0;
+    time_point startedAt{};
+    bool isTooLarge = false;
+
+    exchange() = default;
+    exchange(const exchange &) = delete;
+    exchange &operator=(const exchange &) = delete;
+    ~exchange() { release(); }
+
+    // Frees what belongs to libcurl. The rest may own objects of the loop's thread.
+    void release()
+    {
+        curl_slist_free_all(headers);
+        headers = nullptr;
+        if (handle)
+            curl_easy_cleanup(handle);
+        handle = nullptr;
+    }
+
+    bool isStream() const { return static_cast<bool>(onData); }
+
+    int status() const
+    {
+        long number = 0;
+        if (handle)
+            curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &number);
+        return static_cast<int>(number);
+    }
+};
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto &running = *static_cast<exchange *>(context);
+    const std::size_t bytes = size * count;
+    if (running.isStream() && isSuccess(running.status())) {
+        running.loop->post(
+            [live = running.live, callback = running.onData, piece = std::string(data, bytes)] {
+                if (live->alive)
+                    callback(piece);
+            });
+        return bytes;
+    }
+    if (running.response.body.size() + bytes > maxAnswerBytes) {
+        running.isTooLarge = true;
+        return 0; // makes libcurl end the transfer
+    }
+    running.response.body.append(data, bytes);
+    return bytes;
+}
+
+std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto &running = *static_cast<exchange *>(context);
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        running.response.headers.emplace_back(lowerCase(line.substr(0, colon)),
+                                              std::string(trim(line.substr(colon + 1))));
+    }
+    return line.size();
+}
+
+std::size_t onSend(char *buffer, std::size_t size, std::size_t count, void *context)
+{
+    auto &running = *static_cast<exchange *>(context);
+    const std::string &body = running.request.body;
+    const std::size_t bytes = std::min(size * count, body.size() - running.bodySent);
+    std::copy_n(body.data() + running.bodySent, bytes, buffer);
+    running.bodySent += bytes;
+    return bytes;
+}
+
+// libcurl repeats a request by itself when a reused connection closes without an answer. A write
+// may have taken effect then, so the repetition is refused here and reported as ambiguous.
+int refuseRewind(void *, curl_off_t, int)
+{
+    return CURL_SEEKFUNC_FAIL;
+}
+
+int onProgress(void *context, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    const auto &running = *static_cast<const exchange *>(context);
+    const bool isLate
+        = running.status() == 0 && steady_clock().now() - running.startedAt > streamHeaderTimeout;
+    return isLate ? 1 : 0; // 1 makes libcurl end the transfer
+}
+
+void applyMethod(exchange &next)
+{
+    if (next.request.method == "GET")
+        return;
+    curl_easy_setopt(next.handle, CURLOPT_CUSTOMREQUEST, next.request.method.c_str());
+    if (next.request.method == "HEAD") {
+        curl_easy_setopt(next.handle, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (next.request.body.empty()) {
+        // Without a body nothing stops the repetition described at refuseRewind(), except a
+        // connection that is not reused.
+        curl_easy_setopt(next.handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    curl_easy_setopt(next.handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(next.handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(next.request.body.size()));
+    curl_easy_setopt(next.handle, CURLOPT_READFUNCTION, onSend);
+    curl_easy_setopt(next.handle, CURLOPT_READDATA, &next);
+    curl_easy_setopt(next.handle, CURLOPT_SEEKFUNCTION, refuseRewind);
+}
+
+void applyHeaders(exchange &next)
+{
+    for (const auto &[name, value] : next.request.headers) {
+        // A value that ends in ':' alone would remove the header.
+        std::string line = name;
+        line += value.empty() ? ";" : ": " + value;
+        next.headers = curl_slist_append(next.headers, line.c_str());
+    }
+    // Without this, libcurl waits up to 1 s for "100 Continue" before it sends a large body.
+    next.headers = curl_slist_append(next.headers, "Expect:");
+    curl_easy_setopt(next.handle, CURLOPT_HTTPHEADER, next.headers);
+}
+
+bool prepare(exchange &next)
+{
+    next.handle = curl_easy_init();
+    if (!next.handle)
+        return false;
+    CURL *handle = next.handle;
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &next);
+    curl_easy_setopt(handle, CURLOPT_URL, next.request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(handle, CURLOPT_PROXY, ""); // the environment must not redirect our traffic
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, keepAliveIdleSeconds);
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &next);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &next);
+    const duration total = next.request.timeout;
+    const duration connecting = total > 0ms ? std::min(total, connectTimeout) : connectTimeout;
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connecting.count()));
+    if (total > 0ms) {
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(total.count()));
+    } else {
+        next.startedAt = steady_clock().now();
+        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
+        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &next);
+        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+    }
+    applyMethod(next);
+    applyHeaders(next);
+    return true;
+}
+
+// Returns whether libcurl can't have sent a byte of the request.
+bool wasNeverSent(CURL *handle, CURLcode error)
+{
+    switch (error) {
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_FAILED_INIT:
+        return true;
+    default:
+        break;
+    }
+    curl_off_t sentAt = 0; // microseconds until the request could be sent; 0 if never
+    curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &sentAt);
+    return error == CURLE_OPERATION_TIMEDOUT && sentAt == 0;
+}
+
+failure failureFrom(const exchange &ended, CURLcode error)
+{
+    const std::string text
+        = ended.isTooLarge ? "the answer is larger than the limit" : curl_easy_strerror(error);
+    if (ended.handle && !wasNeverSent(ended.handle, error))
+        return makeFailure(code::StoreAmbiguous, "the exchange broke: " + text);
+    return makeFailure(code::StoreUnavailable, "no connection: " + text);
+}
+
+// Runs all transfers on one thread.
+class transfer_thread
+{
+public:
+    transfer_thread()
+    {
+        initialiseCurlOnce();
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, maxConnectionsPerHost);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~transfer_thread()
+    {
+        m_stopping = true;
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+        for (auto &[id, running] : m_running)
+            curl_multi_remove_handle(m_multi, running->handle);
+        m_running.clear();
+        m_added.clear();
+        curl_multi_cleanup(m_multi);
+    }
+
+    transfer_thread(const transfer_thread &) = delete;
+    transfer_thread &operator=(const transfer_thread &) = delete;
+
+    void start(std::unique_ptr<exchange> next)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_added.push_back(std::move(next));
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_cancelled.push_back(id);
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+private:
+    void run()
+    {
+        constexpr int longestWaitMs = 1000;
+        while (!m_stopping) {
+            takeCommands();
+            int active = 0;
+            curl_multi_perform(m_multi, &active);
+            finishTransfers();
+            curl_multi_poll(m_multi, nullptr, 0, longestWaitMs, nullptr);
+        }
+    }
+
+    void takeCommands()
+    {
+        std::vector<std::unique_ptr<exchange>> added;
+        std::vector<std::uint64_t> cancelled;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            added.swap(m_added);
+            cancelled.swap(m_cancelled);
+        }
+        for (std::unique_ptr<exchange> &next : added)
+            add(std::move(next));
+        for (const std::uint64_t id : cancelled)
+            drop(id);
+    }
+
+    void add(std::unique_ptr<exchange> next)
+    {
+        if (!prepare(*next) || curl_multi_add_handle(m_multi, next->handle) != CURLM_OK)
+            return finish(std::move(next), CURLE_FAILED_INIT);
+        const std::uint64_t id = next->id;
+        m_running.emplace(id, std::move(next));
+    }
+
+    void drop(std::uint64_t id)
+    {
+        const auto found = m_running.find(id);
+        if (found == m_running.end())
+            return;
+        curl_multi_remove_handle(m_multi, found->second->handle);
+        found->second->release();
+        // Its callbacks may own objects of the loop's thread, so they are destroyed there.
+        event_loop &loop = *found->second->loop;
+        std::shared_ptr<exchange> dropped = std::move(found->second);
+        m_running.erase(found);
+        loop.post([dropped = std::move(dropped)] {});
+    }
+
+    void finishTransfers()
+    {
+        int left = 0;
+        while (const CURLMsg *event = curl_multi_info_read(m_multi, &left)) {
+            if (event->msg != CURLMSG_DONE)
+                continue;
+            const CURLcode outcome = event->data.result;
+            exchange *ended = nullptr;
+            curl_easy_getinfo(event->easy_handle, CURLINFO_PRIVATE, &ended);
+            curl_multi_remove_handle(m_multi, event->easy_handle);
+            const auto found = m_running.find(ended->id);
+            std::unique_ptr<exchange> owned = std::move(found->second);
+            m_running.erase(found);
+            finish(std::move(owned), outcome);
+        }
+    }
+
+    static void finish(std::unique_ptr<exchange> ended, CURLcode outcome)
+    {
+        ended->response.status = ended->status();
+        std::optional<failure> error;
+        if (outcome != CURLE_OK)
+            error = failureFrom(*ended, outcome);
+        else if (ended->isStream() && !isSuccess(ended->response.status))
+            error = makeFailure(code::StoreProtocol,
+                                "the stream was answered with status "
+                                    + std::to_string(ended->response.status));
+        ended->release();
+        event_loop &loop = *ended->loop;
+        // std::function needs a copyable capture; moving it leaves the last reference to the loop.
+        std::shared_ptr<exchange> shared = std::move(ended);
+        loop.post([shared = std::move(shared), error = std::move(error)] {
+            if (!shared->live->alive)
+                return;
+            if (shared->isStream())
+                shared->onEnd(error ? result<done>(*error) : result<done>(done{}));
+            else if (error)
+                shared->onResponse(*error);
+            else
+                shared->onResponse(std::move(shared->response));
+        });
+    }
+
+    CURLM *m_multi = nullptr;
+    std::map<std::uint64_t, std::unique_ptr<exchange>> m_running; // transfer thread only
+    std::mutex m_mutex; // guards the two lists
+    std::vector<std::unique_ptr<exchange>> m_added;
+    std::vector<std::uint64_t> m_cancelled;
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+class curl_stream final : public http_stream
+{
+public:
+    curl_stream(std::weak_ptr<transfer_thread> transfers, std::uint64_t id,
+                std::shared_ptr<liveness> live)
+        : m_transfers(std::move(transfers))
+        , m_id(id)
+        , m_live(std::move(live))
+    { }
+
+    ~curl_stream() override
+    {
+        m_live->alive = false;
+        if (const std::shared_ptr<transfer_thread> transfers = m_transfers.lock())
+            transfers->cancel(m_id);
+    }
+
+    curl_stream(const curl_stream &) = delete;
+    curl_stream &operator=(const curl_stream &) = delete;
+
+private:
+    std::weak_ptr<transfer_thread> m_transfers;
+    std::uint64_t m_id;
+    std::shared_ptr<liveness> m_live;
+};
+
+class curl_client final : public http_client
+{
+public:
+    explicit curl_client(event_loop &loop)
+        : m_loop(loop)
+        , m_transfers(std::make_shared<transfer_thread>())
+        , m_live(std::make_shared<liveness>())
+    { }
+
+    // Results that were posted already are dropped by their liveness.
+    ~curl_client() override { m_live->alive = false; }
+    curl_client(const curl_client &) = delete;
+    curl_client &operator=(const curl_client &) = delete;
+
+    void send(http_request request, std::function<void(result<http_response>)> callback) override
+    {
+        std::unique_ptr<exchange> next = makeExchange(std::move(request));
+        next->live = m_live;
+        next->onResponse = std::move(callback);
+        m_transfers->start(std::move(next));
+    }
+
+    std::unique_ptr<http_stream> stream(http_request request,
+                                        std::function<void(std::string_view)> onData,
+                                        std::function<void(result<done>)> onEnd) override
+    {
+        std::unique_ptr<exchange> next = makeExchange(std::move(request));
+        next->onData = std::move(onData);
+        next->onEnd = std::move(onEnd);
+        auto handle = std::make_unique<curl_stream>(m_transfers, next->id, next->live);
+        m_transfers->start(std::move(next));
+        return handle;
+    }
+
+private:
+    std::unique_ptr<exchange> makeExchange(http_request request)
+    {
+        auto next = std::make_unique<exchange>();
+        next->id = ++m_lastId;
+        next->request = std::move(request);
+        next->loop = &m_loop;
+        return next;
+    }
+
+    event_loop &m_loop;
+    std::shared_ptr<transfer_thread> m_transfers;
+    std::shared_ptr<liveness> m_live;
+    std::uint64_t m_lastId = 0;
+};
+
+} // namespace
+
+std::unique_ptr<http_client> makeCurlClient(event_loop &loop)
+{
+    return std::make_unique<curl_client>(loop);
+}
+
+} // namespace goldcrest
--- a/goldcrest/http_client.h
+++ b/goldcrest/http_client.h
@@ -50,7 +50,7 @@
         = 0;
 
     // Sends a request and delivers the answer's body in pieces. `onEnd` runs once, if the stream
-    // ends by itself.
+    // ends by itself; with StoreProtocol if the status is not 2xx.
     virtual std::unique_ptr<http_stream> stream(http_request request,
                                                 std::function<void(std::string_view)> onData,
                                                 std::function<void(result<done>)> onEnd)
@@ -58,6 +58,7 @@
 };
 
 // Returns a client that runs its transfers on one thread of its own and posts results to `loop`.
+// The loop must outlive the client. Destroying the client drops all callbacks.
 std::unique_ptr<http_client> makeCurlClient(event_loop &loop);
 
 } // namespace goldcrest
