--- /dev/null
+++ b/goldcrest/etcd_store.h
@@ -0,0 +1,50 @@
+#pragma once
+
+// platform_store over the HTTP/JSON interface of etcd version 3.
+//
+//   etcd_store store(*client, loop, "127.0.0.1:2379");
+//
+// It makes one HTTP exchange per call and repeats none; store_client adds the budget, retries and
+// the resolution of ambiguous writes.
+
+#include "goldcrest/event_loop.h"
+#include "goldcrest/http_client.h"
+#include "goldcrest/platform_store.h"
+
+#include <string>
+#include <string_view>
+
+namespace goldcrest {
+
+class etcd_store final : public platform_store
+{
+public:
+    // `address` is host:port. The client and the loop must outlive the store.
+    etcd_store(http_client &client, event_loop &loop, std::string_view address);
+
+    void get(std::string_view key, const call_options &options,
+             store_callback<std::optional<store_entry>> callback) override;
+    void list(std::string_view prefix, std::size_t limit, const call_options &options,
+              store_callback<std::vector<store_entry>> callback) override;
+    void commit(store_transaction transaction, const call_options &options,
+                store_callback<commit_reply> callback) override;
+
+    // The service counts lifetimes in whole seconds; `lifetime` is rounded up.
+    void grantLease(duration lifetime, const call_options &options,
+                    store_callback<lease_id> callback) override;
+    void renewLease(lease_id lease, const call_options &options,
+                    store_callback<duration> callback) override;
+    void revokeLease(lease_id lease, const call_options &options,
+                     store_callback<done> callback) override;
+    std::unique_ptr<store_watch> watch(std::string_view prefix, store_revision from,
+                                       std::function<void(watch_batch)> callback) override;
+
+private:
+    http_request makeRequest(std::string_view path, std::string body, duration timeout) const;
+
+    http_client &m_client;
+    event_loop &m_loop;
+    std::string m_base;
+};
+
+} // namespace goldcrest
