--- /dev/null
+++ b/goldcrest/call_limits.cc
@@ -0,0 +1,147 @@
+#include "goldcrest/call_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrest {
+
+namespace {
+
+// Shares of the burst that calls of lower priority leave to those of higher priority.
+constexpr double keptFromNormal = 0.1;
+constexpr double keptFromBackground = 0.3;
+
+} // namespace
+
+call_budget::call_budget(double perSecond, double burst)
+    : m_perMs(perSecond / 1000)
+    , m_burst(std::max(burst, 2.0))
+    , m_tokens(m_burst)
+{ }
+
+void call_budget::refill(time_point now)
+{
+    if (m_started && now > m_refilledAt) {
+        const auto passed = static_cast<double>((now - m_refilledAt).count());
+        m_tokens = std::min(m_burst, m_tokens + passed * m_perMs);
+    }
+    if (!m_started || now > m_refilledAt)
+        m_refilledAt = now;
+    m_started = true;
+}
+
+double call_budget::neededFor(call_priority priority) const
+{
+    switch (priority) {
+    case call_priority::Urgent:
+        break;
+    case call_priority::Normal:
+        return 1 + keptFromNormal * (m_burst - 1);
+    case call_priority::Background:
+        return 1 + keptFromBackground * (m_burst - 1);
+    }
+    return 1;
+}
+
+bool call_budget::take(call_priority priority, time_point now)
+{
+    refill(now);
+    if (m_tokens < neededFor(priority))
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+void call_budget::force(time_point now)
+{
+    refill(now);
+    m_tokens -= 1;
+}
+
+duration call_budget::waitOf(call_priority priority, time_point now)
+{
+    refill(now);
+    const double missing = neededFor(priority) - m_tokens;
+    if (missing <= 0)
+        return 0ms;
+    return duration(static_cast<std::int64_t>(std::ceil(missing / m_perMs)));
+}
+
+retry_budget::retry_budget(double share, double most)
+    : m_share(share)
+    , m_most(most)
+    , m_saved(most)
+{ }
+
+void retry_budget::noteCall()
+{
+    m_saved = std::min(m_most, m_saved + m_share);
+}
+
+bool retry_budget::take()
+{
+    if (m_saved < 1)
+        return false;
+    m_saved -= 1;
+    return true;
+}
+
+jittered_backoff::jittered_backoff(duration first, duration longest, std::uint64_t seed)
+    : m_first(first)
+    , m_longest(longest)
+    , m_random(seed)
+{ }
+
+duration jittered_backoff::delayOf(int failures)
+{
+    constexpr int mostDoublings = 20;
+    const int doublings = std::clamp(failures - 1, 0, mostDoublings);
+    const duration step = std::min(m_longest, m_first * (1 << doublings));
+    std::uniform_int_distribution<std::int64_t> spread(step.count() / 2, step.count());
+    return duration(spread(m_random));
+}
+
+circuit_breaker::circuit_breaker(int failuresToOpen, duration firstPause, duration longestPause)
+    : m_failuresToOpen(failuresToOpen)
+    , m_firstPause(firstPause)
+    , m_longestPause(longestPause)
+    , m_pause(firstPause)
+{ }
+
+bool circuit_breaker::allows(time_point now)
+{
+    if (!m_isOpen)
+        return true;
+    if (now < m_probeAt)
+        return false;
+    m_isProbing = true;
+    m_probeAt = now + m_longestPause * 2;
+    return true;
+}
+
+void circuit_breaker::succeeded()
+{
+    m_failures = 0;
+    m_isOpen = false;
+    m_isProbing = false;
+    m_pause = m_firstPause;
+}
+
+void circuit_breaker::failed(time_point now)
+{
+    ++m_failures;
+    if (m_isOpen) {
+        // Calls that were under way when the breaker opened must not prolong the pause.
+        if (!m_isProbing)
+            return;
+        m_isProbing = false;
+        m_pause = std::min(m_longestPause, m_pause * 2);
+        m_probeAt = now + m_pause;
+    } else if (m_failures >= m_failuresToOpen) {
+        m_isOpen = true;
+        m_pause = m_firstPause;
+        m_probeAt = now + m_pause;
+    }
+}
+
+} // namespace goldcrest
--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -121,7 +121,7 @@
     case NotFound:
         return makeFailure(code::LeaseLost, reason);
     case ResourceExhausted: // refused before it was applied
-        return makeFailure(code::StoreUnavailable, reason);
+        return makeFailure(code::StoreOverBudget, reason);
     case InvalidArgument:
         if (text.find("too large") != std::string::npos)
             return makeFailure(code::StoreValueTooLarge, reason);
@@ -163,10 +163,11 @@
 // Sends a request and turns the JSON object of its answer into a value. `read` gives nothing if the
 // object is not in the expected form.
 template<typename T>
-void exchange(http_client &client, http_request request, effect kind, store_callback<T> callback,
+void exchange(http_client &client, const http_request &request, effect kind,
+              store_callback<T> callback,
               std::function<std::optional<result<T>>(const json &)> read)
 {
-    client.send(std::move(request),
+    client.send(request,
                 [kind, callback = std::move(callback),
                  read = std::move(read)](result<http_response> outcome) {
                     const result<json> answer = answerFrom(std::move(outcome), kind);
--- a/goldcrest/membership.h
+++ b/goldcrest/membership.h
@@ -4,7 +4,7 @@
 //
 //   membership leader(store, loop, "cell-a", "w3", "127.0.0.1:7203", callbacks);
 //   leader.campaign();           // after a nomination; tries once
-//   if (leader.mayStart(now)) ...
+//   if (leader.leaseHolds(now)) ...
 //   leader.resign([] { ... });   // at shutdown
 //
 // The epoch is the creation revision of the leader key, so it grows with each election.
@@ -61,7 +61,8 @@
     epoch currentEpoch() const;
 
     // Returns whether the lease certainly still holds: counted from the send time of the last
-    // successful renewal.
+    // successful renewal, less plannerLeaseMargin. After an outage it holds again once the store
+    // has confirmed both the lease and the key.
     bool leaseHolds(time_point now) const;
 
     // Returns whether no renewal got an answer since the last one that held, that is, the store may
@@ -70,7 +71,7 @@
 
 private:
     struct state;
-    std::unique_ptr<state> m_state;
+    std::shared_ptr<state> m_state;
 };
 
 } // namespace goldcrest
--- /dev/null
+++ b/goldcrest/store_client.cc
@@ -0,0 +1,596 @@
+#include "goldcrest/store_client.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <set>
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+constexpr std::size_t priorityCount = 3;
+
+bool isTransient(code number)
+{
+    return number == code::StoreUnavailable || number == code::StoreAmbiguous
+        || number == code::StoreOverBudget;
+}
+
+// A refusal by the service is an answer; a broken exchange is not.
+bool isSilence(code number)
+{
+    return number == code::StoreUnavailable || number == code::StoreAmbiguous;
+}
+
+// Returns whether applying the transaction again, or late, can't change anything.
+bool isGuarded(const store_transaction &transaction)
+{
+    std::set<std::string_view> written;
+    for (const store_transaction::write &change : transaction.writes)
+        written.insert(change.key);
+    return std::any_of(transaction.conditions.begin(), transaction.conditions.end(),
+                       [&](const store_transaction::condition &condition) {
+                           const bool changesWithWrite
+                               = !condition.onCreateRevision || condition.expected == 0;
+                           return changesWithWrite && written.count(condition.key) > 0;
+                       });
+}
+
+// Returns the write whose value proves that the transaction took effect, or nullptr.
+const store_transaction::write *proofOf(const store_transaction &transaction)
+{
+    const store_transaction::write *longest = nullptr;
+    for (const store_transaction::write &change : transaction.writes) {
+        if (change.value && !change.value->empty()
+            && (!longest || change.value->size() > longest->value->size()))
+            longest = &change;
+    }
+    return longest;
+}
+
+bool proves(const store_entry &entry, const store_transaction::write &change)
+{
+    return entry.key == change.key && entry.value == *change.value && entry.lease == change.lease;
+}
+
+// One call of a user, with its retries.
+class operation : public std::enable_shared_from_this<operation>
+{
+public:
+    enum class kind { Read, Write };
+
+    virtual ~operation() = default;
+
+    // Sends the next attempt to the store.
+    virtual void attempt(const call_options &options) = 0;
+
+    // Ends the call.
+    virtual void fail(const failure &error) = 0;
+
+    call_priority priority = call_priority::Normal;
+    time_point deadline{};
+    timer_handle deadlineTimer;
+    timer_handle retryTimer;
+    failure lastError = makeFailure(code::StoreUnavailable, "the deadline passed before a call");
+    int failures = 0;
+    bool isAmbiguous = false; // an attempt may have taken effect
+    bool isInFlight = false;
+    bool isQueued = false;
+    bool isEnded = false;
+};
+
+using operation_ptr = std::shared_ptr<operation>;
+
+} // namespace
+
+struct store_client::state : std::enable_shared_from_this<store_client::state>
+{
+    template<typename T>
+    class call;
+    class transaction_call;
+
+    state(platform_store &innerStore, event_loop &eventLoop, const store_client_options &chosen)
+        : inner(innerStore)
+        , loop(eventLoop)
+        , options(chosen)
+        , budget(chosen.callsPerSecond, chosen.burst)
+        , retries(chosen.retryShare, chosen.savedRetries)
+        , backoff(chosen.firstBackoff, chosen.longestBackoff, chosen.seed)
+        , breaker(chosen.failuresToOpen, chosen.firstPause, chosen.longestPause)
+    { }
+
+    void start(const operation_ptr &next, const call_options &chosen);
+    void enqueue(const operation_ptr &next);
+    bool makeRoomFor(call_priority priority);
+    void pump();
+    void run(const operation_ptr &next);
+    void retry(const operation_ptr &failed);
+    void enqueueAfter(const operation_ptr &waiting, duration delay);
+    void end(const operation_ptr &ended);
+    void failFast(const operation_ptr &refused);
+    void failLater(const operation_ptr &refused, failure error);
+    void deadlinePassed(const operation_ptr &late);
+
+    // Notes how an attempt ended, for the breaker and lastHeard().
+    void noteOutcome(const failure *error);
+
+    platform_store &inner;
+    event_loop &loop;
+    store_client_options options;
+    call_budget budget;
+    retry_budget retries;
+    jittered_backoff backoff;
+    circuit_breaker breaker;
+    std::array<std::deque<operation_ptr>, priorityCount> queues;
+    std::size_t queued = 0;
+    std::set<operation_ptr> open; // every call that has not ended
+    std::optional<time_point> heardAt;
+    store_client_counts counts;
+    timer_handle pumpTimer;
+    bool isClosed = false;
+};
+
+// A call that gives a T and may simply be repeated.
+template<typename T>
+class store_client::state::call : public operation
+{
+public:
+    using sender = std::function<void(const call_options &, store_callback<T>)>;
+
+    call(std::weak_ptr<state> owner, kind effect, sender send, store_callback<T> callback)
+        : m_owner(std::move(owner))
+        , m_effect(effect)
+        , m_send(std::move(send))
+        , m_callback(std::move(callback))
+    { }
+
+    void attempt(const call_options &options) override
+    {
+        m_send(options, [this, self = shared_from_this()](result<T> outcome) {
+            const std::shared_ptr<state> owner = m_owner.lock();
+            if (!owner || owner->isClosed || isEnded)
+                return;
+            isInFlight = false;
+            owner->noteOutcome(failureOf(outcome));
+            onOutcome(*owner, std::move(outcome));
+        });
+    }
+
+    // A read has no effect that could be ambiguous; a write whose answer was lost is never reported
+    // as "did not take effect".
+    void fail(const failure &error) override
+    {
+        failure reported = error;
+        if (m_effect == kind::Read && error.number == code::StoreAmbiguous)
+            reported.number = code::StoreUnavailable;
+        else if (m_effect == kind::Write && isAmbiguous)
+            reported.number = code::StoreAmbiguous;
+        finish(reported);
+    }
+
+protected:
+    virtual void onOutcome(state &owner, result<T> outcome)
+    {
+        const failure *error = failureOf(outcome);
+        if (!error || !isTransient(error->number))
+            return finish(std::move(outcome));
+        isAmbiguous = isAmbiguous || error->number == code::StoreAmbiguous;
+        lastError = *error;
+        owner.retry(shared_from_this());
+    }
+
+    void finish(result<T> outcome)
+    {
+        if (isEnded)
+            return;
+        const operation_ptr self = shared_from_this();
+        if (const std::shared_ptr<state> owner = m_owner.lock())
+            owner->end(self);
+        m_callback(std::move(outcome));
+    }
+
+private:
+    std::weak_ptr<state> m_owner;
+    kind m_effect;
+    sender m_send;
+    store_callback<T> m_callback;
+};
+
+// A transaction, whose lost answers are resolved by reading back.
+class store_client::state::transaction_call final : public call<commit_reply>
+{
+public:
+    transaction_call(state &owner, store_transaction transaction,
+                     store_callback<commit_reply> callback)
+        : call(owner.weak_from_this(), kind::Write, nullptr, std::move(callback))
+        , m_inner(owner.inner)
+        , m_owner(owner.weak_from_this())
+        , m_transaction(std::move(transaction))
+        , m_isGuarded(isGuarded(m_transaction))
+        , m_proof(proofOf(m_transaction))
+    { }
+
+    void attempt(const call_options &options) override
+    {
+        if (isAmbiguous && m_proof && !m_wasReadBack)
+            return readBack(options);
+        m_wasReadBack = false;
+        m_inner.commit(m_transaction, options,
+                       [this, self = shared_from_this()](result<commit_reply> outcome) {
+                           const std::shared_ptr<state> owner = m_owner.lock();
+                           if (!owner || owner->isClosed || isEnded)
+                               return;
+                           isInFlight = false;
+                           owner->noteOutcome(failureOf(outcome));
+                           onOutcome(*owner, std::move(outcome));
+                       });
+    }
+
+    // Runs also at the deadline, so a lost answer is never reported as "did not take effect".
+    void fail(const failure &error) override
+    {
+        if (!isAmbiguous)
+            return finish(error);
+        countUnresolved();
+        finish(makeFailure(code::StoreAmbiguous, error.reason));
+    }
+
+private:
+    void onOutcome(state &owner, result<commit_reply> outcome) override
+    {
+        if (const failure *error = failureOf(outcome)) {
+            if (!isTransient(error->number))
+                return fail(*error);
+            isAmbiguous = isAmbiguous || error->number == code::StoreAmbiguous;
+            lastError = *error;
+            if (isAmbiguous && !m_proof && !m_isGuarded)
+                return fail(*error); // neither a proof nor a repetition is possible
+            return owner.retry(shared_from_this());
+        }
+        const commit_reply &reply = valueOf(outcome);
+        if (!isAmbiguous)
+            return finish(std::move(outcome));
+        if (reply.applied)
+            return resolve(owner, reply);
+        for (const store_entry &entry : reply.current) {
+            if (m_proof && proves(entry, *m_proof))
+                return resolve(owner, appliedAt(entry.modRevision));
+        }
+        fail(makeFailure(code::StoreAmbiguous,
+                         "the answer was lost, and the keys have changed since"));
+    }
+
+    void readBack(const call_options &options)
+    {
+        using entry_option = std::optional<store_entry>;
+        m_inner.get(m_proof->key, options,
+                    [this, self = shared_from_this()](const result<entry_option> &outcome) {
+                        const std::shared_ptr<state> owner = m_owner.lock();
+                        if (!owner || owner->isClosed || isEnded)
+                            return;
+                        isInFlight = false;
+                        owner->noteOutcome(failureOf(outcome));
+                        onReadBack(*owner, outcome);
+                    });
+    }
+
+    void onReadBack(state &owner, const result<std::optional<store_entry>> &outcome)
+    {
+        if (const failure *error = failureOf(outcome)) {
+            lastError = *error;
+            return owner.retry(shared_from_this());
+        }
+        const std::optional<store_entry> &entry = valueOf(outcome);
+        if (entry && proves(*entry, *m_proof))
+            return resolve(owner, appliedAt(entry->modRevision));
+        if (!m_isGuarded)
+            return fail(makeFailure(code::StoreAmbiguous,
+                                    "the answer was lost, and the value is not there"));
+        m_wasReadBack = true;
+        owner.retry(shared_from_this());
+    }
+
+    static commit_reply appliedAt(store_revision at)
+    {
+        commit_reply reply;
+        reply.applied = true;
+        reply.at = at;
+        return reply;
+    }
+
+    void resolve(state &owner, commit_reply reply)
+    {
+        ++owner.counts.resolved;
+        finish(std::move(reply));
+    }
+
+    void countUnresolved()
+    {
+        if (const std::shared_ptr<state> owner = m_owner.lock(); owner && !isEnded)
+            ++owner->counts.unresolved;
+    }
+
+    platform_store &m_inner;
+    std::weak_ptr<state> m_owner;
+    store_transaction m_transaction;
+    bool m_isGuarded;
+    const store_transaction::write *m_proof;
+    bool m_wasReadBack = false; // the next attempt may send the transaction again
+};
+
+void store_client::state::start(const operation_ptr &next, const call_options &chosen)
+{
+    next->priority = chosen.priority;
+    next->deadline = loop.now() + chosen.deadline;
+    open.insert(next);
+    if (!breaker.mayAllow(loop.now()))
+        return failFast(next);
+    retries.noteCall();
+    next->deadlineTimer
+        = loop.after(chosen.deadline, [this, weak = std::weak_ptr<operation>(next)] {
+              if (const operation_ptr late = weak.lock())
+                  deadlinePassed(late);
+          });
+    if (!makeRoomFor(next->priority)) {
+        ++counts.overBudget;
+        return failLater(next, makeFailure(code::StoreOverBudget, "too many calls are waiting"));
+    }
+    enqueue(next);
+}
+
+void store_client::state::failFast(const operation_ptr &refused)
+{
+    ++counts.failedFast;
+    failLater(refused,
+              makeFailure(code::StoreUnavailable,
+                          "the store did not answer lately; calls are suspended"));
+}
+
+// The callback must not run inside the call that is refused.
+void store_client::state::failLater(const operation_ptr &refused, failure error)
+{
+    loop.post([weak = weak_from_this(), refused, error = std::move(error)] {
+        const std::shared_ptr<state> owner = weak.lock();
+        if (owner && !owner->isClosed && !refused->isEnded)
+            refused->fail(error);
+    });
+}
+
+// Returns whether a call may wait. A full queue gives up the latest call of a lower priority.
+bool store_client::state::makeRoomFor(call_priority priority)
+{
+    if (queued < options.maxQueued)
+        return true;
+    for (std::size_t lower = priorityCount - 1; lower > static_cast<std::size_t>(priority);
+         --lower) {
+        std::deque<operation_ptr> &queue = queues[lower];
+        if (queue.empty())
+            continue;
+        const operation_ptr given = queue.back();
+        queue.pop_back();
+        --queued;
+        given->isQueued = false;
+        if (!given->isEnded) {
+            ++counts.overBudget;
+            failLater(given, makeFailure(code::StoreOverBudget, "gave way to a more urgent call"));
+        }
+        return true;
+    }
+    return false;
+}
+
+void store_client::state::enqueue(const operation_ptr &next)
+{
+    queues[static_cast<std::size_t>(next->priority)].push_back(next);
+    next->isQueued = true;
+    ++queued;
+    pump();
+}
+
+void store_client::state::pump()
+{
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        std::deque<operation_ptr> &queue = queues[i];
+        while (!queue.empty()) {
+            const operation_ptr next = queue.front();
+            if (!next->isEnded && !budget.take(next->priority, loop.now())) {
+                const duration wait = budget.waitOf(next->priority, loop.now());
+                pumpTimer = loop.after(std::max(wait, duration(1)), [this] { pump(); });
+                return;
+            }
+            queue.pop_front();
+            --queued;
+            next->isQueued = false;
+            if (!next->isEnded)
+                run(next);
+        }
+    }
+}
+
+void store_client::state::run(const operation_ptr &next)
+{
+    const time_point now = loop.now();
+    if (!breaker.allows(now)) {
+        // A call that has made an attempt may have an outcome to find out, so it waits on.
+        if (next->failures == 0)
+            return failFast(next);
+        return enqueueAfter(next, backoff.delayOf(next->failures));
+    }
+    ++counts.attempts;
+    next->isInFlight = true;
+    const duration left = std::max(next->deadline - now, duration(1));
+    // A slow store gets half of the time that is left, so that one retry still fits.
+    const duration timeout = std::min(left, std::max(options.attemptTimeout, left / 2));
+    next->attempt({next->priority, timeout});
+}
+
+void store_client::state::retry(const operation_ptr &failed)
+{
+    ++failed->failures;
+    if (!retries.take())
+        return failLater(failed, failed->lastError);
+    ++counts.retries;
+    enqueueAfter(failed, backoff.delayOf(failed->failures));
+}
+
+void store_client::state::enqueueAfter(const operation_ptr &waiting, duration delay)
+{
+    if (loop.now() + delay >= waiting->deadline)
+        return failLater(waiting, waiting->lastError);
+    waiting->retryTimer = loop.after(delay, [this, weak = std::weak_ptr<operation>(waiting)] {
+        const operation_ptr again = weak.lock();
+        if (again && !again->isEnded)
+            enqueue(again);
+    });
+}
+
+void store_client::state::end(const operation_ptr &ended)
+{
+    ended->isEnded = true;
+    ended->deadlineTimer.reset();
+    ended->retryTimer.reset();
+    open.erase(ended);
+}
+
+void store_client::state::deadlinePassed(const operation_ptr &late)
+{
+    // A call in flight has a timeout of its own that ends now too; its answer says more.
+    if (!late->isInFlight)
+        failLater(late, late->lastError);
+}
+
+void store_client::state::noteOutcome(const failure *error)
+{
+    if (!error || !isSilence(error->number)) {
+        heardAt = loop.now();
+        breaker.succeeded();
+        return;
+    }
+    const bool wasOpen = breaker.isOpen();
+    breaker.failed(loop.now());
+    if (breaker.isOpen() && !wasOpen)
+        ++counts.breakerOpened;
+}
+
+store_client::store_client(platform_store &inner, event_loop &loop,
+                           const store_client_options &options)
+    : m_state(std::make_shared<state>(inner, loop, options))
+{ }
+
+store_client::~store_client()
+{
+    m_state->isClosed = true;
+    m_state->pumpTimer.reset();
+    // Ended calls ignore answers that are still to come.
+    const std::set<operation_ptr> open = std::move(m_state->open);
+    m_state->open.clear();
+    for (const operation_ptr &call : open)
+        m_state->end(call);
+}
+
+std::optional<time_point> store_client::lastHeard() const
+{
+    return m_state->heardAt;
+}
+
+bool store_client::isSuspended() const
+{
+    return m_state->breaker.isOpen();
+}
+
+const store_client_counts &store_client::counts() const
+{
+    return m_state->counts;
+}
+
+void store_client::get(std::string_view key, const call_options &options,
+                       store_callback<std::optional<store_entry>> callback)
+{
+    using entry_option = std::optional<store_entry>;
+    auto send = [&inner = m_state->inner, key = std::string(key)](
+                    const call_options &limits, store_callback<entry_option> answer) {
+        inner.get(key, limits, std::move(answer));
+    };
+    m_state->start(std::make_shared<state::call<entry_option>>(
+                       m_state, operation::kind::Read, std::move(send), std::move(callback)),
+                   options);
+}
+
+void store_client::list(std::string_view prefix, std::size_t limit, const call_options &options,
+                        store_callback<std::vector<store_entry>> callback)
+{
+    using entries = std::vector<store_entry>;
+    auto send = [&inner = m_state->inner, prefix = std::string(prefix),
+                 limit](const call_options &limits, store_callback<entries> answer) {
+        inner.list(prefix, limit, limits, std::move(answer));
+    };
+    m_state->start(std::make_shared<state::call<entries>>(m_state, operation::kind::Read,
+                                                          std::move(send), std::move(callback)),
+                   options);
+}
+
+void store_client::commit(store_transaction transaction, const call_options &options,
+                          store_callback<commit_reply> callback)
+{
+    m_state->start(std::make_shared<state::transaction_call>(*m_state, std::move(transaction),
+                                                             std::move(callback)),
+                   options);
+}
+
+void store_client::grantLease(duration lifetime, const call_options &options,
+                              store_callback<lease_id> callback)
+{
+    // A lease whose answer was lost ends by itself, so another one may be asked for.
+    auto send = [&inner = m_state->inner, lifetime](const call_options &limits,
+                                                    store_callback<lease_id> answer) {
+        inner.grantLease(lifetime, limits, std::move(answer));
+    };
+    m_state->start(std::make_shared<state::call<lease_id>>(m_state, operation::kind::Write,
+                                                           std::move(send), std::move(callback)),
+                   options);
+}
+
+void store_client::renewLease(lease_id lease, const call_options &options,
+                              store_callback<duration> callback)
+{
+    auto send = [&inner = m_state->inner, lease](const call_options &limits,
+                                                 store_callback<duration> answer) {
+        inner.renewLease(lease, limits, std::move(answer));
+    };
+    m_state->start(std::make_shared<state::call<duration>>(m_state, operation::kind::Write,
+                                                           std::move(send), std::move(callback)),
+                   options);
+}
+
+void store_client::revokeLease(lease_id lease, const call_options &options,
+                               store_callback<done> callback)
+{
+    auto send = [&inner = m_state->inner, lease](const call_options &limits,
+                                                 store_callback<done> answer) {
+        inner.revokeLease(lease, limits, std::move(answer));
+    };
+    m_state->start(std::make_shared<state::call<done>>(m_state, operation::kind::Write,
+                                                       std::move(send), std::move(callback)),
+                   options);
+}
+
+std::unique_ptr<store_watch> store_client::watch(std::string_view prefix, store_revision from,
+                                                 std::function<void(watch_batch)> callback)
+{
+    m_state->budget.force(m_state->loop.now());
+    ++m_state->counts.attempts;
+    return m_state->inner.watch(
+        prefix, from,
+        [weak = std::weak_ptr<state>(m_state), callback = std::move(callback)](watch_batch batch) {
+            const std::shared_ptr<state> owner = weak.lock();
+            if (!owner)
+                return;
+            if (!batch.broken)
+                owner->heardAt = owner->loop.now();
+            callback(std::move(batch));
+        });
+}
+
+} // namespace goldcrest
--- a/testing/store_model_support.cc
+++ b/testing/store_model_support.cc
@@ -188,7 +188,7 @@
 
 store_model::watch_id store_model::watch(const std::string &first, const std::string &end,
                                          store_revision from,
-                                         std::function<void(const watch_batch &)> callback)
+                                         const std::function<void(const watch_batch &)> &callback)
 {
     const watch_id id = ++m_lastWatch;
     if (from != 0 && from < m_firstKept) {
@@ -301,14 +301,20 @@
     });
 }
 
+failure fake_store::silence(bool isWrite)
+{
+    return makeFailure(isWrite ? code::StoreAmbiguous : code::StoreUnavailable,
+                       "no answer before the deadline");
+}
+
 std::optional<failure> fake_store::faultOf(bool isWrite)
 {
     if (m_faults.down)
         return makeFailure(code::StoreUnavailable, "the store is down");
     if (m_faults.silent)
-        return makeFailure(code::StoreAmbiguous, "no answer before the deadline");
+        return silence(isWrite);
     if (isWrite && m_faults.refuseWrites)
-        return makeFailure(code::StoreUnavailable, "the store refuses writes");
+        return makeFailure(code::StoreOverBudget, "the store refuses writes");
     if (isWrite && m_faults.loseRequests > 0) {
         --m_faults.loseRequests;
         return makeFailure(code::StoreAmbiguous, "the connection closed without an answer");
@@ -317,12 +323,13 @@
 }
 
 template<typename T>
-void fake_store::answer(result<T> outcome, const call_options &options, store_callback<T> callback)
+void fake_store::answer(bool isWrite, result<T> outcome, const call_options &options,
+                        store_callback<T> callback)
 {
     duration delay = m_faults.delay;
     if (m_faults.silent || delay > options.deadline) {
         delay = options.deadline;
-        outcome = makeFailure(code::StoreAmbiguous, "no answer before the deadline");
+        outcome = silence(isWrite);
     }
     run(delay,
         [outcome = std::move(outcome), callback = std::move(callback)] { callback(outcome); });
@@ -334,13 +341,13 @@
 {
     m_model.expireLeases(m_loop.now());
     if (const std::optional<failure> fault = faultOf(isWrite))
-        return answer<T>(*fault, options, std::move(callback));
+        return answer<T>(isWrite, *fault, options, std::move(callback));
     result<T> outcome = effect();
     if (isWrite && m_faults.loseAnswers > 0) {
         --m_faults.loseAnswers;
         outcome = makeFailure(code::StoreAmbiguous, "the connection closed without an answer");
     }
-    answer<T>(std::move(outcome), options, std::move(callback));
+    answer<T>(isWrite, std::move(outcome), options, std::move(callback));
 }
 
 void fake_store::get(std::string_view key, const call_options &options,
@@ -369,10 +376,11 @@
 void fake_store::commit(store_transaction transaction, const call_options &options,
                         store_callback<commit_reply> callback)
 {
-    ++m_counts.writes;
+    const bool isWrite = !transaction.writes.empty();
+    ++(isWrite ? m_counts.writes : m_counts.reads);
     m_callOrder.push_back(transaction.writes.empty() ? std::string()
                                                      : transaction.writes.front().key);
-    call<commit_reply>(true, options, std::move(callback),
+    call<commit_reply>(isWrite, options, std::move(callback),
                        [&] { return m_model.commit(transaction); });
 }
 
--- a/testing/store_model_support.h
+++ b/testing/store_model_support.h
@@ -52,7 +52,7 @@
     // callback runs inside the changing call, and at once for past changes. Gives a broken batch if
     // the history does not reach back.
     watch_id watch(const std::string &first, const std::string &end, store_revision from,
-                   std::function<void(const watch_batch &)> callback);
+                   const std::function<void(const watch_batch &)> &callback);
     void cancelWatch(watch_id id);
     std::size_t watchCount() const { return m_watches.size(); }
 
@@ -153,8 +153,11 @@
     // Returns the failure that the faults give to a call, or nothing if it takes effect.
     std::optional<failure> faultOf(bool isWrite);
 
+    static failure silence(bool isWrite);
+
     template<typename T>
-    void answer(result<T> outcome, const call_options &options, store_callback<T> callback);
+    void answer(bool isWrite, result<T> outcome, const call_options &options,
+                store_callback<T> callback);
     template<typename T, typename Effect>
     void call(bool isWrite, const call_options &options, store_callback<T> callback, Effect effect);
     void run(duration delay, std::function<void()> task);
