--- a/testing/job_record_test.cc
+++ b/testing/job_record_test.cc
@@ -105,9 +105,9 @@
 // Guards against many small results that exceed a store value by their overhead.
 TEST(job_record, manySmallResultsStayBelowThePartSize)
 {
-    std::vector<task_result> sent;
-    for (int task = 0; task < 5000; ++task)
-        sent.push_back({task, true, "ok", 2, 0, std::string(64, 'd')});
+    std::vector<task_result> sent(5000, {0, true, "ok", 2, 0, std::string(64, 'd')});
+    for (std::size_t i = 0; i < sent.size(); ++i)
+        sent[i].task = static_cast<std::int32_t>(i);
     for (const std::string &part : encodeResultParts(sent))
         CHECK(part.size() <= maxResultPartBytes);
     CHECK(valueOf(decodeResultParts(encodeResultParts(sent))).size() == sent.size());
--- /dev/null
+++ b/testing/membership_test.cc
@@ -0,0 +1,213 @@
+#include "goldcrest/job_record.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/store_client.h"
+#include "testing/store_model_support.h"
+#include "testing/virtual_event_loop.h"
+
+#include <memory>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace goldcrest;
+
+namespace {
+
+// One process with its own connection to the store, and its own clock.
+struct candidate
+{
+    candidate(store_model &model, event_loop &loop, const std::string &worker)
+        : store(model, loop)
+        , client(store, loop, {})
+        , member(client, loop, "north", worker, "127.0.0.1:7200",
+                 {[this](epoch elected) { lastElected = elected; }, [this] { ++deposals; }})
+    { }
+
+    fake_store store;
+    store_client client;
+    epoch lastElected = 0;
+    int deposals = 0;
+    membership member;
+};
+
+} // namespace
+
+TEST_GROUP(membership)
+{
+    virtual_event_loop loop;
+    store_model model;
+    candidate first{model, loop, "w1"};
+    candidate second{model, loop, "w2"};
+
+    void elect(candidate & chosen)
+    {
+        chosen.member.campaign();
+        loop.advance(100ms);
+        CHECK(chosen.member.isLeader());
+    }
+};
+
+// Guards against two planners of one cell, and against an epoch that agents can't compare.
+TEST(membership, oneOfTwoCandidatesIsElected)
+{
+    first.member.campaign();
+    second.member.campaign();
+    loop.advance(100ms);
+    CHECK(first.member.isLeader() != second.member.isLeader());
+    const std::vector<store_entry> key = model.range(leaderKey("north"), {});
+    LONGS_EQUAL(1, key.size());
+    const candidate &elected = first.member.isLeader() ? first : second;
+    LONGS_EQUAL(key[0].createRevision, elected.member.currentEpoch());
+    LONGS_EQUAL(key[0].createRevision, elected.lastElected);
+    const result<leader_record> record = decodeLeader(key[0].value);
+    STRCMP_EQUAL(elected.lastElected == first.lastElected ? "w1" : "w2",
+                 valueOf(record).worker.c_str());
+}
+
+// Guards against a leader that loses its lease although it is well.
+TEST(membership, aHealthyLeaderKeepsItsEpoch)
+{
+    elect(first);
+    const epoch elected = first.member.currentEpoch();
+    for (int i = 0; i < 600; ++i) {
+        loop.advance(100ms);
+        CHECK(first.member.leaseHolds(loop.now()));
+    }
+    LONGS_EQUAL(elected, first.member.currentEpoch());
+    LONGS_EQUAL(0, first.deposals);
+}
+
+// Guards against a paused leader that goes on while the next one starts work.
+TEST(membership, aPausedLeaderLosesItsRightBeforeItsLease)
+{
+    elect(first);
+    first.store.faults().silent = true; // a pause as the store sees it: no renewals arrive
+    const time_point start = loop.now();
+    while (model.range(leaderKey("north"), {}).size() == 1) {
+        loop.advance(100ms);
+        model.expireLeases(loop.now());
+        if (!first.member.leaseHolds(loop.now()))
+            break;
+    }
+    LONGS_EQUAL(1, model.range(leaderKey("north"), {}).size()); // the right ended first
+    CHECK(loop.now() - start <= plannerLeaseLifetime);
+    loop.advance(2s);
+    const epoch before = first.member.currentEpoch();
+    elect(second);
+    CHECK(second.member.currentEpoch() > before);
+    CHECK_FALSE(first.member.leaseHolds(loop.now()));
+    first.store.faults().silent = false;
+    loop.advance(3s);
+    CHECK_FALSE(first.member.isLeader());
+    LONGS_EQUAL(1, first.deposals);
+    CHECK(second.member.leaseHolds(loop.now()));
+}
+
+// Guards against a process that wakes after a long pause and trusts its clock of before.
+TEST(membership, theRightEndsDuringAPauseOfTheProcess)
+{
+    elect(first);
+    loop.jump(20s);
+    CHECK_FALSE(first.member.leaseHolds(loop.now()));
+    loop.advance(2s);
+    LONGS_EQUAL(1, first.deposals);
+}
+
+// Guards against a right that is counted from the answer of a slow renewal.
+TEST(membership, theRightCountsFromTheSendTimeOfTheRenewal)
+{
+    elect(first); // at 0 ms, so that renewals are sent at 1 s, 2 s and so on
+    first.store.faults().delay = 700ms;
+    loop.advance(1750ms - 100ms); // the renewal sent at 1000 ms was answered at 1700 ms
+    first.store.faults().down = true;
+    const time_point rightEnds = time_point{} + 1s + plannerLeaseLifetime - plannerLeaseMargin;
+    loop.advance(rightEnds - loop.now() - 10ms);
+    CHECK(first.member.leaseHolds(loop.now()));
+    CHECK(first.member.storeSilent());
+    loop.advance(20ms);
+    CHECK_FALSE(first.member.leaseHolds(loop.now()));
+}
+
+// Guards against a change of planner after an outage that the lease survived.
+TEST(membership, aLeaderIsConfirmedAgainAfterAnOutage)
+{
+    elect(first);
+    const epoch elected = first.member.currentEpoch();
+    first.store.faults().down = true;
+    loop.advance(4500ms);
+    CHECK(first.member.storeSilent());
+    CHECK(first.member.isLeader()); // nobody has said otherwise
+    CHECK_FALSE(first.member.leaseHolds(loop.now()));
+    model.renewLease(model.range(leaderKey("north"), {}).at(0).lease, loop.now()); // a long lease
+    first.store.faults().down = false;
+    loop.advance(4s);
+    CHECK(first.member.leaseHolds(loop.now()));
+    CHECK_FALSE(first.member.storeSilent());
+    LONGS_EQUAL(elected, first.member.currentEpoch());
+    LONGS_EQUAL(0, first.deposals);
+}
+
+// Guards against a leader whose key was removed while its lease stands.
+TEST(membership, aLeaderWithoutItsKeyStepsDown)
+{
+    elect(first);
+    model.commit(store_transaction{}.remove(leaderKey("north")));
+    loop.advance(8s);
+    CHECK_FALSE(first.member.isLeader());
+    LONGS_EQUAL(1, first.deposals);
+    elect(second);
+}
+
+// Guards against a cell that waits for a lease to end because the answer of an election was lost.
+TEST(membership, aLostAnswerOfTheElectionIsResolved)
+{
+    first.store.faults().loseAnswers = 1; // of the lease
+    first.member.campaign();
+    loop.advance(1s);
+    CHECK(first.member.isLeader());
+    second.store.faults().loseAnswers = 1;
+    second.member.campaign();
+    loop.advance(3s);
+    CHECK_FALSE(second.member.isLeader());
+    // Now of the key, with a plain store that resolves nothing.
+    fake_store plain{model, loop};
+    membership third(plain, loop, "south", "w3", "127.0.0.1:7203", {});
+    third.campaign();
+    plain.faults().loseAnswers = 1;
+    loop.advance(1s);
+    CHECK(third.isLeader());
+    LONGS_EQUAL(model.range(leaderKey("south"), {}).at(0).createRevision, third.currentEpoch());
+}
+
+// Guards against a cell without a planner for a lease time after an orderly shutdown.
+TEST(membership, resigningFreesTheRoleAtOnce)
+{
+    elect(first);
+    bool resigned = false;
+    first.member.resign([&] { resigned = true; });
+    CHECK_FALSE(first.member.isLeader());
+    loop.advance(10ms);
+    CHECK(resigned);
+    elect(second);
+    LONGS_EQUAL(0, first.deposals);
+}
+
+// Guards against a shutdown that waits for a store that is down.
+TEST(membership, resigningEndsAlsoWithoutTheStore)
+{
+    elect(first);
+    first.store.faults().silent = true;
+    bool resigned = false;
+    first.member.resign([&] { resigned = true; });
+    loop.advance(2s);
+    CHECK(resigned);
+}
+
+// Guards against a leader record that another version or hand wrote.
+TEST(membership, malformedLeaderRecordsAreRefused)
+{
+    CHECK(failureOf(decodeLeader("")) != nullptr);
+    CHECK(failureOf(decodeLeader(R"({"worker":"w1"})")) != nullptr);
+    CHECK(failureOf(decodeLeader(R"({"worker":1,"address":"a"})")) != nullptr);
+    CHECK(valueOf(decodeLeader(encodeLeader({"w1", "a:1"}))).address == "a:1");
+}
