Add links over WebSocket and log lines with stable fields

The dialling process names its own link address in the opening handshake, since the port of its connection identifies nothing.

log_fields writes one line an event with a fixed order of fields; lines that a repeated fault writes are limited per key.

--- /dev/null
+++ b/goldcrest/log_fields.cc
@@ -0,0 +1,219 @@
+#include "goldcrest/log_fields.h"
+
+#include <glog/logging.h>
+
+#include <mutex>
+
+namespace goldcrest {
+
+namespace {
+
+bool needsQuotes(std::string_view value)
+{
+    for (const char c : value) {
+        const bool plain = c > ' ' && c < '\x7f' && c != '"' && c != '\\' && c != '=';
+        if (!plain)
+            return true;
+    }
+    return value.empty();
+}
+
+// A value from outside can't forge a field or a second line.
+void appendQuoted(std::string &out, std::string_view value)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    out += '"';
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            out += '\\';
+            out += c;
+        } else if (byte < 0x20 || byte == 0x7f) {
+            out += "\\x";
+            out += digits[byte >> 4];
+            out += digits[byte & 0xf];
+        } else {
+            out += c;
+        }
+    }
+    out += '"';
+}
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    if (!out.empty())
+        out += ' ';
+    out += name;
+    out += '=';
+    if (needsQuotes(value))
+        appendQuoted(out, value);
+    else
+        out += value;
+}
+
+void appendIfSet(std::string &out, std::string_view name, std::string_view value)
+{
+    if (!value.empty())
+        appendField(out, name, value);
+}
+
+bool admitted(std::string_view key, std::uint64_t &suppressed)
+{
+    static std::mutex guard;
+    static log_limiter limiter;
+    const std::lock_guard<std::mutex> lock(guard);
+    return limiter.admit(key, steady_clock().now(), suppressed);
+}
+
+} // namespace
+
+log_limiter::key_state &log_limiter::find(std::string_view key, time_point now)
+{
+    const auto found = m_keys.find(key);
+    if (found != m_keys.end())
+        return found->second;
+    if (m_keys.size() >= maxKeys) {
+        for (auto it = m_keys.begin(); it != m_keys.end();) {
+            const bool expired = now - it->second.start >= interval && it->second.suppressed == 0;
+            it = expired ? m_keys.erase(it) : std::next(it);
+        }
+    }
+    const std::string_view used = m_keys.size() >= maxKeys ? std::string_view{} : key;
+    return m_keys.try_emplace(std::string(used), key_state{now, 0, 0}).first->second;
+}
+
+bool log_limiter::admit(std::string_view key, time_point now, std::uint64_t &suppressed)
+{
+    key_state &state = find(key, now);
+    if (now - state.start >= interval) {
+        state.start = now;
+        state.written = 0;
+    }
+    if (state.written >= linesPerInterval) {
+        ++state.suppressed;
+        return false;
+    }
+    ++state.written;
+    suppressed = state.suppressed;
+    state.suppressed = 0;
+    return true;
+}
+
+log_line::log_line(log_level level, std::string_view event)
+    : m_level(level)
+    , m_event(event)
+{ }
+
+log_line &log_line::job(const job_key &job)
+{
+    m_team = job.team;
+    m_request = job.requestId;
+    return *this;
+}
+
+log_line &log_line::attempt(const attempt_id &attempt)
+{
+    m_attempt = std::to_string(attempt.number);
+    return job(attempt.job);
+}
+
+log_line &log_line::atEpoch(epoch number)
+{
+    m_epoch = std::to_string(number);
+    return *this;
+}
+
+log_line &log_line::atRevision(revision number)
+{
+    m_revision = std::to_string(number);
+    return *this;
+}
+
+log_line &log_line::error(const failure &why)
+{
+    m_code = std::to_string(static_cast<int>(why.number));
+    m_error = nameOf(why.number);
+    m_errorField = why.field;
+    m_reason = why.reason;
+    return *this;
+}
+
+log_line &log_line::peer(std::string_view address)
+{
+    return field("peer", address);
+}
+
+log_line &log_line::field(std::string_view name, std::string_view value)
+{
+    appendField(m_others, name, value);
+    return *this;
+}
+
+log_line &log_line::field(std::string_view name, std::int64_t value)
+{
+    return field(name, std::string_view(std::to_string(value)));
+}
+
+log_line &log_line::limit(std::string_view key)
+{
+    m_limited = true;
+    m_limitKey = m_event;
+    m_limitKey += '/';
+    m_limitKey += key;
+    return *this;
+}
+
+std::string log_line::text() const
+{
+    std::string out;
+    appendField(out, "event", m_event);
+    appendIfSet(out, "team", m_team);
+    appendIfSet(out, "request", m_request);
+    appendIfSet(out, "attempt", m_attempt);
+    appendIfSet(out, "epoch", m_epoch);
+    appendIfSet(out, "revision", m_revision);
+    appendIfSet(out, "code", m_code);
+    appendIfSet(out, "error", m_error);
+    appendIfSet(out, "field", m_errorField);
+    appendIfSet(out, "reason", m_reason);
+    if (!m_others.empty()) {
+        out += ' ';
+        out += m_others;
+    }
+    return out;
+}
+
+void log_line::write()
+{
+    std::uint64_t suppressed = 0;
+    if (m_limited && !admitted(m_limitKey, suppressed))
+        return;
+    if (suppressed > 0)
+        field("suppressed", static_cast<std::int64_t>(suppressed));
+    const std::string line = text();
+    switch (m_level) {
+    case log_level::Info:
+        LOG(INFO) << line;
+        break;
+    case log_level::Warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+void startLog(std::string_view program, const std::string &directory, int minLevel)
+{
+    // glog keeps the pointer to the program's name.
+    static std::string name;
+    name = program;
+    FLAGS_minloglevel = minLevel;
+    FLAGS_logtostderr = directory.empty();
+    if (!directory.empty())
+        FLAGS_log_dir = directory;
+    google::InitGoogleLogging(name.c_str());
+}
+
+} // namespace goldcrest
--- /dev/null
+++ b/goldcrest/log_fields.h
@@ -0,0 +1,96 @@
+#pragma once
+
+// Log lines with stable fields, one line an event, written by glog.
+//
+//   log_line(log_level::Warning, "link closed").peer(address).error(why).limit(address).write();
+//
+// gives: event="link closed" code=605 error=MalformedMessage field=kind reason="..."
+// peer=10.0.0.3:7
+//
+// The order of the fields is fixed: event, team, request, attempt, epoch, revision, code, error,
+// field, reason, then the others as they were added.
+
+#include "goldcrest/clock.h"
+#include "goldcrest/model.h"
+#include "goldcrest/outcome.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace goldcrest {
+
+enum class log_level { Info, Warning, Error };
+
+// Lets a few lines with the same key through in each interval and counts the others.
+class log_limiter
+{
+public:
+    static constexpr std::int32_t linesPerInterval = 5;
+    static constexpr duration interval = 10s;
+    // Keys beyond this number share one key, which bounds the memory.
+    static constexpr std::size_t maxKeys = 4096;
+
+    // Returns whether a line may be written now.
+    // @param suppressed set to the number of lines withheld since the last one written
+    bool admit(std::string_view key, time_point now, std::uint64_t &suppressed);
+
+private:
+    struct key_state
+    {
+        time_point start;
+        std::int32_t written = 0;
+        std::uint64_t suppressed = 0;
+    };
+    key_state &find(std::string_view key, time_point now);
+
+    std::map<std::string, key_state, std::less<>> m_keys;
+};
+
+class log_line
+{
+public:
+    log_line(log_level level, std::string_view event);
+
+    log_line &job(const job_key &job);
+    log_line &attempt(const attempt_id &attempt);
+    log_line &atEpoch(epoch number);
+    log_line &atRevision(revision number);
+    log_line &error(const failure &why);
+    log_line &peer(std::string_view address);
+    log_line &field(std::string_view name, std::string_view value);
+    log_line &field(std::string_view name, std::int64_t value);
+
+    // Limits lines of this event with the same key; for faults that repeat.
+    log_line &limit(std::string_view key);
+
+    // Returns the line without the parts that glog adds.
+    std::string text() const;
+
+    // Writes the line. May be called from any thread.
+    void write();
+
+private:
+    log_level m_level;
+    std::string m_event;
+    std::string m_team;
+    std::string m_request;
+    std::string m_attempt;
+    std::string m_epoch;
+    std::string m_revision;
+    std::string m_code;
+    std::string m_error;
+    std::string m_errorField;
+    std::string m_reason;
+    std::string m_others;
+    std::string m_limitKey;
+    bool m_limited = false;
+};
+
+// Starts glog: to files in `directory`, or to standard error if it is empty.
+// @param program name of the program, part of the file names
+// @param minLevel lowest glog severity that is written, 0 info to 3 fatal
+void startLog(std::string_view program, const std::string &directory, int minLevel);
+
+} // namespace goldcrest
--- /dev/null
+++ b/goldcrest/websocket_link.cc
@@ -0,0 +1,910 @@
+#include "goldcrest/websocket_link.h"
+
+#include "goldcrest/asio_event_loop.h"
+#include "goldcrest/log_fields.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/random/random_device.hpp>
+#include <websocketpp/server.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+// WebSocket++ configuration of both ends: no logs, no locks (one thread), small read buffers.
+struct link_config : websocketpp::config::asio
+{
+    using type = link_config;
+    using base = websocketpp::config::asio;
+    using concurrency_type = websocketpp::concurrency::none;
+    using request_type = base::request_type;
+    using response_type = base::response_type;
+    using message_type = base::message_type;
+    using con_msg_manager_type = base::con_msg_manager_type;
+    using endpoint_msg_manager_type = base::endpoint_msg_manager_type;
+    using alog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::alevel>;
+    using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
+    // Dialled links mask their frames, so both ends get a random source.
+    using rng_type
+        = websocketpp::random::random_device::int_generator<std::uint32_t, concurrency_type>;
+
+    struct transport_config : base::transport_config
+    {
+        using concurrency_type = type::concurrency_type;
+        using alog_type = type::alog_type;
+        using elog_type = type::elog_type;
+        using request_type = type::request_type;
+        using response_type = type::response_type;
+        using socket_type = websocketpp::transport::asio::basic_socket::endpoint;
+        static const long timeout_connect = 2000; // ms
+        static const long timeout_dns_resolve = 2000; // ms
+        static const long timeout_socket_shutdown = 1000; // ms
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+
+    // A planner has hundreds of links; the default of 16 KiB for each is half of its memory budget.
+    static const std::size_t connection_read_buffer_size = 2048;
+    static const websocketpp::log::level elog_level = websocketpp::log::elevel::none;
+    static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
+};
+
+using server_endpoint = websocketpp::server<link_config>;
+using client_endpoint = websocketpp::client<link_config>;
+using connection = websocketpp::connection<link_config>;
+using connection_ptr = std::shared_ptr<connection>;
+using websocketpp::connection_hdl;
+
+constexpr std::string_view linkPath = "/link";
+constexpr const char *addressHeader = "Goldcrest-Link-Address";
+constexpr duration checkInterval = 400ms;
+// A link that was open for less is reconnected with a growing delay.
+constexpr duration stableAfter = 1s;
+constexpr long closeHandshakeMs = 500;
+// Longer than every timeout of a connection that is still being made.
+constexpr duration endpointGrace = 6s;
+
+struct endpoints
+{
+    server_endpoint server;
+    client_endpoint client;
+};
+
+bool splitAddress(std::string_view address, std::string &host, std::string &port)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string_view::npos || colon == 0 || colon + 1 == address.size())
+        return false;
+    host = std::string(address.substr(0, colon));
+    port = std::string(address.substr(colon + 1));
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    constexpr std::size_t maxPortDigits = 5;
+    return port.size() <= maxPortDigits
+        && port.find_first_not_of("0123456789") == std::string::npos;
+}
+
+bool isAddress(std::string_view address)
+{
+    constexpr std::size_t maxAddressBytes = 260;
+    std::string host;
+    std::string port;
+    return address.size() <= maxAddressBytes && splitAddress(address, host, port);
+}
+
+// Takes the same time for any wrong token of the same length.
+bool equalTokens(const std::string &a, const std::string &b)
+{
+    if (a.size() != b.size())
+        return false;
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < a.size(); ++i)
+        difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+    return difference == 0;
+}
+
+// Bytes of a WebSocket frame with this payload.
+std::uint64_t frameBytes(std::size_t payload, bool masked)
+{
+    constexpr std::size_t shortPayload = 125;
+    constexpr std::size_t mediumPayload = 0xffff;
+    std::uint64_t header = 10;
+    if (payload <= shortPayload)
+        header = 2;
+    else if (payload <= mediumPayload)
+        header = 4;
+    constexpr std::uint64_t maskBytes = 4;
+    return payload + header + (masked ? maskBytes : 0);
+}
+
+std::string remoteIp(const connection_ptr &con)
+{
+    websocketpp::lib::asio::error_code error;
+    const auto endpoint = con->get_raw_socket().remote_endpoint(error);
+    return error ? std::string("unknown") : endpoint.address().to_string();
+}
+
+std::string remoteAddress(const connection_ptr &con)
+{
+    websocketpp::lib::asio::error_code error;
+    const auto endpoint = con->get_raw_socket().remote_endpoint(error);
+    if (error)
+        return "unknown";
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+class websocket_link;
+
+// State that the links share with their network; the links hold it weakly.
+struct link_context
+{
+    link_context(asio_event_loop &eventLoop, websocket_options given)
+        : loop(eventLoop)
+        , options(std::move(given))
+        , jitter(options.seed)
+    { }
+
+    asio_event_loop &loop;
+    websocket_options options;
+    std::shared_ptr<endpoints> ends = std::make_shared<endpoints>();
+    link_filter filter;
+    link_traffic traffic;
+    std::minstd_rand jitter;
+    std::unordered_map<websocket_link *, std::weak_ptr<websocket_link>> links;
+    std::set<std::shared_ptr<websocket_link>> accepted;
+    std::map<std::string, std::size_t> acceptedPerIp;
+    std::size_t acceptedCount = 0;
+    std::function<void(std::shared_ptr<peer_link>)> onAccept;
+};
+
+using context_ptr = std::shared_ptr<link_context>;
+
+// Lines are limited per host, since the port of a client changes with each of its attempts.
+void logLinkFault(log_level level, std::string_view event, const std::string &peer,
+                  const failure &why)
+{
+    const std::string_view host = std::string_view(peer).substr(0, peer.rfind(':'));
+    log_line(level, event).error(why).peer(peer).limit(host).write();
+}
+
+// Describes why a connection ended.
+failure describeEnd(const connection_ptr &con)
+{
+    switch (con->get_local_close_code()) {
+    case websocketpp::close::status::protocol_error:
+    case websocketpp::close::status::invalid_payload:
+    case websocketpp::close::status::message_too_big:
+        return makeFailure(code::MalformedMessage, con->get_local_close_reason());
+    default:
+        break;
+    }
+    const auto error = con->get_ec();
+    if (error)
+        return makeFailure(code::LinkClosed, error.message());
+    const std::string &reason = con->get_remote_close_reason();
+    return makeFailure(code::LinkClosed,
+                       "closed by the other side" + (reason.empty() ? "" : ": " + reason));
+}
+
+class websocket_link final : public peer_link, public std::enable_shared_from_this<websocket_link>
+{
+public:
+    websocket_link(const context_ptr &context, std::string address, bool dialled)
+        : m_context(context)
+        , m_address(std::move(address))
+        , m_dialled(dialled)
+    { }
+
+    ~websocket_link() override
+    {
+        detach(websocketpp::close::status::going_away);
+        if (const context_ptr context = m_context.lock())
+            context->links.erase(this);
+    }
+
+    websocket_link(const websocket_link &) = delete;
+    websocket_link &operator=(const websocket_link &) = delete;
+
+    bool send(const message &value) override;
+    void close() override;
+    bool isOpen() const override { return m_phase == phase::Open; }
+    std::string peerAddress() const override { return m_address; }
+    const hello_message &peer() const override { return m_peer; }
+    void onMessage(std::function<void(const message &)> callback) override
+    {
+        m_onMessage = std::move(callback);
+    }
+    void onOpen(std::function<void()> callback) override { m_onOpen = std::move(callback); }
+    void onClose(std::function<void()> callback) override { m_onClose = std::move(callback); }
+
+    // Starts one attempt to connect.
+    void connect();
+
+    // Uses a connection whose opening handshake the server has accepted.
+    void adopt(const connection_ptr &con);
+
+    void setAddress(std::string address) { m_address = std::move(address); }
+
+    // Sends pings, and closes the link if nothing arrived for too long.
+    void check(time_point now);
+
+    // Ends the connection without callbacks.
+    void detach(websocketpp::close::status::value status);
+
+private:
+    enum class phase { Idle, Connecting, Hello, Open, Closed };
+
+    void attach(const connection_ptr &con);
+    void handleOpen();
+    void handleFrame(const connection::message_ptr &frame);
+    void handleHello(const context_ptr &context, const hello_message &hello);
+    void handleControl(std::size_t payload, bool answered);
+    void handleEnd(failure why);
+    void handleLost(const failure &why, log_level level);
+    void fail(const failure &why, websocketpp::close::status::value status);
+    void terminate(const failure &why);
+    void becomeOpen(const context_ptr &context);
+    void scheduleConnect(const context_ptr &context);
+    bool sendFrame(const context_ptr &context, const std::string &frame);
+    void sendHello(const context_ptr &context);
+    bool receivingBlocked(const context_ptr &context) const
+    {
+        return context->filter.blocksReceiving(m_address);
+    }
+
+    std::weak_ptr<link_context> m_context;
+    std::string m_address;
+    bool m_dialled;
+    phase m_phase = phase::Idle;
+    connection_ptr m_connection;
+    std::uint32_t m_generation = 0; // of the connection; handlers of older ones do nothing
+    hello_message m_peer;
+    time_point m_connectedAt;
+    time_point m_openedAt;
+    time_point m_lastReceived;
+    std::uint32_t m_attempts = 0; // since the link was last open for stableAfter
+    timer_handle m_reconnect;
+    std::function<void(const message &)> m_onMessage;
+    std::function<void()> m_onOpen;
+    std::function<void()> m_onClose;
+};
+
+bool websocket_link::send(const message &value)
+{
+    const context_ptr context = m_context.lock();
+    if (!context)
+        return false;
+    if (m_phase != phase::Open) {
+        ++context->traffic.sendsRefused;
+        return false;
+    }
+    const std::string frame = encodeMessage(value);
+    const link_limits &limits = context->options.limits;
+    if (frame.size() > limits.maxFrameBytes) {
+        ++context->traffic.sendsRefused;
+        logLinkFault(log_level::Error, "message too large for a frame", m_address,
+                     makeFailure(code::MalformedMessage,
+                                 "message of " + std::to_string(frame.size())
+                                     + " bytes is above the limit of "
+                                     + std::to_string(limits.maxFrameBytes)));
+        return false;
+    }
+    if (m_connection->get_buffered_amount() + frame.size() > limits.sendBufferBytes) {
+        ++context->traffic.sendsRefused;
+        logLinkFault(log_level::Warning, "send buffer full", m_address,
+                     makeFailure(code::LinkClosed,
+                                 "more than " + std::to_string(limits.sendBufferBytes)
+                                     + " bytes wait to be sent"));
+        return false;
+    }
+    return sendFrame(context, frame);
+}
+
+bool websocket_link::sendFrame(const context_ptr &context, const std::string &frame)
+{
+    // The sender of a frame that is lost in the network does not notice it either.
+    if (context->filter.blocksSending(m_address))
+        return true;
+    const auto error
+        = m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+    if (error) {
+        ++context->traffic.sendsRefused;
+        return false;
+    }
+    ++context->traffic.framesSent;
+    context->traffic.bytesSent += frameBytes(frame.size(), m_dialled);
+    return true;
+}
+
+void websocket_link::sendHello(const context_ptr &context)
+{
+    sendFrame(context, encodeMessage(context->options.hello));
+}
+
+void websocket_link::close()
+{
+    detach(websocketpp::close::status::normal);
+    m_phase = phase::Closed;
+    m_reconnect.reset();
+    // The callbacks often hold what holds this link.
+    m_onMessage = nullptr;
+    m_onOpen = nullptr;
+    m_onClose = nullptr;
+    if (const context_ptr context = m_context.lock())
+        context->accepted.erase(shared_from_this());
+}
+
+void websocket_link::detach(websocketpp::close::status::value status)
+{
+    ++m_generation;
+    const connection_ptr con = std::exchange(m_connection, nullptr);
+    if (m_phase == phase::Hello || m_phase == phase::Open) {
+        websocketpp::lib::error_code error;
+        if (con)
+            con->close(status, "", error);
+    }
+    if (m_phase != phase::Closed)
+        m_phase = phase::Idle;
+}
+
+void websocket_link::connect()
+{
+    const context_ptr context = m_context.lock();
+    if (!context || m_phase != phase::Idle)
+        return;
+    m_phase = phase::Connecting;
+    // No connection can be made through a cut in either direction.
+    if (context->filter.blocksSending(m_address) || context->filter.blocksReceiving(m_address)) {
+        handleLost(makeFailure(code::LinkClosed, "blocked by the link filter"), log_level::Info);
+        return;
+    }
+    websocketpp::lib::error_code error;
+    const connection_ptr con
+        = context->ends->client.get_connection("ws://" + m_address + std::string(linkPath), error);
+    if (error) {
+        handleLost(makeFailure(code::LinkClosed, error.message()), log_level::Warning);
+        return;
+    }
+    if (!context->options.ownAddress.empty())
+        con->append_header(addressHeader, context->options.ownAddress);
+    attach(con);
+    context->ends->client.connect(con);
+}
+
+void websocket_link::adopt(const connection_ptr &con)
+{
+    m_phase = phase::Connecting;
+    attach(con);
+}
+
+void websocket_link::attach(const connection_ptr &con)
+{
+    const context_ptr context = m_context.lock();
+    m_connection = con;
+    const std::uint32_t generation = ++m_generation;
+    const std::weak_ptr<websocket_link> weak = weak_from_this();
+    // Returns the link if the connection is still the one it uses.
+    const auto find = [weak, generation] {
+        std::shared_ptr<websocket_link> link = weak.lock();
+        if (link && link->m_generation != generation)
+            link = nullptr;
+        return link;
+    };
+    const std::weak_ptr<connection> weakCon = con;
+    con->set_max_message_size(context->options.limits.maxFrameBytes);
+    con->set_open_handshake_timeout(
+        static_cast<long>(context->options.limits.helloTimeout.count()));
+    con->set_close_handshake_timeout(closeHandshakeMs);
+    con->set_pong_timeout(0);
+    con->set_open_handler([find, weakCon](connection_hdl) {
+        if (const auto link = find()) {
+            link->handleOpen();
+        } else if (const connection_ptr orphan = weakCon.lock()) {
+            websocketpp::lib::error_code error;
+            orphan->close(websocketpp::close::status::going_away, "", error);
+        }
+    });
+    con->set_message_handler([find](connection_hdl, const connection::message_ptr &frame) {
+        if (const auto link = find())
+            link->handleFrame(frame);
+    });
+    con->set_ping_handler([find](connection_hdl, const std::string &payload) {
+        const auto link = find();
+        if (!link)
+            return false;
+        const context_ptr owner = link->m_context.lock();
+        if (!owner || link->receivingBlocked(owner))
+            return false;
+        const bool answered = !owner->filter.blocksSending(link->m_address);
+        link->handleControl(payload.size(), answered);
+        return answered;
+    });
+    con->set_pong_handler([find](connection_hdl, const std::string &payload) {
+        const auto link = find();
+        if (!link)
+            return;
+        const context_ptr owner = link->m_context.lock();
+        if (owner && !link->receivingBlocked(owner))
+            link->handleControl(payload.size(), false);
+    });
+    const auto lost = [find, weakCon](connection_hdl) {
+        const auto link = find();
+        const connection_ptr ended = weakCon.lock();
+        if (!link || !ended)
+            return;
+        link->handleEnd(describeEnd(ended));
+    };
+    con->set_close_handler(lost);
+    con->set_fail_handler(lost);
+}
+
+void websocket_link::handleOpen()
+{
+    const context_ptr context = m_context.lock();
+    if (!context)
+        return;
+    m_phase = phase::Hello;
+    m_connectedAt = context->loop.now();
+    m_lastReceived = m_connectedAt;
+    // The accepting side answers once it has checked the token, so that it does not tell its own
+    // to anyone who connects.
+    if (m_dialled)
+        sendHello(context);
+}
+
+void websocket_link::handleControl(std::size_t payload, bool answered)
+{
+    const context_ptr context = m_context.lock();
+    m_lastReceived = context->loop.now();
+    ++context->traffic.framesReceived;
+    context->traffic.bytesReceived += frameBytes(payload, !m_dialled);
+    if (!answered)
+        return;
+    ++context->traffic.framesSent;
+    context->traffic.bytesSent += frameBytes(payload, m_dialled);
+}
+
+void websocket_link::handleFrame(const connection::message_ptr &frame)
+{
+    const context_ptr context = m_context.lock();
+    if (!context || receivingBlocked(context))
+        return;
+    const std::string &payload = frame->get_payload();
+    m_lastReceived = context->loop.now();
+    ++context->traffic.framesReceived;
+    context->traffic.bytesReceived += frameBytes(payload.size(), !m_dialled);
+    if (frame->get_opcode() != websocketpp::frame::opcode::binary) {
+        fail(makeFailure(code::MalformedMessage, "the frame is not binary"),
+             websocketpp::close::status::unsupported_data);
+        return;
+    }
+    const result<message> decoded = decodeMessage(payload);
+    if (const failure *error = failureOf(decoded)) {
+        fail(*error, websocketpp::close::status::policy_violation);
+        return;
+    }
+    const message &received = valueOf(decoded);
+    const auto *hello = std::get_if<hello_message>(&received);
+    if (m_phase == phase::Hello && hello) {
+        handleHello(context, *hello);
+        return;
+    }
+    if (m_phase != phase::Open || hello) {
+        fail(makeFailure(code::MalformedMessage,
+                         hello ? "second hello on one link" : "message before the hello"),
+             websocketpp::close::status::policy_violation);
+        return;
+    }
+    if (m_onMessage) {
+        // The callback may close the link, which drops the callback.
+        const auto callback = m_onMessage;
+        const auto self = shared_from_this();
+        callback(received);
+    }
+}
+
+void websocket_link::handleHello(const context_ptr &context, const hello_message &hello)
+{
+    const bool knownRole
+        = hello.role == "entry" || hello.role == "agent" || hello.role == "planner";
+    if (!knownRole) {
+        fail(makeFailure(code::MalformedMessage, "unknown role", "hello.role"),
+             websocketpp::close::status::policy_violation);
+        return;
+    }
+    if (!equalTokens(hello.token, context->options.hello.token)) {
+        fail(makeFailure(code::Unauthorized, "the token differs", "hello.token"),
+             websocketpp::close::status::policy_violation);
+        return;
+    }
+    m_peer = hello;
+    m_peer.token.clear();
+    if (!m_dialled)
+        sendHello(context);
+    becomeOpen(context);
+}
+
+void websocket_link::becomeOpen(const context_ptr &context)
+{
+    m_phase = phase::Open;
+    m_openedAt = context->loop.now();
+    const auto self = shared_from_this();
+    if (!m_dialled && context->onAccept) {
+        const auto callback = context->onAccept;
+        callback(self);
+    }
+    if (m_phase == phase::Open && m_onOpen) {
+        const auto callback = m_onOpen;
+        callback();
+    }
+}
+
+void websocket_link::fail(const failure &why, websocketpp::close::status::value status)
+{
+    if (const context_ptr context = m_context.lock())
+        ++context->traffic.linksRefused;
+    const connection_ptr con = m_connection;
+    handleLost(why, log_level::Warning);
+    websocketpp::lib::error_code error;
+    con->close(status, std::string(nameOf(why.number)), error);
+}
+
+void websocket_link::terminate(const failure &why)
+{
+    const connection_ptr con = m_connection;
+    handleLost(why, log_level::Warning);
+    con->terminate(websocketpp::error::make_error_code(websocketpp::error::general));
+}
+
+void websocket_link::handleEnd(failure why)
+{
+    // What reached the acceptor was not a link of ours, or not at the right path.
+    if (!m_dialled && m_phase == phase::Connecting)
+        why.number = code::MalformedMessage;
+    const bool refused = why.number == code::MalformedMessage;
+    const context_ptr context = m_context.lock();
+    if (refused && context)
+        ++context->traffic.linksRefused;
+    handleLost(why, refused ? log_level::Warning : log_level::Info);
+}
+
+void websocket_link::handleLost(const failure &why, log_level level)
+{
+    const auto self = shared_from_this();
+    const context_ptr context = m_context.lock();
+    const bool wasOpen = m_phase == phase::Open;
+    m_connection = nullptr;
+    ++m_generation;
+    m_phase = phase::Idle;
+    logLinkFault(level, wasOpen ? "link closed" : "link not opened", m_address, why);
+    if (!context)
+        return;
+    if (wasOpen && context->loop.now() - m_openedAt >= stableAfter)
+        m_attempts = 0;
+    if (m_dialled)
+        scheduleConnect(context);
+    else
+        context->accepted.erase(self);
+    m_peer = {};
+    if (wasOpen && m_onClose) {
+        const auto callback = m_onClose;
+        callback();
+    }
+}
+
+void websocket_link::scheduleConnect(const context_ptr &context)
+{
+    const link_limits &limits = context->options.limits;
+    constexpr std::uint32_t maxDoublings = 16;
+    const duration grown = limits.reconnectMin * (1L << std::min(m_attempts, maxDoublings));
+    const duration full = std::min(limits.reconnectMax, grown);
+    ++m_attempts;
+    // Between half and all of the delay, so that the links of a failed process spread out.
+    std::uniform_int_distribution<duration::rep> spread(full.count() / 2, full.count());
+    const std::weak_ptr<websocket_link> weak = weak_from_this();
+    m_reconnect = context->loop.after(duration(spread(context->jitter)), [weak] {
+        if (const auto link = weak.lock())
+            link->connect();
+    });
+}
+
+void websocket_link::check(time_point now)
+{
+    const context_ptr context = m_context.lock();
+    if (!context || (m_phase != phase::Hello && m_phase != phase::Open))
+        return;
+    const link_limits &limits = context->options.limits;
+    if (m_phase == phase::Hello && now - m_connectedAt >= limits.helloTimeout) {
+        ++context->traffic.linksRefused;
+        terminate(
+            makeFailure(code::LinkClosed,
+                        "no hello within " + std::to_string(limits.helloTimeout.count()) + " ms"));
+        return;
+    }
+    const duration silent = now - m_lastReceived;
+    if (silent >= limits.idleTimeout) {
+        ++context->traffic.idleClosed;
+        terminate(makeFailure(code::LinkClosed,
+                              "nothing received for " + std::to_string(silent.count()) + " ms"));
+        return;
+    }
+    if (m_phase == phase::Open && silent >= limits.pingAfter
+        && !context->filter.blocksSending(m_address)) {
+        websocketpp::lib::error_code error;
+        m_connection->ping("", error);
+        if (error)
+            return;
+        ++context->traffic.framesSent;
+        context->traffic.bytesSent += frameBytes(0, m_dialled);
+    }
+}
+
+// A connection's share of the limits, returned when the connection object goes, however it ended.
+struct connection_slot
+{
+    std::weak_ptr<link_context> context;
+    std::string ip;
+    connection_slot(std::weak_ptr<link_context> owner, std::string address)
+        : context(std::move(owner))
+        , ip(std::move(address))
+    {
+        const context_ptr counted = context.lock();
+        ++counted->acceptedCount;
+        ++counted->acceptedPerIp[ip];
+    }
+    connection_slot(const connection_slot &) = delete;
+    connection_slot &operator=(const connection_slot &) = delete;
+    ~connection_slot()
+    {
+        const context_ptr owner = context.lock();
+        if (!owner)
+            return;
+        --owner->acceptedCount;
+        const auto found = owner->acceptedPerIp.find(ip);
+        if (--found->second == 0)
+            owner->acceptedPerIp.erase(found);
+    }
+};
+
+class websocketpp_network final : public websocket_network
+{
+public:
+    websocketpp_network(asio_event_loop &loop, websocket_options options);
+    ~websocketpp_network() override;
+    websocketpp_network(const websocketpp_network &) = delete;
+    websocketpp_network &operator=(const websocketpp_network &) = delete;
+
+    result<done> listen(std::string_view address,
+                        std::function<void(std::shared_ptr<peer_link>)> onAccept) override;
+    std::shared_ptr<peer_link> dial(std::string_view address) override;
+    void stopAccepting() override;
+    std::string listenAddress() const override { return m_listenAddress; }
+    const link_traffic &traffic() const override { return m_context->traffic; }
+    std::size_t openLinks() const override;
+    link_filter &filter() override { return m_context->filter; }
+
+private:
+    static void handleAccepted(const context_ptr &context, const connection_ptr &con);
+    static bool admit(const context_ptr &context, const std::string &ip);
+    void checkLinks();
+
+    context_ptr m_context;
+    std::string m_listenAddress;
+    timer_handle m_check;
+};
+
+websocketpp_network::websocketpp_network(asio_event_loop &loop, websocket_options options)
+    : m_context(std::make_shared<link_context>(loop, std::move(options)))
+{
+    endpoints &ends = *m_context->ends;
+    ends.server.init_asio(&loop.context());
+    ends.server.set_reuse_addr(true);
+    ends.client.init_asio(&loop.context());
+    const auto disableDelay = [](connection_hdl handle) {
+        const auto con = std::static_pointer_cast<connection>(handle.lock());
+        if (!con)
+            return;
+        websocketpp::lib::asio::error_code error;
+        con->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), error);
+    };
+    ends.client.set_tcp_post_init_handler(disableDelay);
+    const std::weak_ptr<link_context> weak = m_context;
+    ends.server.set_tcp_post_init_handler([weak, disableDelay](connection_hdl handle) {
+        disableDelay(handle);
+        const context_ptr context = weak.lock();
+        const auto con = std::static_pointer_cast<connection>(handle.lock());
+        if (context && con)
+            handleAccepted(context, con);
+    });
+    m_check = loop.every(checkInterval, [this] { checkLinks(); });
+}
+
+websocketpp_network::~websocketpp_network()
+{
+    m_check.reset();
+    stopAccepting();
+    const auto links = m_context->links;
+    for (const auto &[raw, weak] : links) {
+        if (const auto link = weak.lock())
+            link->close();
+    }
+    // Handlers of the acceptor and of connections in the making refer to the endpoints.
+    auto grace = std::make_shared<asio::steady_timer>(m_context->loop.context(), endpointGrace);
+    asio::steady_timer &timer = *grace;
+    timer.async_wait(
+        [grace = std::move(grace), ends = m_context->ends](const asio::error_code &) {});
+}
+
+result<done> websocketpp_network::listen(std::string_view address,
+                                         std::function<void(std::shared_ptr<peer_link>)> onAccept)
+{
+    std::string host;
+    std::string port;
+    if (!splitAddress(address, host, port))
+        return makeFailure(code::SettingsInvalid, "not a host:port: " + std::string(address));
+    server_endpoint &server = m_context->ends->server;
+    websocketpp::lib::error_code error;
+    try {
+        server.listen(host, port, error);
+        if (!error)
+            server.start_accept(error);
+    } catch (const std::exception &thrown) {
+        return makeFailure(code::SettingsInvalid,
+                           "can't listen on " + std::string(address) + ": " + thrown.what());
+    }
+    if (error)
+        return makeFailure(code::SettingsInvalid,
+                           "can't listen on " + std::string(address) + ": " + error.message());
+    websocketpp::lib::asio::error_code ignored;
+    const std::size_t colon = address.rfind(':');
+    m_listenAddress = std::string(address.substr(0, colon + 1))
+        + std::to_string(server.get_local_endpoint(ignored).port());
+    if (m_context->options.ownAddress.empty())
+        m_context->options.ownAddress = m_listenAddress;
+    m_context->onAccept = std::move(onAccept);
+    return done{};
+}
+
+bool websocketpp_network::admit(const context_ptr &context, const std::string &ip)
+{
+    const link_limits &limits = context->options.limits;
+    const auto found = context->acceptedPerIp.find(ip);
+    const std::size_t ofIp = found == context->acceptedPerIp.end() ? 0 : found->second;
+    return context->acceptedCount < limits.maxConnections && ofIp < limits.maxConnectionsPerPeer;
+}
+
+void websocketpp_network::handleAccepted(const context_ptr &context, const connection_ptr &con)
+{
+    const std::string ip = remoteIp(con);
+    if (!admit(context, ip)) {
+        ++context->traffic.linksRefused;
+        logLinkFault(log_level::Warning, "link refused", ip,
+                     makeFailure(code::TooManyConnections, "limit of accepted links reached"));
+        websocketpp::lib::asio::error_code ignored;
+        con->get_raw_socket().close(ignored);
+        return;
+    }
+    const std::weak_ptr<link_context> weakContext = context;
+    const auto counted = std::make_shared<connection_slot>(context, ip);
+    const auto link = std::make_shared<websocket_link>(context, remoteAddress(con), false);
+    context->links.emplace(link.get(), link);
+    context->accepted.insert(link);
+    link->adopt(con);
+    const std::weak_ptr<websocket_link> weakLink = link;
+    const std::weak_ptr<connection> weakCon = con;
+    con->set_validate_handler([weakContext, weakLink, weakCon, counted](connection_hdl) {
+        const context_ptr owner = weakContext.lock();
+        const auto accepted = weakLink.lock();
+        const connection_ptr opening = weakCon.lock();
+        if (!owner || !accepted || !opening)
+            return false;
+        // The dialling process names the address of its own acceptor, which the filter, the
+        // logs and the daemons know it by.
+        const std::string &named = opening->get_request_header(addressHeader);
+        if (isAddress(named))
+            accepted->setAddress(named);
+        const std::string address = accepted->peerAddress();
+        return opening->get_resource() == linkPath && !owner->filter.blocksReceiving(address)
+            && !owner->filter.blocksSending(address);
+    });
+}
+
+std::shared_ptr<peer_link> websocketpp_network::dial(std::string_view address)
+{
+    const auto link = std::make_shared<websocket_link>(m_context, std::string(address), true);
+    m_context->links.emplace(link.get(), link);
+    // The caller sets its callbacks first.
+    const std::weak_ptr<websocket_link> weak = link;
+    m_context->loop.post([weak] {
+        if (const auto started = weak.lock())
+            started->connect();
+    });
+    return link;
+}
+
+void websocketpp_network::stopAccepting()
+{
+    websocketpp::lib::error_code ignored;
+    if (m_context->ends->server.is_listening())
+        m_context->ends->server.stop_listening(ignored);
+}
+
+std::size_t websocketpp_network::openLinks() const
+{
+    std::size_t open = 0;
+    for (const auto &[raw, weak] : m_context->links) {
+        const auto link = weak.lock();
+        if (link && link->isOpen())
+            ++open;
+    }
+    return open;
+}
+
+void websocketpp_network::checkLinks()
+{
+    const time_point now = m_context->loop.now();
+    std::vector<std::shared_ptr<websocket_link>> present;
+    present.reserve(m_context->links.size());
+    for (const auto &[raw, weak] : m_context->links) {
+        if (auto link = weak.lock())
+            present.push_back(std::move(link));
+    }
+    for (const auto &link : present)
+        link->check(now);
+}
+
+bool matches(const link_block &block, std::string_view peer)
+{
+    return block.peer == "*" || block.peer == peer;
+}
+
+} // namespace
+
+bool link_filter::blocksSending(std::string_view peer) const
+{
+    return std::any_of(m_blocks.begin(), m_blocks.end(), [&](const link_block &block) {
+        return block.direction != link_direction::Receiving && matches(block, peer);
+    });
+}
+
+bool link_filter::blocksReceiving(std::string_view peer) const
+{
+    return std::any_of(m_blocks.begin(), m_blocks.end(), [&](const link_block &block) {
+        return block.direction != link_direction::Sending && matches(block, peer);
+    });
+}
+
+result<link_block> parseLinkBlock(std::string_view text)
+{
+    const std::size_t equals = text.find('=');
+    const std::string_view direction
+        = equals == std::string_view::npos ? "both" : text.substr(equals + 1);
+    link_block block;
+    block.peer = std::string(text.substr(0, equals));
+    if (block.peer != "*" && !isAddress(block.peer))
+        return makeFailure(code::InvalidValue, "the peer must be host:port or *", "peer");
+    if (direction == "sending")
+        block.direction = link_direction::Sending;
+    else if (direction == "receiving")
+        block.direction = link_direction::Receiving;
+    else if (direction != "both")
+        return makeFailure(code::InvalidValue, "the direction must be sending, receiving or both",
+                           "direction");
+    return block;
+}
+
+std::unique_ptr<websocket_network> makeWebsocketNetwork(asio_event_loop &loop,
+                                                        websocket_options options)
+{
+    return std::make_unique<websocketpp_network>(loop, std::move(options));
+}
+
+} // namespace goldcrest
--- a/goldcrest/websocket_link.h
+++ b/goldcrest/websocket_link.h
@@ -98,6 +98,9 @@
     // Closes the acceptor; open links go on.
     virtual void stopAccepting() = 0;
 
+    // Address that listen() bound, with the real port if 0 was asked for; empty before listen().
+    virtual std::string listenAddress() const = 0;
+
     virtual const link_traffic &traffic() const = 0;
     virtual std::size_t openLinks() const = 0;
 
