Add the HTTP server on RESTinio

RESTinio closes a connection that breaks a limit without an answer, so its socket type is replaced by one that notes each request's header and sends the numbered error before such a close, and then reads what the client still sends, since a reset would discard the answer. While a request is open no refusal is written, because the client would take it for the answer to that request.

http_server.h: added errorResponse(), decodePercent(), openConnections() and listenAddress().

--- /dev/null
+++ b/goldcrest/http_server.cc
@@ -0,0 +1,704 @@
+#include "goldcrest/http_server.h"
+
+#include "goldcrest/asio_event_loop.h"
+#include "goldcrest/log_fields.h"
+
+#include <http_parser.h>
+#include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <climits>
+#include <map>
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+namespace net = restinio::asio_ns;
+
+constexpr duration timerCheckInterval = 250ms;
+// The handlers of this project bound the time of a request themselves.
+constexpr duration handlingLimit = 24h;
+constexpr duration writeLimit = 10s;
+// How long a refused client may take to read the refusal.
+constexpr duration drainLimit = 1s;
+// A second request is read ahead while the first is open, which also notices a closed connection.
+constexpr std::size_t maxPipelinedRequests = 2;
+constexpr std::size_t maxFieldCount = 100;
+
+class http_socket;
+struct server_state;
+
+// What the limits need to know about one connection.
+struct connection_state
+{
+    connection_state(std::weak_ptr<server_state> owner, http_socket *stream,
+                     const net::ip::tcp::endpoint &remoteEndpoint);
+    ~connection_state();
+    connection_state(const connection_state &) = delete;
+    connection_state &operator=(const connection_state &) = delete;
+
+    // Takes the connection out of the counts.
+    void release();
+
+    // Reads the header of the current request within received bytes.
+    void inspect(const char *data, std::size_t size);
+
+    // Returns the refusal of what was inspected, if it breaks a limit.
+    std::optional<failure> brokenLimit(const http_limits &limits) const;
+
+    // Starts counting the next request.
+    void beginRequest();
+
+    std::weak_ptr<server_state> server;
+    http_socket *socket;
+    net::ip::tcp::endpoint remote;
+    std::size_t requestBytes = 0; // received since the last request was handled
+    http_parser parser{}; // of the header
+    std::size_t headerBytes = 0;
+    bool headerEnded = false;
+    bool headerInvalid = false;
+    bool parsing = false; // RESTinio is handling received bytes
+    bool peerClosed = false;
+    bool refused = false;
+    bool closed = false;
+    std::size_t openRequests = 0;
+};
+
+struct server_state
+{
+    http_limits limits;
+    http_handler handler;
+    std::map<net::ip::tcp::endpoint, std::weak_ptr<connection_state>> connections;
+    std::map<net::ip::address, std::size_t> perPeer;
+    std::size_t openRequests = 0;
+    bool accepting = true;
+};
+
+connection_state::connection_state(std::weak_ptr<server_state> owner, http_socket *stream,
+                                   const net::ip::tcp::endpoint &remoteEndpoint)
+    : server(std::move(owner))
+    , socket(stream)
+    , remote(remoteEndpoint)
+{
+    beginRequest();
+    if (const auto counted = server.lock())
+        ++counted->perPeer[remote.address()];
+}
+
+connection_state::~connection_state()
+{
+    release();
+}
+
+void connection_state::release()
+{
+    if (closed)
+        return;
+    closed = true;
+    socket = nullptr;
+    const auto counted = server.lock();
+    if (!counted)
+        return;
+    counted->connections.erase(remote);
+    const auto found = counted->perPeer.find(remote.address());
+    if (--found->second == 0)
+        counted->perPeer.erase(found);
+}
+
+void connection_state::inspect(const char *data, std::size_t size)
+{
+    static const http_parser_settings parserSettings = [] {
+        http_parser_settings initial;
+        http_parser_settings_init(&initial);
+        initial.on_headers_complete = [](http_parser *ended) {
+            http_parser_pause(ended, 1);
+            return 0;
+        };
+        return initial;
+    }();
+    requestBytes += size;
+    if (headerEnded || headerInvalid)
+        return;
+    headerBytes += http_parser_execute(&parser, &parserSettings, data, size);
+    headerEnded = HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED;
+    headerInvalid = !headerEnded && HTTP_PARSER_ERRNO(&parser) != HPE_OK;
+}
+
+void connection_state::beginRequest()
+{
+    http_parser_init(&parser, HTTP_REQUEST);
+    requestBytes = 0;
+    headerBytes = 0;
+    headerEnded = false;
+    headerInvalid = false;
+}
+
+std::optional<failure> connection_state::brokenLimit(const http_limits &limits) const
+{
+    if (headerInvalid)
+        return makeFailure(code::InvalidValue, "the header is not valid HTTP/1.1", "header");
+    if (headerBytes > limits.maxHeaderBytes)
+        return makeFailure(code::InvalidValue,
+                           fmt::format("the header is above {} bytes", limits.maxHeaderBytes),
+                           "header");
+    const bool hasLength = headerEnded && parser.content_length != ULLONG_MAX;
+    if (hasLength && parser.content_length > limits.maxBodyBytes)
+        return makeFailure(code::BodyTooLarge,
+                           fmt::format("the body has {} bytes, above the limit of {}",
+                                       parser.content_length, limits.maxBodyBytes),
+                           "body");
+    return std::nullopt;
+}
+
+// Finds the server of a socket, which RESTinio constructs with nothing but its io_context.
+class server_registry final : public net::execution_context::service
+{
+public:
+    using key_type = server_registry;
+    inline static net::execution_context::id id;
+
+    explicit server_registry(net::execution_context &context)
+        : net::execution_context::service(context)
+    { }
+    void shutdown() noexcept override { servers.clear(); }
+
+    std::map<unsigned short, std::weak_ptr<server_state>> servers; // by local port
+};
+
+// Reads what a refused client still sends, so that closing does not reset the connection before
+// the client has read the refusal.
+struct connection_drain : std::enable_shared_from_this<connection_drain>
+{
+    explicit connection_drain(net::ip::tcp::socket &&drained)
+        : socket(std::move(drained))
+        , timer(socket.get_executor(), drainLimit)
+    { }
+
+    void start()
+    {
+        timer.async_wait([self = shared_from_this()](const net::error_code &) {
+            net::error_code ignored;
+            self->socket.close(ignored);
+        });
+        read();
+    }
+
+    void read()
+    {
+        socket.async_read_some(
+            net::buffer(buffer),
+            [self = shared_from_this()](const net::error_code &error, std::size_t) {
+                if (error)
+                    self->timer.cancel();
+                else
+                    self->read();
+            });
+    }
+
+    net::ip::tcp::socket socket;
+    net::steady_timer timer;
+    std::array<char, 4096> buffer{};
+};
+
+std::string refusalText(const failure &why)
+{
+    const server_response response = errorResponse(why);
+    return fmt::format("HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Type: {}\r\n"
+                       "Content-Length: {}\r\n\r\n{}",
+                       response.status, nameOf(why.number), response.contentType,
+                       response.body.size(), response.body);
+}
+
+// The TCP socket of RESTinio's connections. RESTinio closes a connection that breaks a limit
+// without an answer; this socket sees each close coming and sends the numbered error first.
+class http_socket : public net::ip::tcp::socket
+{
+public:
+    explicit http_socket(net::io_context &context)
+        : net::ip::tcp::socket(context)
+    { }
+    ~http_socket()
+    {
+        if (m_state)
+            m_state->release();
+    }
+    http_socket(http_socket &&) = default;
+    http_socket &operator=(http_socket &&) = default;
+    http_socket(const http_socket &) = delete;
+    http_socket &operator=(const http_socket &) = delete;
+
+    template<typename Buffers, typename Handler>
+    auto async_read_some(const Buffers &buffers, Handler &&handler) // NOLINT: Asio's name
+    {
+        if (!m_state)
+            attach();
+        const auto executor = net::get_associated_executor(handler, get_executor());
+        return net::ip::tcp::socket::async_read_some(
+            buffers,
+            net::bind_executor(executor,
+                               [state = m_state, buffers, then = std::forward<Handler>(handler)](
+                                   net::error_code error, std::size_t size) mutable {
+                                   http_socket::handleRead(state, buffers, error, size, then);
+                               }));
+    }
+
+    void shutdown(net::socket_base::shutdown_type, net::error_code &error)
+    {
+        refuseBeforeClose();
+        net::ip::tcp::socket::shutdown(net::socket_base::shutdown_send, error);
+    }
+
+    void close()
+    {
+        const auto state = std::exchange(m_state, nullptr);
+        if (!state) {
+            net::ip::tcp::socket::close();
+            return;
+        }
+        const bool drains = state->refused && !state->peerClosed;
+        state->release();
+        net::error_code ignored;
+        if (!drains) {
+            net::ip::tcp::socket::close(ignored);
+            return;
+        }
+        cancel(ignored);
+        std::make_shared<connection_drain>(std::move(*this))->start();
+    }
+
+    // Answers with a failure, outside RESTinio, and marks the connection as refused.
+    void refuse(const failure &why)
+    {
+        if (!m_state || m_state->refused)
+            return;
+        m_state->refused = true;
+        const std::string peer = m_state->remote.address().to_string();
+        log_line(log_level::Warning, "request refused").error(why).peer(peer).limit(peer).write();
+        // The client would take the refusal for the answer to its open request.
+        if (m_state->openRequests > 0)
+            return;
+        net::error_code ignored;
+        non_blocking(true, ignored);
+        // A client that does not read does not get the answer; nothing waits for it.
+        write_some(net::buffer(refusalText(why)), ignored);
+    }
+
+private:
+    template<typename Buffers, typename Handler>
+    static void handleRead(const std::shared_ptr<connection_state> &state, const Buffers &buffers,
+                           net::error_code error, std::size_t size, Handler &then)
+    {
+        if (!state) {
+            then(error, size);
+            return;
+        }
+        if (error && error != net::error::operation_aborted)
+            state->peerClosed = true;
+        const auto server = state->server.lock();
+        if (!error && server && state->socket && !state->refused) {
+            const net::mutable_buffer received(buffers);
+            state->inspect(static_cast<const char *>(received.data()), size);
+            if (const auto refusal = state->brokenLimit(server->limits))
+                state->socket->refuse(*refusal);
+        }
+        if (!error && state->refused) {
+            // RESTinio closes the connection as if the client had.
+            then(net::error_code(net::error::eof), 0);
+            return;
+        }
+        state->parsing = true;
+        then(error, size);
+        state->parsing = false;
+    }
+
+    void attach()
+    {
+        net::error_code error;
+        const auto remote = remote_endpoint(error);
+        const auto local = local_endpoint(error);
+        if (error)
+            return;
+        auto &context = net::query(get_executor(), net::execution::context);
+        auto &servers = net::use_service<server_registry>(context).servers;
+        const auto found = servers.find(local.port());
+        const auto server = found == servers.end() ? nullptr : found->second.lock();
+        if (!server)
+            return;
+        const auto peers = server->perPeer.find(remote.address());
+        const std::size_t ofPeer = peers == server->perPeer.end() ? 0 : peers->second;
+        const bool tooMany = server->connections.size() >= server->limits.maxConnections
+            || ofPeer >= server->limits.maxConnectionsPerPeer;
+        m_state = std::make_shared<connection_state>(server, this, remote);
+        server->connections[remote] = m_state;
+        if (!tooMany)
+            return;
+        refuse(makeFailure(code::TooManyConnections, "the limit of open connections is reached"));
+        // The pending read then ends, and RESTinio closes the connection.
+        net::ip::tcp::socket::shutdown(net::socket_base::shutdown_receive, error);
+    }
+
+    void refuseBeforeClose()
+    {
+        const bool applies
+            = m_state && !m_state->refused && !m_state->peerClosed && m_state->requestBytes > 0;
+        if (!applies)
+            return;
+        const auto server = m_state->server.lock();
+        if (!server)
+            return;
+        if (!m_state->parsing)
+            refuse(makeFailure(code::HeaderTimeout,
+                               fmt::format("no complete request within {} ms",
+                                           server->limits.headerTimeout.count())));
+        else
+            refuse(makeFailure(
+                code::BodyTooLarge,
+                fmt::format("the body is above {} bytes or not encoded as the header says",
+                            server->limits.maxBodyBytes),
+                "body"));
+    }
+
+    std::shared_ptr<connection_state> m_state;
+};
+
+struct server_traits : restinio::default_single_thread_traits_t
+{
+    using stream_socket_t = http_socket;
+};
+
+using restinio_server = restinio::http_server_t<server_traits>;
+using chunked_builder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+std::string reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 201:
+        return "Created";
+    case 202:
+        return "Accepted";
+    case 204:
+        return "No Content";
+    default:
+        return status < 400 ? "Redirected" : "Error";
+    }
+}
+
+restinio::http_status_line_t statusLine(int status)
+{
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reasonPhrase(status)};
+}
+
+class restinio_responder final : public responder
+{
+public:
+    restinio_responder(std::weak_ptr<server_state> server,
+                       std::shared_ptr<connection_state> connection,
+                       restinio::request_handle_t request)
+        : m_server(std::move(server))
+        , m_connection(std::move(connection))
+        , m_request(std::move(request))
+    {
+        if (const auto counted = m_server.lock())
+            ++counted->openRequests;
+        if (m_connection)
+            ++m_connection->openRequests;
+    }
+
+    ~restinio_responder() override
+    {
+        if (m_chunks)
+            endChunks();
+        else
+            respond(errorResponse(makeFailure(code::Internal, "the request was not answered")));
+    }
+
+    restinio_responder(const restinio_responder &) = delete;
+    restinio_responder &operator=(const restinio_responder &) = delete;
+
+    void respond(server_response response) override
+    {
+        if (!m_request)
+            return;
+        auto builder = m_request->create_response(statusLine(response.status));
+        setHead(builder, response);
+        builder.set_body(std::move(response.body));
+        builder.done();
+        finish();
+    }
+
+    void sendChunk(const server_response &head, std::string_view piece) override
+    {
+        if (!m_request)
+            return;
+        if (!m_chunks) {
+            m_chunks = std::make_unique<chunked_builder>(
+                m_request->create_response<restinio::chunked_output_t>(statusLine(head.status)));
+            setHead(*m_chunks, head);
+        }
+        if (!piece.empty())
+            m_chunks->append_chunk(std::string(piece));
+        m_chunks->flush();
+    }
+
+    void endChunks() override
+    {
+        if (!m_chunks)
+            return;
+        m_chunks->done();
+        m_chunks.reset();
+        finish();
+    }
+
+    bool isOpen() const override { return m_request && m_connection && !m_connection->closed; }
+
+private:
+    template<typename Builder>
+    void setHead(Builder &builder, const server_response &response) const
+    {
+        builder.append_header(restinio::http_field::content_type, response.contentType);
+        for (const auto &[name, value] : response.headers)
+            builder.append_header(name, value);
+        const auto server = m_server.lock();
+        // Clients of a server that shuts down go elsewhere.
+        if (!server || !server->accepting)
+            builder.connection_close();
+    }
+
+    void finish()
+    {
+        m_request = nullptr;
+        if (const auto counted = m_server.lock())
+            --counted->openRequests;
+        if (m_connection)
+            --m_connection->openRequests;
+    }
+
+    std::weak_ptr<server_state> m_server;
+    std::shared_ptr<connection_state> m_connection;
+    restinio::request_handle_t m_request;
+    std::unique_ptr<chunked_builder> m_chunks;
+};
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+// Splits and decodes the query.
+result<std::vector<std::pair<std::string, std::string>>> parseQuery(std::string_view query)
+{
+    std::vector<std::pair<std::string, std::string>> parameters;
+    while (!query.empty()) {
+        const std::size_t end = query.find('&');
+        const std::string_view one = query.substr(0, end);
+        query = end == std::string_view::npos ? std::string_view{} : query.substr(end + 1);
+        if (one.empty())
+            continue;
+        const std::size_t equals = one.find('=');
+        const std::string_view rawValue
+            = equals == std::string_view::npos ? std::string_view{} : one.substr(equals + 1);
+        auto name = decodePercent(one.substr(0, equals));
+        auto value = decodePercent(rawValue);
+        if (failureOf(name) || failureOf(value))
+            return makeFailure(code::InvalidValue, "the query has an invalid percent escape",
+                               "query");
+        parameters.emplace_back(std::move(valueOf(name)), std::move(valueOf(value)));
+    }
+    return parameters;
+}
+
+server_request convertRequest(const restinio::request_t &request)
+{
+    server_request converted;
+    converted.method = request.header().method().c_str();
+    const restinio::string_view_t path = request.header().path();
+    converted.path.assign(path.data(), path.size());
+    request.header().for_each_field([&](const restinio::http_header_field_t &field) {
+        converted.headers.emplace_back(lowerCase(field.name()), field.value());
+    });
+    converted.body = request.body();
+    return converted;
+}
+
+void handleRequest(const std::shared_ptr<server_state> &server,
+                   const restinio::request_handle_t &request)
+{
+    std::shared_ptr<connection_state> connection;
+    const auto found = server->connections.find(request->remote_endpoint());
+    if (found != server->connections.end())
+        connection = found->second.lock();
+    if (connection)
+        connection->beginRequest();
+    const bool tooMany = server->openRequests >= server->limits.maxOpenRequests;
+    const auto answer = std::make_shared<restinio_responder>(server, connection, request);
+    if (tooMany) {
+        answer->respond(errorResponse(
+            makeFailure(code::TooManyRequests, "the limit of open requests is reached")));
+        return;
+    }
+    server_request converted = convertRequest(*request);
+    const restinio::string_view_t query = request->header().query();
+    auto parameters = parseQuery({query.data(), query.size()});
+    if (const failure *error = failureOf(parameters)) {
+        answer->respond(errorResponse(*error));
+        return;
+    }
+    converted.query = std::move(valueOf(parameters));
+    server->handler(converted, answer);
+}
+
+class restinio_http_server final : public http_server
+{
+public:
+    restinio_http_server(net::io_context &context, const std::string &host, std::uint16_t port,
+                         const http_limits &limits, http_handler handler);
+    ~restinio_http_server() override;
+    restinio_http_server(const restinio_http_server &) = delete;
+    restinio_http_server &operator=(const restinio_http_server &) = delete;
+
+    void stopAccepting() override;
+    std::size_t openRequests() const override { return m_state->openRequests; }
+    std::size_t openConnections() const override { return m_state->connections.size(); }
+    std::string listenAddress() const override { return m_host + ":" + std::to_string(m_port); }
+
+private:
+    net::io_context &m_context;
+    std::shared_ptr<server_state> m_state = std::make_shared<server_state>();
+    std::string m_host;
+    std::uint16_t m_port = 0;
+    std::unique_ptr<restinio_server> m_server;
+};
+
+restinio_http_server::restinio_http_server(net::io_context &context, const std::string &host,
+                                           std::uint16_t port, const http_limits &limits,
+                                           http_handler handler)
+    : m_context(context)
+    , m_host(host)
+{
+    m_state->limits = limits;
+    m_state->handler = std::move(handler);
+    const std::weak_ptr<server_state> weak = m_state;
+    restinio::server_settings_t<server_traits> settings;
+    settings.port(port)
+        .address(host)
+        .timer_manager(timerCheckInterval)
+        .read_next_http_message_timelimit(limits.headerTimeout)
+        .write_http_response_timelimit(writeLimit)
+        .handle_request_timeout(handlingLimit)
+        .max_pipelined_requests(maxPipelinedRequests)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(limits.maxHeaderBytes)
+                                      .max_field_name_size(limits.maxHeaderBytes)
+                                      .max_field_value_size(limits.maxHeaderBytes)
+                                      .max_field_count(maxFieldCount)
+                                      .max_body_size(limits.maxBodyBytes))
+        .acceptor_post_bind_hook(
+            [this](net::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
+        .request_handler([weak](const restinio::request_handle_t &request) {
+            const auto state = weak.lock();
+            if (!state)
+                return restinio::request_rejected();
+            handleRequest(state, request);
+            return restinio::request_accepted();
+        });
+    m_server = std::make_unique<restinio_server>(restinio::external_io_context(context),
+                                                 std::move(settings));
+    m_server->open_sync();
+    net::use_service<server_registry>(context).servers[m_port] = m_state;
+}
+
+restinio_http_server::~restinio_http_server()
+{
+    stopAccepting();
+    net::use_service<server_registry>(m_context).servers.erase(m_port);
+    const auto connections = m_state->connections;
+    for (const auto &[endpoint, weak] : connections) {
+        const auto connection = weak.lock();
+        if (connection && connection->socket)
+            connection->socket->close();
+    }
+}
+
+void restinio_http_server::stopAccepting()
+{
+    m_state->accepting = false;
+    m_server->close_sync();
+}
+
+} // namespace
+
+std::optional<std::string> server_request::header(std::string_view lowerCaseName) const
+{
+    for (const auto &[name, value] : headers) {
+        if (name == lowerCaseName)
+            return value;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> server_request::parameter(std::string_view name) const
+{
+    for (const auto &[present, value] : query) {
+        if (present == name)
+            return value;
+    }
+    return std::nullopt;
+}
+
+result<std::string> decodePercent(std::string_view text)
+{
+    auto decoded = restinio::utils::try_unescape_percent_encoding<
+        restinio::utils::javascript_compatible_unescape_traits>(text);
+    if (!decoded)
+        return makeFailure(code::InvalidValue, decoded.error().giveout_description());
+    return std::move(*decoded);
+}
+
+server_response errorResponse(const failure &why)
+{
+    const nlohmann::json body{{"error",
+                               {{"code", static_cast<int>(why.number)},
+                                {"name", nameOf(why.number)},
+                                {"field", why.field},
+                                {"reason", why.reason}}}};
+    server_response response;
+    response.status = httpStatusOf(why.number);
+    // A reason can quote a request that is not UTF-8.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+result<std::unique_ptr<http_server>> makeHttpServer(asio_event_loop &loop, std::string_view address,
+                                                    const http_limits &limits, http_handler handler)
+{
+    const std::size_t colon = address.rfind(':');
+    std::uint16_t port = 0;
+    const char *end = address.data() + address.size();
+    const bool parsed = colon != std::string_view::npos && colon > 0
+        && std::from_chars(address.data() + colon + 1, end, port).ptr == end
+        && colon + 1 < address.size();
+    if (!parsed)
+        return makeFailure(code::SettingsInvalid, "not a host:port: " + std::string(address));
+    std::string host(address.substr(0, colon));
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    try {
+        return std::unique_ptr<http_server>(std::make_unique<restinio_http_server>(
+            loop.context(), host, port, limits, std::move(handler)));
+    } catch (const std::exception &error) {
+        return makeFailure(code::SettingsInvalid,
+                           "can't listen on " + std::string(address) + ": " + error.what());
+    }
+}
+
+} // namespace goldcrest
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -18,10 +18,14 @@
 
 class asio_event_loop;
 
+// Decodes percent escapes of one path segment or query value; '+' stays as it is.
+// Errors: InvalidValue.
+result<std::string> decodePercent(std::string_view text);
+
 struct server_request
 {
     std::string method;
-    std::string path; // without the query
+    std::string path; // without the query, with its percent escapes
     std::vector<std::pair<std::string, std::string>> query; // decoded
     std::vector<std::pair<std::string, std::string>> headers; // names in lower case
     std::string body;
@@ -39,6 +43,10 @@
     std::string body;
 };
 
+// Returns the answer to a request that ended with a failure:
+// {"error":{"code":n,"name":"...","field":"...","reason":"..."}} with the code's HTTP status.
+server_response errorResponse(const failure &why);
+
 // Answers one request, now or later, from the loop's thread. A responder that is dropped unused
 // answers 500.
 class responder
@@ -79,9 +87,17 @@
 
     // Number of requests without a complete answer.
     virtual std::size_t openRequests() const = 0;
+
+    // Number of open connections.
+    virtual std::size_t openConnections() const = 0;
+
+    // Address that was bound, with the real port if 0 was asked for.
+    virtual std::string listenAddress() const = 0;
 };
 
-// Starts a server on host:port. `handler` runs on the loop's thread.
+// Starts a server on host:port. `handler` runs on the loop's thread. Destroying the server closes
+// its connections. Requests beyond the limits are answered with BodyTooLarge, HeaderTimeout,
+// TooManyConnections, TooManyRequests, or InvalidValue for a header that is malformed or too large.
 // Errors: SettingsInvalid if the address can't be bound.
 result<std::unique_ptr<http_server>> makeHttpServer(asio_event_loop &loop, std::string_view address,
                                                     const http_limits &limits,
--- a/goldcrest/websocket_link.cc
+++ b/goldcrest/websocket_link.cc
@@ -45,16 +45,20 @@
         using request_type = type::request_type;
         using response_type = type::response_type;
         using socket_type = websocketpp::transport::asio::basic_socket::endpoint;
+        // NOLINTBEGIN(readability-identifier-naming): names that WebSocket++ looks for
         static const long timeout_connect = 2000; // ms
         static const long timeout_dns_resolve = 2000; // ms
         static const long timeout_socket_shutdown = 1000; // ms
+        // NOLINTEND(readability-identifier-naming)
     };
     using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
 
+    // NOLINTBEGIN(readability-identifier-naming): names that WebSocket++ looks for
     // A planner has hundreds of links; the default of 16 KiB for each is half of its memory budget.
     static const std::size_t connection_read_buffer_size = 2048;
     static const websocketpp::log::level elog_level = websocketpp::log::elevel::none;
     static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
+    // NOLINTEND(readability-identifier-naming)
 };
 
 using server_endpoint = websocketpp::server<link_config>;
@@ -404,7 +408,7 @@
         static_cast<long>(context->options.limits.helloTimeout.count()));
     con->set_close_handshake_timeout(closeHandshakeMs);
     con->set_pong_timeout(0);
-    con->set_open_handler([find, weakCon](connection_hdl) {
+    con->set_open_handler([find, weakCon](const connection_hdl &) {
         if (const auto link = find()) {
             link->handleOpen();
         } else if (const connection_ptr orphan = weakCon.lock()) {
@@ -412,11 +416,11 @@
             orphan->close(websocketpp::close::status::going_away, "", error);
         }
     });
-    con->set_message_handler([find](connection_hdl, const connection::message_ptr &frame) {
+    con->set_message_handler([find](const connection_hdl &, const connection::message_ptr &frame) {
         if (const auto link = find())
             link->handleFrame(frame);
     });
-    con->set_ping_handler([find](connection_hdl, const std::string &payload) {
+    con->set_ping_handler([find](const connection_hdl &, const std::string &payload) {
         const auto link = find();
         if (!link)
             return false;
@@ -427,7 +431,7 @@
         link->handleControl(payload.size(), answered);
         return answered;
     });
-    con->set_pong_handler([find](connection_hdl, const std::string &payload) {
+    con->set_pong_handler([find](const connection_hdl &, const std::string &payload) {
         const auto link = find();
         if (!link)
             return;
@@ -435,7 +439,7 @@
         if (owner && !link->receivingBlocked(owner))
             link->handleControl(payload.size(), false);
     });
-    const auto lost = [find, weakCon](connection_hdl) {
+    const auto lost = [find, weakCon](const connection_hdl &) {
         const auto link = find();
         const connection_ptr ended = weakCon.lock();
         if (!link || !ended)
@@ -708,7 +712,7 @@
     ends.server.init_asio(&loop.context());
     ends.server.set_reuse_addr(true);
     ends.client.init_asio(&loop.context());
-    const auto disableDelay = [](connection_hdl handle) {
+    const auto disableDelay = [](const connection_hdl &handle) {
         const auto con = std::static_pointer_cast<connection>(handle.lock());
         if (!con)
             return;
@@ -717,7 +721,7 @@
     };
     ends.client.set_tcp_post_init_handler(disableDelay);
     const std::weak_ptr<link_context> weak = m_context;
-    ends.server.set_tcp_post_init_handler([weak, disableDelay](connection_hdl handle) {
+    ends.server.set_tcp_post_init_handler([weak, disableDelay](const connection_hdl &handle) {
         disableDelay(handle);
         const context_ptr context = weak.lock();
         const auto con = std::static_pointer_cast<connection>(handle.lock());
@@ -800,7 +804,7 @@
     link->adopt(con);
     const std::weak_ptr<websocket_link> weakLink = link;
     const std::weak_ptr<connection> weakCon = con;
-    con->set_validate_handler([weakContext, weakLink, weakCon, counted](connection_hdl) {
+    con->set_validate_handler([weakContext, weakLink, weakCon, counted](const connection_hdl &) {
         const context_ptr owner = weakContext.lock();
         const auto accepted = weakLink.lock();
         const connection_ptr opening = weakCon.lock();
--- /dev/null
+++ b/testing/http_server_test.cc
@@ -0,0 +1,290 @@
+#include "goldcrest/http_server.h"
+
+#include "testing/link_support.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+using namespace goldcrest;
+
+namespace {
+
+// The log's table of limited keys outlives a test; the leak detector of CppUTest takes it for a
+// leak.
+const bool leakDetectorOff = (MemoryLeakWarningPlugin::turnOffNewDeleteOverloads(), true);
+
+std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+std::string post(const std::string &target, const std::string &body)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns the code of the error in an answer, 0 if there is none.
+int errorCode(const std::string &answer)
+{
+    const std::size_t start = answer.find("\r\n\r\n");
+    if (start == std::string::npos)
+        return 0;
+    const auto body = nlohmann::json::parse(answer.substr(start + 4), nullptr, false);
+    if (!body.is_object() || !body.contains("error"))
+        return 0;
+    return body["error"]["code"].get<int>();
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+    asio_event_loop loop;
+    std::unique_ptr<http_server> server;
+    std::vector<std::shared_ptr<responder>> pending; // of /wait
+    server_request last;
+
+    void start(const http_limits &limits)
+    {
+        auto made = makeHttpServer(
+            loop, "127.0.0.1:0", limits,
+            [this](const server_request &request, const std::shared_ptr<responder> &respond) {
+                last = request;
+                if (request.path == "/wait")
+                    pending.push_back(respond);
+                else if (request.path != "/drop")
+                    respond->respond({200, "text/plain", {{"X-Seen", request.path}}, "seen"});
+            });
+        CHECK(!failureOf(made));
+        server = std::move(valueOf(made));
+    }
+
+    bool wait(const std::function<bool()> &condition)
+    {
+        return loop.runUntil(condition, testWaitLimit);
+    }
+
+    // Sends bytes and returns the answer once it contains `end` or the connection is closed.
+    std::string exchange(raw_connection & client, const std::string &bytes, const std::string &end)
+    {
+        client.write(bytes);
+        CHECK(wait([&] {
+            const bool open = client.poll();
+            return !open || client.received().find(end) != std::string::npos;
+        }));
+        return client.received();
+    }
+
+    // Sends bytes and returns all that came until the server closed the connection.
+    std::string untilClosed(const std::string &bytes)
+    {
+        raw_connection client(server->listenAddress());
+        client.write(bytes);
+        CHECK(wait([&] { return !client.poll(); }));
+        return client.received();
+    }
+};
+
+// Guards against requests that reach the handlers changed, and connections that are not reused.
+TEST(http_server, passesRequestsAndKeepsTheConnection)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    const std::string first
+        = exchange(client, post("/v1/jobs/t/a%2Fb?waitMs=5&q=a%20b&flag", "{\"a\":1}"), "seen");
+    CHECK(first.find("HTTP/1.1 200 OK") == 0);
+    CHECK(first.find("X-Seen: /v1/jobs/t/a%2Fb") != std::string::npos);
+    STRCMP_EQUAL("POST", last.method.c_str());
+    STRCMP_EQUAL("{\"a\":1}", last.body.c_str());
+    STRCMP_EQUAL("a b", last.parameter("q").value().c_str());
+    CHECK(last.parameter("flag").has_value());
+    STRCMP_EQUAL("x", last.header("host").value().c_str());
+    STRCMP_EQUAL("a/b", valueOf(decodePercent("a%2Fb")).c_str());
+    client.write(get("/again"));
+    CHECK(wait([&] { return client.poll() && count(client.received(), "seen") == 2; }));
+    LONGS_EQUAL(0, server->openRequests());
+}
+
+// Guards against a body above the limit that is taken into memory or refused without its number.
+TEST(http_server, refusesALargeBody)
+{
+    http_limits limits;
+    limits.maxBodyBytes = 100;
+    start(limits);
+    LONGS_EQUAL(104, errorCode(untilClosed(post("/", std::string(101, 'x')))));
+    LONGS_EQUAL(104, errorCode(untilClosed(post("/", std::string(1000000, 'x')))));
+    // Without a length: chunks of 64 bytes.
+    std::string chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 3; ++i)
+        chunked += "40\r\n" + std::string(64, 'x') + "\r\n";
+    LONGS_EQUAL(104, errorCode(untilClosed(chunked)));
+    raw_connection client(server->listenAddress());
+    CHECK(exchange(client, post("/", std::string(100, 'x')), "seen").find("200") == 9);
+}
+
+// Guards against a header above the limit, and bytes that are not HTTP.
+TEST(http_server, refusesALargeOrMalformedHeader)
+{
+    http_limits limits;
+    limits.maxHeaderBytes = 1000;
+    start(limits);
+    std::string many = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 40; ++i)
+        many += "X-Field-" + std::to_string(i) + ": 0123456789012345\r\n";
+    LONGS_EQUAL(103, errorCode(untilClosed(many)));
+    LONGS_EQUAL(103, errorCode(untilClosed(get("/" + std::string(2000, 'x')))));
+    LONGS_EQUAL(103, errorCode(untilClosed("\x01\x02 garbage\r\n\r\n")));
+    raw_connection client(server->listenAddress());
+    LONGS_EQUAL(103, errorCode(exchange(client, get("/?q=%zz"), "}}")));
+    CHECK(exchange(client, get("/"), "seen").find("seen") != std::string::npos);
+}
+
+// Guards against stalled clients that hold connections: one that sends nothing, one that stops
+// within the header and one within the body.
+TEST(http_server, closesStalledConnections)
+{
+    http_limits limits;
+    limits.headerTimeout = 500ms;
+    start(limits);
+    CHECK(untilClosed("").empty());
+    LONGS_EQUAL(207, errorCode(untilClosed("GET / HTTP/1.1\r\nHo")));
+    LONGS_EQUAL(207, errorCode(untilClosed("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")));
+    CHECK(wait([&] { return server->openConnections() == 0; }));
+    // A request that waits for its answer is not stalled.
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    const time_point later = loop.now() + 3 * limits.headerTimeout;
+    CHECK(wait([&] { return loop.now() > later; }));
+    CHECK(client.poll());
+    pending[0]->respond({200, "text/plain", {}, "late"});
+    CHECK(exchange(client, "", "late").find("200 OK") != std::string::npos);
+}
+
+// Guards against one host that takes all connections.
+TEST(http_server, limitsConnections)
+{
+    http_limits limits;
+    limits.maxConnectionsPerPeer = 2;
+    start(limits);
+    auto first = std::make_unique<raw_connection>(server->listenAddress());
+    raw_connection second(server->listenAddress());
+    exchange(*first, get("/"), "seen");
+    exchange(second, get("/"), "seen");
+    LONGS_EQUAL(205, errorCode(untilClosed(get("/"))));
+    first.reset();
+    CHECK(wait([&] { return server->openConnections() == 1; }));
+    raw_connection third(server->listenAddress());
+    CHECK(exchange(third, get("/"), "seen").find("200 OK") != std::string::npos);
+}
+
+// Guards against an unbounded number of waiting requests, and counts that do not return.
+TEST(http_server, limitsOpenRequests)
+{
+    http_limits limits;
+    limits.maxOpenRequests = 1;
+    start(limits);
+    raw_connection waiting(server->listenAddress());
+    waiting.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    raw_connection client(server->listenAddress());
+    LONGS_EQUAL(206, errorCode(exchange(client, get("/"), "}}")));
+    pending[0]->respond({});
+    CHECK(exchange(client, get("/"), "seen").find("seen") != std::string::npos);
+    LONGS_EQUAL(0, server->openRequests());
+}
+
+// Guards against a refusal of a second request that is taken for the answer to the first.
+TEST(http_server, doesNotAnswerAnOpenRequestWithTheNextOnesRefusal)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    client.write("garbage\r\n\r\n");
+    CHECK(wait([&] { return !client.poll(); }));
+    CHECK(client.received().empty());
+    CHECK(!pending[0]->isOpen());
+    pending[0]->respond({});
+}
+
+// Guards against work for callers that are gone.
+TEST(http_server, noticesThatACallerLeft)
+{
+    start({});
+    auto client = std::make_unique<raw_connection>(server->listenAddress());
+    client->write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    CHECK(pending[0]->isOpen());
+    client.reset();
+    CHECK(wait([&] { return !pending[0]->isOpen(); }));
+    pending.clear();
+    LONGS_EQUAL(0, server->openRequests());
+}
+
+// Guards against chunked answers that are cut or arrive only at the end.
+TEST(http_server, sendsChunks)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    const server_response head{200, "text/plain", {}, ""};
+    pending[0]->sendChunk(head, "first");
+    CHECK(exchange(client, "", "first\r\n").find("chunked") != std::string::npos);
+    pending[0]->sendChunk(head, "second");
+    pending[0]->endChunks();
+    CHECK(exchange(client, "", "0\r\n\r\n").find("6\r\nsecond\r\n") != std::string::npos);
+}
+
+// Guards against a caller that waits for a request whose handler lost it.
+TEST(http_server, answersADroppedRequest)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    LONGS_EQUAL(900, errorCode(exchange(client, get("/drop"), "}}")));
+}
+
+// Guards against a shutdown that interrupts requests in progress or keeps taking new ones.
+TEST(http_server, finishesOpenRequestsAfterStopAccepting)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    server->stopAccepting();
+    CHECK(!raw_connection(server->listenAddress()).isConnected());
+    LONGS_EQUAL(1, server->openRequests());
+    pending[0]->respond({200, "text/plain", {}, "done"});
+    CHECK(wait([&] { return !client.poll(); }));
+    CHECK(client.received().find("Connection: close") != std::string::npos);
+    CHECK(client.received().find("done") != std::string::npos);
+}
+
+// Guards against responders that outlive their server.
+TEST(http_server, mayBeDestroyedWithOpenRequests)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    server.reset();
+    CHECK(wait([&] { return !client.poll(); }));
+    pending[0]->respond({});
+    pending.clear();
+    CHECK(failureOf(makeHttpServer(loop, "nowhere", {}, nullptr)) != nullptr);
+}
--- a/testing/websocket_link_test.cc
+++ b/testing/websocket_link_test.cc
@@ -171,7 +171,7 @@
     const std::string upgrade = upgradeRequest(planner.address());
     // Not HTTP, HTTP without an upgrade, another path, and a wrong frame after the upgrade.
     const std::vector<std::string> inputs{
-        std::string("\x01\xff\x80 garbage \r\n\r\n\r\n\r\n", 22),
+        "\x01\xff\x80 garbage \r\n\r\n\r\n\r\n",
         "GET /link HTTP/1.1\r\nHost: x\r\n\r\n",
         "GET /other" + upgrade.substr(9),
         upgrade + maskedFrame("\xff\xff\xff garbage"),
