Add the settings of entry and agent with their table

One table in code gives parsing, validation and docs/settings.md. A file is validated whole; each error has its path, the allowed range and the unit. Unknown and repeated fields are errors, since a misspelt limit would otherwise silently keep its default.

--- a/goldcrest/settings.h
+++ b/goldcrest/settings.h
@@ -99,7 +99,8 @@
 // Checks a host:port. Port 0 is allowed and means any free port.
 bool isHostPort(std::string_view text);
 
-// The table of all settings as docs/settings.md has it.
+// The table of all settings as docs/settings.md has it. GOLDCREST_WRITE_DOCS=1 build/settings_test
+// writes the page.
 std::string settingsMarkdown();
 
 } // namespace goldcrest
--- /dev/null
+++ b/goldcrest/settings_table.cc
@@ -0,0 +1,264 @@
+#include "goldcrest/settings_table.h"
+
+#include "goldcrest/settings.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace goldcrest {
+
+namespace {
+
+using nlohmann::json;
+
+// Notes the fields that occur twice, of which the JSON library keeps only the last.
+struct duplicate_finder
+{
+    std::vector<std::set<std::string>> open;
+    std::vector<std::string> found;
+
+    bool operator()(int, json::parse_event_t event, json &value)
+    {
+        if (event == json::parse_event_t::object_start)
+            open.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            open.pop_back();
+        else if (event == json::parse_event_t::key
+                 && !open.back().insert(value.get<std::string>()).second)
+            found.push_back(value.get<std::string>());
+        return true;
+    }
+};
+
+void reportUnknownIn(const json &object, const std::string &prefix,
+                     const std::set<std::string> &known, std::vector<failure> &errors)
+{
+    for (const auto &[name, value] : object.items()) {
+        std::string path = prefix;
+        if (!path.empty())
+            path += '.';
+        path += name;
+        if (known.count(path) != 0)
+            continue;
+        const auto group = known.lower_bound(path + ".");
+        const bool isGroup = group != known.end() && group->rfind(path + ".", 0) == 0;
+        if (!isGroup)
+            addSettingError(errors, path, "is not a setting; docs/settings.md lists all");
+        else if (value.is_object())
+            reportUnknownIn(value, path, known, errors);
+        else
+            addSettingError(errors, path, "must be an object");
+    }
+}
+
+std::string escapeCell(const std::string &text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        if (c == '|')
+            escaped += '\\';
+        escaped += c;
+    }
+    return escaped;
+}
+
+bool isNameCharacter(char c)
+{
+    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool digit = c >= '0' && c <= '9';
+    // Names occur in store keys, so that '/' can't be one; other letters are UTF-8.
+    return letter || digit || c == '-' || c == '_' || c == '.'
+        || static_cast<unsigned char>(c) > 0x7f;
+}
+
+} // namespace
+
+bool isHostPort(std::string_view text)
+{
+    constexpr std::size_t maxHostBytes = 253;
+    constexpr std::size_t maxPortDigits = 5;
+    constexpr int maxPort = 65535;
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0 || colon > maxHostBytes)
+        return false;
+    const std::string_view host = text.substr(0, colon);
+    const std::string_view port = text.substr(colon + 1);
+    const bool bracketed = host.front() == '[' && host.back() == ']';
+    if (!bracketed && host.find(':') != std::string_view::npos)
+        return false;
+    if (host.find_first_of(" /?#@") != std::string_view::npos)
+        return false;
+    if (port.empty() || port.size() > maxPortDigits
+        || port.find_first_not_of("0123456789") != std::string_view::npos)
+        return false;
+    return std::stoi(std::string(port)) <= maxPort;
+}
+
+std::string checkText(text_kind kind, std::string_view value)
+{
+    constexpr std::size_t maxNameBytes = 64;
+    switch (kind) {
+    case text_kind::Name:
+        if (value.empty() || value.size() > maxNameBytes
+            || !std::all_of(value.begin(), value.end(), isNameCharacter))
+            return "must be 1 to 64 bytes of letters, digits, '-', '_' and '.'";
+        return {};
+    case text_kind::Address:
+        return isHostPort(value) ? "" : "must be host:port with a port of 0 to 65535";
+    case text_kind::Url: {
+        constexpr std::string_view scheme = "http://";
+        const bool http = value.substr(0, scheme.size()) == scheme;
+        const std::string_view rest = http ? value.substr(scheme.size()) : value;
+        return http && isHostPort(rest.substr(0, rest.find('/'))) ? "" : "must be http://host:port";
+    }
+    case text_kind::LinkBlock:
+        return failureOf(parseLinkBlock(value))
+            ? "must be host:port or * with optionally =sending, =receiving or =both"
+            : "";
+    case text_kind::Text:
+        break;
+    }
+    return {};
+}
+
+std::string_view describeKind(text_kind kind)
+{
+    switch (kind) {
+    case text_kind::Name:
+        return "name";
+    case text_kind::Address:
+        return "host:port";
+    case text_kind::Url:
+        return "URL";
+    case text_kind::LinkBlock:
+        return "link filter";
+    case text_kind::Text:
+        break;
+    }
+    return "text";
+}
+
+std::string setting_row::allowed() const
+{
+    std::string text;
+    if (hasRange) {
+        text = std::to_string(low) + " to " + std::to_string(high);
+        if (!unit.empty())
+            text += " " + unit;
+        return text;
+    }
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        if (i > 0)
+            text += i + 1 == choices.size() ? " or " : ", ";
+        text += choices[i];
+    }
+    return text.empty() ? type : text;
+}
+
+void addSettingError(std::vector<failure> &errors, const std::string &path, std::string reason)
+{
+    errors.push_back(makeFailure(code::SettingsInvalid, std::move(reason), path));
+}
+
+const json *findSetting(const json &root, std::string_view path)
+{
+    const json *at = &root;
+    while (true) {
+        const std::size_t dot = path.find('.');
+        if (!at->is_object())
+            return nullptr;
+        const auto found = at->find(std::string(path.substr(0, dot)));
+        if (found == at->end())
+            return nullptr;
+        at = &*found;
+        if (dot == std::string_view::npos)
+            return at;
+        path.remove_prefix(dot + 1);
+    }
+}
+
+void reportUnknown(const json &root, const std::vector<setting_row> &rows,
+                   std::vector<failure> &errors)
+{
+    std::set<std::string> known;
+    for (const setting_row &row : rows)
+        known.insert(row.path);
+    reportUnknownIn(root, "", known, errors);
+}
+
+bool readInteger(const json &value, const setting_row &row, std::int64_t &out,
+                 std::vector<failure> &errors)
+{
+    // A number above the range of int64 is stored as unsigned.
+    const bool fits = value.is_number_integer()
+        && (!value.is_number_unsigned()
+            || value.get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX));
+    const std::int64_t number = fits ? value.get<std::int64_t>() : 0;
+    if (!fits || number < row.low || number > row.high) {
+        addSettingError(errors, row.path,
+                        "must be an integer of " + row.allowed() + ", is " + value.dump());
+        return false;
+    }
+    out = number;
+    return true;
+}
+
+bool readText(const json &value, const std::string &path, text_kind kind, std::string &out,
+              std::vector<failure> &errors)
+{
+    if (!value.is_string()) {
+        addSettingError(errors, path, "must be a text (" + std::string(describeKind(kind)) + ")");
+        return false;
+    }
+    const auto &text = value.get_ref<const std::string &>();
+    const std::string wrong = checkText(kind, text);
+    if (!wrong.empty()) {
+        addSettingError(errors, path, wrong);
+        return false;
+    }
+    out = text;
+    return true;
+}
+
+bool parseSettingsJson(std::string_view text, json &out, std::vector<failure> &errors)
+{
+    duplicate_finder duplicates;
+    try {
+        out = json::parse(
+            text,
+            [&](int depth, json::parse_event_t event, json &value) {
+                return duplicates(depth, event, value);
+            },
+            true, true);
+    } catch (const json::exception &error) {
+        addSettingError(errors, "", std::string("is not JSON: ") + error.what());
+        return false;
+    }
+    for (const std::string &name : duplicates.found)
+        addSettingError(errors, name, "occurs twice in one object");
+    if (!out.is_object()) {
+        addSettingError(errors, "", "must be an object");
+        return false;
+    }
+    return true;
+}
+
+std::string formatRows(const std::vector<std::pair<setting_row, std::string>> &rows)
+{
+    std::ostringstream out;
+    out << "| setting | type | allowed | default | meaning |\n|---|---|---|---|---|\n";
+    for (const auto &[row, shown] : rows) {
+        std::string standard = "`" + shown + "`";
+        if (row.mandatory)
+            standard = "required";
+        else if (shown.empty())
+            standard = "empty";
+        const bool plain = !row.hasRange && row.choices.empty();
+        out << "| `" << row.path << "` | " << row.type << " | " << (plain ? "" : row.allowed())
+            << " | " << standard << " | " << escapeCell(row.description) << " |\n";
+    }
+    return out.str();
+}
+
+} // namespace goldcrest
--- /dev/null
+++ b/testing/settings_test.cc
@@ -0,0 +1,120 @@
+#include "goldcrest/settings.h"
+
+#include "testing/doc_page_support.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace goldcrest;
+
+namespace {
+
+const std::string entryText = R"({
+  // The first entry host.
+  "name": "entry-1",
+  "failureDomain": "Rimouski",
+  "httpListen": "127.0.0.1:8080",
+  "linkListen": "127.0.0.1:7001",
+  "storeUrls": ["http://127.0.0.1:2379"],
+  "entryPeers": ["127.0.0.1:7001", "127.0.0.1:7002"],
+  "http": {"maxBodyBytes": 2048, "headerTimeoutMs": 1500},
+  "faults": {"allowed": true, "blocks": ["127.0.0.1:7002=sending"]}
+})";
+
+const std::string agentText = R"({
+  "worker": "w1", "failureDomain": "Rivière-du-Loup", "rack": "r1", "cell": "a",
+  "linkListen": "127.0.0.1:7101", "backendListen": "127.0.0.1:7201",
+  "capacity": {"cores": 64000, "memory": 262144, "accelerators": 8},
+  "entries": ["127.0.0.1:7001"], "storeUrls": ["http://127.0.0.1:2379"],
+  "outageRule": "majority"
+})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+// Returns the reasons given for a path.
+std::string reasonOf(const std::vector<failure> &errors, const std::string &path)
+{
+    const auto found = std::find_if(errors.begin(), errors.end(),
+                                    [&](const failure &error) { return error.field == path; });
+    return found == errors.end() ? std::string() : found->reason;
+}
+
+} // namespace
+
+TEST_GROUP(settings){};
+
+// Guards against a field that is not taken from the file, and against comments that are refused.
+TEST(settings, parsesBothPrograms)
+{
+    const auto entry = parseEntrySettings(entryText);
+    LONGS_EQUAL(0, entry.errors.size());
+    STRCMP_EQUAL("entry-1", entry.value.name.c_str());
+    LONGS_EQUAL(2, entry.value.entryPeers.size());
+    LONGS_EQUAL(2048, entry.value.http.maxBodyBytes);
+    CHECK(entry.value.http.headerTimeout == 1500ms);
+    CHECK(entry.value.faults.blocks.at(0).direction == link_direction::Sending);
+    const auto agent = parseAgentSettings(agentText);
+    LONGS_EQUAL(0, agent.errors.size());
+    CHECK((agent.value.capacity == resources{64000, 262144, 8}));
+    CHECK(agent.value.outageRule == outage_rule::Majority);
+    CHECK(agent.value.eligible);
+}
+
+// Guards against a start with a wrong file, and against errors that do not say where and what.
+TEST(settings, reportsEveryErrorWithItsPathRangeAndUnit)
+{
+    std::string text = replaced(entryText, "\"maxBodyBytes\": 2048", "\"maxBodyBytes\": 12");
+    text = replaced(text, "1500", "\"soon\"");
+    text = replaced(text, "127.0.0.1:7002\"]", "127.0.0.1:99999\"]");
+    text = replaced(text, "\"name\": \"entry-1\",", "\"nmae\": \"entry-1\",");
+    text = replaced(text, "true", "false");
+    const auto parsed = parseEntrySettings(text);
+    LONGS_EQUAL(6, parsed.errors.size());
+    STRCMP_EQUAL("must be an integer of 1024 to 67108864 bytes, is 12",
+                 reasonOf(parsed.errors, "http.maxBodyBytes").c_str());
+    STRCMP_EQUAL("must be an integer of 100 to 3600000 ms, is \"soon\"",
+                 reasonOf(parsed.errors, "http.headerTimeoutMs").c_str());
+    STRCMP_EQUAL("must be host:port with a port of 0 to 65535",
+                 reasonOf(parsed.errors, "entryPeers[1]").c_str());
+    STRCMP_EQUAL("is required: name", reasonOf(parsed.errors, "name").c_str());
+    STRCMP_EQUAL("is not a setting; docs/settings.md lists all",
+                 reasonOf(parsed.errors, "nmae").c_str());
+    STRCMP_EQUAL("needs faults.allowed", reasonOf(parsed.errors, "faults.blocks").c_str());
+}
+
+// Guards against values that are valid alone but not together, and fields given twice.
+TEST(settings, checksSettingsAgainstEachOther)
+{
+    std::string text = replaced(agentText, "\"outageRule\": \"majority\"",
+                                R"("outageRule": "always", "slots": 18446744073709551615,
+        "links": {"pingAfterMs": 3000, "idleTimeoutMs": 2000}, "rack": "r2")");
+    text = replaced(text, "127.0.0.1:7201", "127.0.0.1:7101");
+    const auto parsed = parseAgentSettings(text);
+    STRCMP_EQUAL("must be allEntries, majority or stop",
+                 reasonOf(parsed.errors, "outageRule").c_str());
+    STRCMP_EQUAL("must be above links.pingAfterMs",
+                 reasonOf(parsed.errors, "links.idleTimeoutMs").c_str());
+    STRCMP_EQUAL("must differ from linkListen", reasonOf(parsed.errors, "backendListen").c_str());
+    STRCMP_EQUAL("occurs twice in one object", reasonOf(parsed.errors, "rack").c_str());
+    CHECK(!reasonOf(parsed.errors, "slots").empty());
+    LONGS_EQUAL(5, parsed.errors.size());
+}
+
+// Guards against a crash on a file that is missing, not JSON or not an object.
+TEST(settings, reportsFilesThatAreNotSettings)
+{
+    LONGS_EQUAL(1, loadAgentSettings("/nonexistent/agent.json").errors.size());
+    CHECK(!parseAgentSettings("{\"worker\": ").errors.empty());
+    CHECK(!parseAgentSettings("[1]").errors.empty());
+    CHECK(!parseAgentSettings("{\"capacity\": 5, \"entries\": {}}").errors.empty());
+}
+
+// Guards against a documentation page that lags behind the settings.
+TEST(settings, pageListsAllSettings)
+{
+    STRCMP_EQUAL("", compareDocPage("docs/settings.md", settingsMarkdown()).c_str());
+}
