--- /dev/null
+++ b/goldcrest/metrics.cc
@@ -0,0 +1,374 @@
+#include "goldcrest/metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <sstream>
+
+namespace goldcrest {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+enum class metric_kind { Counter, Gauge, Histogram };
+
+struct metric_row
+{
+    metric which;
+    std::string_view name;
+    metric_kind kind;
+    std::string_view label; // empty: none
+    std::string_view programs;
+    std::string_view help;
+};
+
+constexpr metric_kind counterKind = metric_kind::Counter;
+constexpr metric_kind gaugeKind = metric_kind::Gauge;
+constexpr metric_kind histogramKind = metric_kind::Histogram;
+
+constexpr metric_row metricTable[] = {
+    {metric::JobsAccepted, "jobs_accepted_total", counterKind, "class", "entry",
+     "Jobs accepted by this entry."},
+    {metric::JobsAttached, "jobs_attached_total", counterKind, "", "entry",
+     "Submissions that attached to an existing job."},
+    {metric::JobsRefused, "jobs_refused_total", counterKind, "code", "entry",
+     "Submissions refused, by the name of the error."},
+    {metric::JobsFinished, "jobs_finished_total", counterKind, "outcome", "entry",
+     "Jobs that this entry saw finish."},
+    {metric::OpenJobs, "open_jobs", gaugeKind, "", "entry",
+     "Accepted jobs without an outcome that this entry follows."},
+    {metric::StartDelay, "start_delay_seconds", histogramKind, "class", "entry",
+     "Time from acceptance to the start of all tasks."},
+    {metric::CompletionTime, "completion_seconds", histogramKind, "class", "entry",
+     "Time from acceptance to the outcome."},
+    {metric::HttpRequests, "http_requests_total", counterKind, "status", "entry, agent",
+     "Answered HTTP requests by status."},
+    {metric::HttpRequestTime, "http_request_seconds", histogramKind, "", "entry, agent",
+     "Time from a whole request to its answer, with the time that callers ask to wait."},
+    {metric::HttpOpenRequests, "http_open_requests", gaugeKind, "", "entry, agent",
+     "HTTP requests without a complete answer."},
+    {metric::HttpOpenConnections, "http_open_connections", gaugeKind, "", "entry, agent",
+     "Open HTTP connections."},
+    {metric::ConnectedAgents, "connected_agents", gaugeKind, "", "entry",
+     "Agents that are connected to this entry."},
+    {metric::ConfigInForceTime, "config_in_force_seconds", histogramKind, "", "entry",
+     "Time from storing a configuration change to its being in force in all cells."},
+    {metric::ConfigRevision, "config_revision", gaugeKind, "", "entry, planner",
+     "Configuration revision that this process applies."},
+    {metric::ConfigConfirmedAge, "config_confirmed_age_seconds", gaugeKind, "", "entry, planner",
+     "Time since the configuration was last confirmed as current."},
+    {metric::StoreCalls, "store_calls_total", counterKind, "result", "entry, planner",
+     "Calls to the platform's store by result."},
+    {metric::StoreCallTime, "store_call_seconds", histogramKind, "", "entry, planner",
+     "Time of one call to the platform's store, with retries."},
+    {metric::PlannerEpoch, "planner_epoch", gaugeKind, "", "planner",
+     "Epoch of the planner in this process; 0 if it is not elected."},
+    {metric::QueuedJobs, "queued_jobs", gaugeKind, "", "planner", "Jobs that wait in the cell."},
+    {metric::RunningJobs, "running_jobs", gaugeKind, "", "planner", "Jobs that run in the cell."},
+    {metric::FreeAccelerators, "free_accelerators", gaugeKind, "", "planner",
+     "Accelerators in service that no task uses."},
+    {metric::BorrowedAccelerators, "borrowed_accelerators", gaugeKind, "", "planner",
+     "Accelerators that work of one team uses within the guarantee of another."},
+    {metric::LargestPlaceableGang, "largest_placeable_gang", gaugeKind, "", "planner",
+     "Largest gang of single-accelerator tasks that would fit now; fragmentation lowers it."},
+    {metric::UnmetGuarantees, "unmet_guarantees", gaugeKind, "", "planner",
+     "Guarantees that do not fit on the workers in service."},
+    {metric::Workers, "workers", gaugeKind, "state", "planner", "Workers of the cell by state."},
+    {metric::GangsStarted, "gangs_started_total", counterKind, "class", "planner",
+     "Gangs of which all tasks started."},
+    {metric::GangsStopped, "gangs_stopped_total", counterKind, "reason", "planner",
+     "Gangs stopped before their end, by reason."},
+    {metric::HoldsRefused, "holds_refused_total", counterKind, "code", "planner",
+     "Holds that an agent refused, by the name of the error."},
+    {metric::DecisionTime, "decision_seconds", histogramKind, "", "planner",
+     "Processor time of one event in the scheduler."},
+    {metric::AgentParts, "agent_parts", gaugeKind, "state", "agent",
+     "Gang parts on the worker: held, running or finished."},
+    {metric::AgentMessagesFenced, "agent_messages_fenced_total", counterKind, "", "agent",
+     "Messages refused because their epoch was below the highest seen."},
+    {metric::BackendCalls, "backend_calls_total", counterKind, "result", "agent",
+     "Calls to the backend server by result."},
+    {metric::BackendCallTime, "backend_call_seconds", histogramKind, "", "agent",
+     "Time of one call to the backend server."},
+    {metric::BackendReachable, "backend_reachable", gaugeKind, "", "agent",
+     "1 if the backend server answers, else 0."},
+    {metric::OpenLinks, "open_links", gaugeKind, "", "all",
+     "Open links to other processes, dialled and accepted."},
+    {metric::LinkBytesSent, "link_bytes_sent_total", counterKind, "", "all",
+     "Bytes sent on links, with WebSocket frame headers, without TCP/IP headers."},
+    {metric::LinkBytesReceived, "link_bytes_received_total", counterKind, "", "all",
+     "Bytes received on links, with WebSocket frame headers, without TCP/IP headers."},
+    {metric::LinkFramesSent, "link_frames_sent_total", counterKind, "", "all",
+     "Frames sent on links, pings included."},
+    {metric::LinkFramesReceived, "link_frames_received_total", counterKind, "", "all",
+     "Frames received on links, pings included."},
+    {metric::LinkSendsRefused, "link_sends_refused_total", counterKind, "", "all",
+     "Messages dropped because the link was closed or its send buffer full."},
+    {metric::LinksRefused, "links_refused_total", counterKind, "", "all",
+     "Links closed for a limit, a bad hello or a malformed frame."},
+    {metric::LinksIdleClosed, "links_idle_closed_total", counterKind, "", "all",
+     "Links closed because nothing arrived on them."},
+};
+
+constexpr std::string_view namePrefix = "goldcrest_";
+constexpr std::string_view otherLabel = "other";
+
+constexpr bool isTableInOrder()
+{
+    std::size_t index = 0;
+    for (const metric_row &row : metricTable) {
+        if (static_cast<std::size_t>(row.which) != index++)
+            return false;
+    }
+    return index == static_cast<std::size_t>(metric::LinksIdleClosed) + 1;
+}
+static_assert(isTableInOrder(), "metricTable must have one row for each metric, in order");
+
+const metric_row &rowOf(metric which)
+{
+    return metricTable[static_cast<std::size_t>(which)];
+}
+
+// Four buckets a decade from 1 ms to 10^5 s, more than a day.
+constexpr unsigned bucketCount = 32;
+constexpr double lowestBound = 1e-3;
+constexpr double highestBound = 1e5;
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+
+class latency_histogram
+{
+public:
+    void add(double seconds)
+    {
+        // A time of 0 has no logarithm; it belongs to the bucket below the lowest bound.
+        m_counts(seconds > 0 ? seconds : lowestBound / 2);
+        m_sum += seconds;
+        ++m_total;
+    }
+
+    std::uint64_t total() const { return m_total; }
+    double sum() const { return m_sum; }
+
+    // Calls `use` with each upper bound and the number of times up to it.
+    template<typename F>
+    void forEachBound(F use) const
+    {
+        std::uint64_t cumulated = countAt(-1);
+        use(lowestBound, cumulated);
+        for (int i = 0; i < static_cast<int>(bucketCount); ++i) {
+            cumulated += countAt(i);
+            use(m_counts.axis().bin(i).upper(), cumulated);
+        }
+    }
+
+private:
+    std::uint64_t countAt(int index) const
+    {
+        return static_cast<std::uint64_t>(m_counts.at(index));
+    }
+
+    using counts = decltype(bh::make_histogram(log_axis(bucketCount, lowestBound, highestBound)));
+    counts m_counts = bh::make_histogram(log_axis(bucketCount, lowestBound, highestBound));
+    double m_sum = 0;
+    std::uint64_t m_total = 0;
+};
+
+std::string_view kindName(metric_kind kind)
+{
+    switch (kind) {
+    case metric_kind::Counter:
+        return "counter";
+    case metric_kind::Gauge:
+        return "gauge";
+    case metric_kind::Histogram:
+        break;
+    }
+    return "histogram";
+}
+
+std::string formatNumber(double value)
+{
+    std::array<char, 32> buffer{};
+    const char *format = std::floor(value) == value && std::fabs(value) < 1e15 ? "%.0f" : "%.6g";
+    std::snprintf(buffer.data(), buffer.size(), format, value);
+    return buffer.data();
+}
+
+std::string escapeLabel(std::string_view value)
+{
+    std::string escaped;
+    for (const char c : value) {
+        if (c == '\\' || c == '"')
+            escaped += '\\';
+        if (c == '\n')
+            escaped += "\\n";
+        else
+            escaped += c;
+    }
+    return escaped;
+}
+
+// Formats the labels of a sample, with the bound of a histogram's bucket if there is one.
+std::string formatLabels(const metric_row &row, const std::string &label, const std::string &bound)
+{
+    std::string labels;
+    if (!row.label.empty())
+        labels.append(row.label).append("=\"").append(escapeLabel(label)).append("\"");
+    if (!bound.empty())
+        labels.append(labels.empty() ? "" : ",").append("le=\"").append(bound).append("\"");
+    return labels.empty() ? labels : "{" + labels + "}";
+}
+
+void writeHistogram(std::ostream &out, const metric_row &row, const std::string &label,
+                    const latency_histogram &histogram)
+{
+    const auto bucket = [&](const std::string &bound, std::uint64_t count) {
+        out << namePrefix << row.name << "_bucket" << formatLabels(row, label, bound) << ' '
+            << count << '\n';
+    };
+    histogram.forEachBound(
+        [&](double bound, std::uint64_t count) { bucket(formatNumber(bound), count); });
+    bucket("+Inf", histogram.total());
+    out << namePrefix << row.name << "_sum" << formatLabels(row, label, "") << ' '
+        << formatNumber(histogram.sum()) << '\n';
+    out << namePrefix << row.name << "_count" << formatLabels(row, label, "") << ' '
+        << histogram.total() << '\n';
+}
+
+} // namespace
+
+struct metrics_registry::state
+{
+    template<typename T>
+    using series = std::map<std::string, T, std::less<>>;
+
+    std::map<metric, series<double>> numbers;
+    std::map<metric, series<latency_histogram>> histograms;
+
+    template<typename T>
+    static T &at(series<T> &values, const metric_row &row, std::string_view label)
+    {
+        const std::string_view used = row.label.empty() ? std::string_view{} : label;
+        const auto found = values.find(used);
+        if (found != values.end())
+            return found->second;
+        return values[std::string(values.size() < maxLabelValues ? used : otherLabel)];
+    }
+};
+
+metrics_registry::metrics_registry()
+    : m_state(std::make_unique<state>())
+{ }
+
+metrics_registry::~metrics_registry() = default;
+
+void metrics_registry::add(metric which, std::string_view label, std::uint64_t amount)
+{
+    state::at(m_state->numbers[which], rowOf(which), label) += static_cast<double>(amount);
+}
+
+void metrics_registry::set(metric which, double value, std::string_view label)
+{
+    state::at(m_state->numbers[which], rowOf(which), label) = value;
+}
+
+void metrics_registry::observe(metric which, duration time, std::string_view label)
+{
+    const double seconds = std::chrono::duration<double>(time).count();
+    state::at(m_state->histograms[which], rowOf(which), label).add(seconds);
+}
+
+void metrics_registry::setLinks(const link_traffic &traffic, std::size_t openLinks)
+{
+    set(metric::OpenLinks, static_cast<double>(openLinks));
+    set(metric::LinkBytesSent, static_cast<double>(traffic.bytesSent));
+    set(metric::LinkBytesReceived, static_cast<double>(traffic.bytesReceived));
+    set(metric::LinkFramesSent, static_cast<double>(traffic.framesSent));
+    set(metric::LinkFramesReceived, static_cast<double>(traffic.framesReceived));
+    set(metric::LinkSendsRefused, static_cast<double>(traffic.sendsRefused));
+    set(metric::LinksRefused, static_cast<double>(traffic.linksRefused));
+    set(metric::LinksIdleClosed, static_cast<double>(traffic.idleClosed));
+}
+
+double metrics_registry::value(metric which, std::string_view label) const
+{
+    if (rowOf(which).kind == metric_kind::Histogram) {
+        const auto found = m_state->histograms.find(which);
+        if (found == m_state->histograms.end())
+            return 0;
+        const auto one = found->second.find(label);
+        return one == found->second.end() ? 0 : static_cast<double>(one->second.total());
+    }
+    const auto found = m_state->numbers.find(which);
+    if (found == m_state->numbers.end())
+        return 0;
+    const auto one = found->second.find(label);
+    return one == found->second.end() ? 0 : one->second;
+}
+
+duration metrics_registry::quantile(metric which, double quantile, std::string_view label) const
+{
+    const auto found = m_state->histograms.find(which);
+    if (found == m_state->histograms.end())
+        return 0ms;
+    const auto one = found->second.find(label);
+    if (one == found->second.end())
+        return 0ms;
+    const double wanted = quantile * static_cast<double>(one->second.total());
+    double bound = highestBound;
+    one->second.forEachBound([&](double upper, std::uint64_t count) {
+        if (static_cast<double>(count) >= wanted)
+            bound = std::min(bound, upper);
+    });
+    return std::chrono::round<duration>(std::chrono::duration<double>(bound));
+}
+
+std::string metrics_registry::text() const
+{
+    std::ostringstream out;
+    for (const metric_row &row : metricTable) {
+        const auto numbers = m_state->numbers.find(row.which);
+        const auto histograms = m_state->histograms.find(row.which);
+        const bool present
+            = numbers != m_state->numbers.end() || histograms != m_state->histograms.end();
+        if (!present)
+            continue;
+        out << "# HELP " << namePrefix << row.name << ' ' << row.help << '\n';
+        out << "# TYPE " << namePrefix << row.name << ' ' << kindName(row.kind) << '\n';
+        if (numbers != m_state->numbers.end()) {
+            for (const auto &[label, value] : numbers->second)
+                out << namePrefix << row.name << formatLabels(row, label, "") << ' '
+                    << formatNumber(value) << '\n';
+        }
+        if (histograms != m_state->histograms.end()) {
+            for (const auto &[label, histogram] : histograms->second)
+                writeHistogram(out, row, label, histogram);
+        }
+    }
+    return out.str();
+}
+
+std::string metricsMarkdown()
+{
+    std::ostringstream out;
+    out << "# Metrics\n\n"
+           "`GET /metrics` answers in the Prometheus text format. All names start with `"
+        << namePrefix
+        << "`. Histograms have four\nbuckets a decade from 1 ms to 10^5 s. A label has at most "
+        << metrics_registry::maxLabelValues
+        << " values; more are counted as `other`. This page is\ngenerated from the table in "
+           "`goldcrest/metrics.cc`.\n\n"
+           "| metric | type | label | programs | meaning |\n|---|---|---|---|---|\n";
+    for (const metric_row &row : metricTable)
+        out << "| `" << row.name << "` | " << kindName(row.kind) << " | " << row.label << " | "
+            << row.programs << " | " << row.help << " |\n";
+    return out.str();
+}
+
+} // namespace goldcrest
