--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache clang-format clang-tidy git
   librestinio-dev libwebsocketpp-dev libasio-dev libboost-dev libcxxopts-dev libgoogle-glog-dev
-  cpputest libcpputest-dev nlohmann-json3-dev libcurl4-openssl-dev libmsgsl-dev
+  cpputest libcpputest-dev nlohmann-json3-dev libcurl4-openssl-dev libssl-dev libmsgsl-dev
 )
 missing=()
 for package in "${packages[@]}"; do
