Add the decisions of the agent

The agent fences lower epochs, keeps holds with a lifetime against the worker's capacity, renews task leases only while the gang is whole, collects pulses on the leader's worker, stops a gang that has lost a member, and keeps results until they are stored. A restarted agent reads the backend server's task list before its first inventory. An abort is answered with proof that nothing started only if this run of the process remembers the hold, since an earlier run may have started it.

--- /dev/null
+++ b/goldcrest/agent_core.cc
@@ -0,0 +1,720 @@
+#include "goldcrest/agent_core.h"
+
+#include "goldcrest/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+// Attempts remembered after they left; at the design target a worker sees a few hundred a day.
+constexpr std::size_t maxPastAttempts = 1024;
+
+// Ended attempts named in an inventory.
+constexpr std::size_t maxReportedEnded = 256;
+
+// A task list call without an answer is given up after this time.
+constexpr duration listTimeout = 5s;
+
+// A task that does not stop has no lease after its stop time and this much more.
+constexpr duration stopLeaseGrace = 1s;
+
+std::vector<std::string> runningIds(const gang_member &member)
+{
+    std::vector<std::string> ids;
+    for (const member_task &task : member.tasks) {
+        if (!task.ended)
+            ids.push_back(task.id);
+    }
+    return ids;
+}
+
+task_result resultOf(const member_task &task)
+{
+    task_result whole;
+    whole.task = task.index;
+    whole.succeeded = task.state == task_state::Succeeded;
+    whole.totalBytes = task.output.size();
+    whole.digest = digestOf(task.output);
+    return whole;
+}
+
+} // namespace
+
+agent_core::agent_core(agent_options options)
+    : m_options(std::move(options))
+{ }
+
+void agent_core::begin(time_point now)
+{
+    requestList(now);
+}
+
+void agent_core::backendAnnounced(const resources &capacity, std::int32_t slots, time_point now)
+{
+    worker_info &worker = m_options.worker;
+    const bool changed = worker.capacity != capacity || worker.slots != slots;
+    worker.capacity = capacity;
+    worker.slots = slots;
+    drainChanged(false, now);
+    m_listIssued.reset();
+    requestList(now);
+    if (changed && m_listed)
+        sendInventory(now);
+}
+
+void agent_core::drainChanged(bool draining, time_point)
+{
+    if (m_draining == draining)
+        return;
+    m_draining = draining;
+    toPlanner(drain_notice_message{m_options.worker.id, draining});
+}
+
+void agent_core::plannerOpened(epoch known, time_point now)
+{
+    m_highestEpoch = std::max(m_highestEpoch, known);
+    m_plannerOpen = true;
+    if (m_listed)
+        sendInventory(now);
+}
+
+void agent_core::plannerClosed()
+{
+    m_plannerOpen = false;
+}
+
+void agent_core::plannerMessage(const message &received, time_point now)
+{
+    std::visit([this, now](const auto &typed) { handle(typed, now); }, received);
+}
+
+bool agent_core::acceptEpoch(epoch number)
+{
+    if (number < m_highestEpoch && m_options.mechanisms.fenceEpochs)
+        return false;
+    m_highestEpoch = std::max(m_highestEpoch, number);
+    return true;
+}
+
+std::optional<failure> agent_core::refusalOfHold(const hold_message &hold, time_point now)
+{
+    const gang_info &gang = hold.gang;
+    if (!acceptEpoch(gang.plannerEpoch))
+        return makeFailure(code::StaleEpoch, "a planner with a higher epoch was seen");
+    if (m_draining)
+        return makeFailure(code::WorkerDraining, "the worker is draining");
+    if (!m_listed || !m_backendReachable)
+        return makeFailure(code::BackendUnavailable, "the backend server does not answer");
+    const past_attempt *earlier = past(gang.attempt);
+    if (earlier)
+        return makeFailure(code::AttemptAborted, "the attempt had its hold here and has left");
+    if (gang.own.worker != m_options.worker.id || gang.own.tasks < 1)
+        return makeFailure(code::HoldRefused, "the hold names another worker or no tasks");
+    resources free = m_options.worker.capacity;
+    std::int32_t tasks = gang.own.tasks;
+    for (const auto &[attempt, member] : m_members) {
+        const bool lapsed = member.state() == member_state::Held && member.holdExpired(now);
+        if (!member.usesWorker() || lapsed)
+            continue;
+        free -= member.reserved();
+        tasks += member.gang().own.tasks;
+    }
+    const std::int32_t slots = m_options.worker.slots;
+    if (!free.covers(gang.spec.perTask * gang.own.tasks) || (slots > 0 && tasks > slots))
+        return makeFailure(code::HoldRefused, "the worker's free capacity does not cover the hold");
+    return std::nullopt;
+}
+
+void agent_core::handle(const hold_message &hold, time_point now)
+{
+    const attempt_id &attempt = hold.gang.attempt;
+    hold_reply_message reply{attempt, m_options.worker.id, hold.gang.plannerEpoch, std::nullopt};
+    const auto existing = m_members.find(attempt);
+    if (existing != m_members.end()) {
+        // A repeated hold: its lifetime counts from the first one.
+        const gang_member &member = existing->second;
+        if (!acceptEpoch(hold.gang.plannerEpoch))
+            reply.refused = makeFailure(code::StaleEpoch, "a planner with a higher epoch was seen");
+        else if (member.gang().plannerEpoch != hold.gang.plannerEpoch)
+            reply.refused = makeFailure(code::HoldRefused, "another planner uses this attempt");
+        else if (member.state() == member_state::Held && member.holdExpired(now))
+            reply.refused = makeFailure(code::HoldExpired, "the hold's lifetime has ended");
+        toPlanner(reply);
+        return;
+    }
+    reply.refused = refusalOfHold(hold, now);
+    if (!reply.refused)
+        m_members.emplace(attempt, gang_member(hold.gang, now, hold.lifetime));
+    toPlanner(reply);
+}
+
+std::optional<failure> agent_core::refusalOfStart(const start_message &start, time_point now)
+{
+    if (!acceptEpoch(start.plannerEpoch))
+        return makeFailure(code::StaleEpoch, "a planner with a higher epoch was seen");
+    const auto found = m_members.find(start.attempt);
+    if (found == m_members.end() || found->second.state() != member_state::Held) {
+        const past_attempt *earlier = past(start.attempt);
+        const bool aborted = earlier && earlier->aborted;
+        return makeFailure(aborted ? code::AttemptAborted : code::HoldExpired,
+                           "the attempt has no hold here");
+    }
+    if (found->second.gang().plannerEpoch != start.plannerEpoch && m_options.mechanisms.fenceEpochs)
+        return makeFailure(code::StaleEpoch, "the hold is of another planner");
+    if (found->second.holdExpired(now) && m_options.mechanisms.limitHolds)
+        return makeFailure(code::HoldExpired, "the hold's lifetime has ended");
+    if (m_draining)
+        return makeFailure(code::WorkerDraining, "the worker is draining");
+    return std::nullopt;
+}
+
+void agent_core::handle(const start_message &start, time_point now)
+{
+    const auto found = m_members.find(start.attempt);
+    const bool known = found != m_members.end();
+    if (known && found->second.startSent
+        && found->second.gang().plannerEpoch == start.plannerEpoch) {
+        // A repeated start. While the tasks are being started the answer follows by itself.
+        if (found->second.state() == member_state::Running)
+            toPlanner(
+                task_started_message{start.attempt, m_options.worker.id, start.plannerEpoch, {}});
+        return;
+    }
+    std::optional<failure> refused = refusalOfStart(start, now);
+    if (!refused) {
+        startTasks(found->second, start, now);
+        return;
+    }
+    if (known && found->second.state() == member_state::Held
+        && refused->number != code::StaleEpoch) {
+        m_members.erase(found);
+        remember(start.attempt, {true, false});
+    }
+    toPlanner(task_started_message{start.attempt, m_options.worker.id, start.plannerEpoch,
+                                   std::move(refused)});
+}
+
+void agent_core::startTasks(gang_member &member, const start_message &start, time_point now)
+{
+    member.beginStart(now);
+    for (const member_task &task : member.tasks)
+        m_actions.emplace_back(start_task{task.id, member.gang(), start.payload,
+                                          member.gang().spec.perTask, taskLease});
+}
+
+void agent_core::backendStarted(const std::string &id, const result<done> &answer, time_point now)
+{
+    for (auto &[attempt, member] : m_members) {
+        member_task *task = member.findTask(id);
+        if (!task)
+            continue;
+        task->startAnswered = now;
+        if (!failureOf(answer)) {
+            task->started = true;
+            if (member.state() == member_state::Stopping)
+                callStop(member, now);
+        } else {
+            // It may have started all the same; the next task list tells.
+            m_listIssued.reset();
+            requestList(now);
+        }
+        settle(member, now);
+        return;
+    }
+}
+
+void agent_core::handle(const abort_message &abort, time_point now)
+{
+    if (!acceptEpoch(abort.plannerEpoch))
+        return;
+    abort_reply_message reply{abort.attempt, m_options.worker.id, abort.plannerEpoch, true};
+    const auto found = m_members.find(abort.attempt);
+    if (found == m_members.end()) {
+        // Without memory of the hold an earlier run of this process may have started the tasks, so
+        // only a remembered attempt is proof.
+        const past_attempt *earlier = past(abort.attempt);
+        reply.everStarted = !earlier || earlier->everStarted;
+        remember(abort.attempt, {true, reply.everStarted});
+    } else if (!found->second.startSent) {
+        reply.everStarted = false;
+        m_members.erase(found);
+        remember(abort.attempt, {true, false});
+    } else {
+        stopMember(found->second, false, 0ms, now);
+    }
+    toPlanner(reply);
+}
+
+void agent_core::handle(const stop_message &stop, time_point now)
+{
+    if (!acceptEpoch(stop.plannerEpoch))
+        return;
+    const auto found = m_members.find(stop.attempt);
+    if (found == m_members.end() || !found->second.startSent)
+        return;
+    stopMember(found->second, stop.checkpoint, found->second.gang().spec.stopTime, now);
+}
+
+void agent_core::handle(const throttle_message &throttle, time_point)
+{
+    if (!acceptEpoch(throttle.plannerEpoch))
+        return;
+    const auto found = m_members.find(throttle.attempt);
+    if (found == m_members.end())
+        return;
+    for (const std::string &id : runningIds(found->second))
+        m_actions.emplace_back(throttle_task{id, throttle.limit});
+}
+
+void agent_core::handle(const result_stored_message &stored, time_point)
+{
+    if (!acceptEpoch(stored.plannerEpoch))
+        return;
+    const auto found = m_members.find(stored.attempt);
+    if (found == m_members.end() || found->second.state() != member_state::Ended)
+        return;
+    for (const member_task &task : found->second.tasks) {
+        m_reportedUsage.erase(task.id);
+        m_actions.emplace_back(forget_task{task.id});
+    }
+    remember(stored.attempt, {false, true});
+    m_members.erase(found);
+}
+
+void agent_core::handle(const heartbeat_ack_message &ack, time_point now)
+{
+    if (acceptEpoch(ack.plannerEpoch) && ack.inventoryWanted && m_listed)
+        sendInventory(now);
+}
+
+void agent_core::stopMember(gang_member &member, bool checkpoint, duration within, time_point now)
+{
+    if (member.state() == member_state::Ended)
+        return;
+    const time_point deadline = now + within;
+    const bool sooner = !member.stopWanted || deadline < member.stopDeadline;
+    member.stopWanted = true;
+    member.markBroken();
+    member.enter(member_state::Stopping);
+    if (!sooner)
+        return;
+    member.stopCheckpoint = checkpoint;
+    member.stopDeadline = deadline;
+    callStop(member, now);
+    settle(member, now);
+}
+
+void agent_core::callStop(gang_member &member, time_point now)
+{
+    member.stopCalledAt = now;
+    const duration within = std::max(duration(0), member.stopDeadline - now);
+    for (const std::string &id : runningIds(member))
+        m_actions.emplace_back(stop_task{id, member.stopCheckpoint, within});
+}
+
+void agent_core::requestList(time_point now)
+{
+    m_nextList = now + taskListInterval;
+    if (m_listIssued && now - *m_listIssued < listTimeout)
+        return;
+    m_listIssued = now;
+    m_actions.emplace_back(list_tasks{});
+}
+
+void agent_core::backendListed(const result<std::vector<listed_task>> &answer, time_point now)
+{
+    if (failureOf(answer)) {
+        m_listIssued.reset();
+        m_backendReachable = false;
+        return;
+    }
+    const std::vector<listed_task> &tasks = valueOf(answer);
+    m_backendReachable = true;
+    const bool first = !m_listed;
+    m_listed = true;
+    adopt(tasks, now);
+    for (const listed_task &listed : tasks)
+        updateTask(listed, now);
+    for (auto &[attempt, member] : m_members)
+        noteMissing(member, tasks);
+    m_listIssued.reset();
+    for (auto &[attempt, member] : m_members)
+        settle(member, now);
+    if (first && m_plannerOpen)
+        sendInventory(now);
+}
+
+void agent_core::adopt(const std::vector<listed_task> &tasks, time_point now)
+{
+    for (const listed_task &listed : tasks) {
+        const attempt_id &attempt = listed.gang.attempt;
+        const auto found = m_members.find(attempt);
+        if (found != m_members.end() && found->second.findTask(listed.task.id))
+            continue;
+        const past_attempt *earlier = past(attempt);
+        const bool foreign = found != m_members.end();
+        if (earlier || foreign) {
+            // The attempt has left, so this is a late start or a lost forget.
+            if (listed.task.state == task_state::Running)
+                m_actions.emplace_back(stop_task{listed.task.id, false, 0ms});
+            else
+                m_actions.emplace_back(forget_task{listed.task.id});
+            continue;
+        }
+        m_highestEpoch = std::max(m_highestEpoch, listed.gang.plannerEpoch);
+        m_members.emplace(attempt, gang_member::adopted(listed.gang, now));
+    }
+}
+
+void agent_core::updateTask(const listed_task &listed, time_point)
+{
+    const auto found = m_members.find(listed.gang.attempt);
+    if (found == m_members.end())
+        return;
+    member_task *task = found->second.findTask(listed.task.id);
+    if (!task || task->ended)
+        return;
+    task->started = true;
+    task->used = listed.task.used;
+    task->progress = listed.task.progress;
+    task->checkpointed = listed.task.checkpointed;
+    if (listed.task.state == task_state::Running)
+        return;
+    task->ended = true;
+    task->state = listed.task.state;
+    task->output = listed.task.output;
+}
+
+void agent_core::noteMissing(gang_member &member, const std::vector<listed_task> &tasks)
+{
+    if (!member.startSent || member.state() == member_state::Ended)
+        return;
+    for (member_task &task : member.tasks) {
+        // Only a list that was asked for after the start was answered shows that a task is gone.
+        const bool decided = task.startAnswered && m_listIssued
+            && (*task.startAnswered < *m_listIssued || task.startAnswered == member.startedAt);
+        if (task.ended || !decided)
+            continue;
+        const bool present
+            = std::any_of(tasks.begin(), tasks.end(),
+                          [&](const listed_task &listed) { return listed.task.id == task.id; });
+        if (present)
+            continue;
+        task.ended = true;
+        task.state = task_state::Stopped;
+    }
+}
+
+void agent_core::settle(gang_member &member, time_point now)
+{
+    const member_state state = member.state();
+    if (state == member_state::Held || state == member_state::Ended)
+        return;
+    const gang_info &gang = member.gang();
+    const bool allStarted
+        = std::all_of(member.tasks.begin(), member.tasks.end(),
+                      [](const member_task &task) { return task.started || task.ended; });
+    const bool anyStopped = member.anyIn(task_state::Stopped);
+    const bool anyFailed = member.anyIn(task_state::Failed);
+    if (state == member_state::Starting && allStarted) {
+        member.enter(member_state::Running);
+        task_started_message started{gang.attempt, m_options.worker.id, gang.plannerEpoch, {}};
+        const bool lost
+            = std::any_of(member.tasks.begin(), member.tasks.end(),
+                          [](const member_task &task) { return task.ended && !task.started; });
+        if (lost)
+            started.refused
+                = makeFailure(code::BackendUnavailable, "the backend server did not start a task");
+        toPlanner(started);
+    }
+    if ((anyStopped || anyFailed) && !member.stopWanted) {
+        // The gang can't become whole any more.
+        member.markBroken();
+        stopMember(member, gang.spec.canCheckpoint, gang.spec.stopTime, now);
+        tellBroken(member);
+        sendPulse(member);
+    }
+    if (member.allEnded() && member.state() != member_state::Ended) {
+        member.enter(member_state::Ended);
+        if (anyStopped || anyFailed)
+            member.markBroken();
+        tellBroken(member);
+        sendPulse(member);
+        sendResult(member, now);
+    }
+}
+
+void agent_core::sendPulse(gang_member &member)
+{
+    if (!m_options.mechanisms.gangPulses || !member.hasPeers() || member.isLeader())
+        return;
+    const bool ended = member.state() == member_state::Ended;
+    const bool failed = member.isBroken() || member.stopWanted;
+    m_actions.emplace_back(send_to_agent{
+        member.gang().leaderAddress,
+        gang_pulse_message{member.gang().attempt, m_options.worker.id, ended, failed}});
+}
+
+void agent_core::tellBroken(const gang_member &member)
+{
+    if (!m_options.mechanisms.gangPulses || !member.isLeader() || !member.isBroken())
+        return;
+    for (const std::uint64_t link : member.peerLinks())
+        m_actions.emplace_back(
+            answer_agent{link, gang_pulse_reply_message{member.gang().attempt, false}});
+}
+
+void agent_core::agentMessage(std::uint64_t link, const message &received, time_point now)
+{
+    if (const auto *pulse = std::get_if<gang_pulse_message>(&received)) {
+        if (!m_listed)
+            return;
+        const auto found = m_members.find(pulse->attempt);
+        const bool isLeader = found != m_members.end() && found->second.isLeader();
+        if (!isLeader) {
+            if (!pulse->ended)
+                m_actions.emplace_back(
+                    answer_agent{link, gang_pulse_reply_message{pulse->attempt, false}});
+            return;
+        }
+        gang_member &member = found->second;
+        const bool wasBroken = member.isBroken();
+        member.notePulse(*pulse, link, now);
+        if (!member.startSent)
+            return;
+        checkGang(member, now);
+        if (!wasBroken && member.isBroken())
+            tellBroken(member);
+        const gang_wholeness state = member.wholeness(now);
+        if (state != gang_wholeness::Unknown && !pulse->ended)
+            m_actions.emplace_back(answer_agent{
+                link, gang_pulse_reply_message{pulse->attempt, state == gang_wholeness::Whole}});
+        return;
+    }
+    const auto *reply = std::get_if<gang_pulse_reply_message>(&received);
+    if (!reply)
+        return;
+    const auto found = m_members.find(reply->attempt);
+    if (found == m_members.end() || found->second.isLeader() || !found->second.startSent)
+        return;
+    if (reply->whole)
+        found->second.confirm(now);
+    else
+        found->second.markBroken();
+    checkGang(found->second, now);
+}
+
+void agent_core::checkGang(gang_member &member, time_point now)
+{
+    const bool active
+        = member.state() == member_state::Starting || member.state() == member_state::Running;
+    if (!member.hasPeers() || !m_options.mechanisms.gangPulses)
+        return;
+    if (member.isLeader()) {
+        const gang_wholeness state = member.wholeness(now);
+        if (state == gang_wholeness::Whole)
+            member.confirm(now);
+        if (state == gang_wholeness::Broken)
+            member.markBroken();
+    }
+    if (!active)
+        return;
+    if (member.confirmedFor(now) <= 0ms)
+        member.markBroken();
+    if (!member.isBroken())
+        return;
+    tellBroken(member);
+    const job_spec &spec = member.gang().spec;
+    stopMember(member, spec.canCheckpoint, spec.stopTime, now);
+    sendPulse(member);
+}
+
+void agent_core::renew(gang_member &member, time_point now)
+{
+    const member_state state = member.state();
+    if (state == member_state::Held || state == member_state::Ended)
+        return;
+    duration lease = taskLease;
+    if (m_options.mechanisms.gangPulses)
+        lease = std::min(lease, member.confirmedFor(now));
+    if (member.stopWanted)
+        lease = std::min(taskLease, member.stopDeadline + stopLeaseGrace - now);
+    std::vector<std::string> ids = runningIds(member);
+    if (lease > 0ms && !ids.empty())
+        m_actions.emplace_back(renew_tasks{std::move(ids), lease});
+}
+
+void agent_core::sendResult(gang_member &member, time_point now)
+{
+    const gang_info &gang = member.gang();
+    member.resultSentAt = now;
+    task_finished_message piece;
+    piece.attempt = gang.attempt;
+    piece.worker = m_options.worker.id;
+    piece.plannerEpoch = gang.plannerEpoch;
+    piece.stopped = member.anyIn(task_state::Stopped);
+    piece.progress = member.checkpointed();
+    piece.last = false;
+    std::size_t room = resultPieceBytes;
+    for (const member_task &task : member.tasks) {
+        const task_result whole = resultOf(task);
+        std::size_t offset = 0;
+        do {
+            if (room == 0) {
+                toPlanner(piece);
+                piece.results.clear();
+                room = resultPieceBytes;
+            }
+            task_result part = whole;
+            part.offset = offset;
+            part.output = task.output.substr(offset, room);
+            offset += part.output.size();
+            room -= part.output.size();
+            piece.results.push_back(std::move(part));
+        } while (offset < task.output.size());
+    }
+    piece.last = true;
+    toPlanner(std::move(piece));
+}
+
+void agent_core::sendInventory(time_point now)
+{
+    if (!m_plannerOpen)
+        return;
+    inventory_message inventory;
+    inventory.worker = m_options.worker;
+    inventory.draining = m_draining;
+    inventory.backendReachable = m_backendReachable;
+    inventory.highestEpoch = m_highestEpoch;
+    for (const auto &[attempt, member] : m_members) {
+        if (!member.startSent)
+            continue;
+        const duration ranFor = now - member.startedAt;
+        inventory.parts.push_back({member.gang(), ranFor, member.state() == member_state::Ended});
+    }
+    for (auto id = m_pastOrder.rbegin(); id != m_pastOrder.rend(); ++id) {
+        if (inventory.recentlyEnded.size() == maxReportedEnded)
+            break;
+        if (m_past.at(*id).everStarted)
+            inventory.recentlyEnded.push_back(*id);
+    }
+    toPlanner(std::move(inventory));
+    m_reportedUsage.clear();
+    for (auto &[attempt, member] : m_members) {
+        if (member.state() == member_state::Ended)
+            sendResult(member, now);
+    }
+    sendHeartbeat(now);
+}
+
+void agent_core::sendHeartbeat(time_point now)
+{
+    m_nextHeartbeat = now + agentHeartbeatInterval;
+    if (!m_plannerOpen || !m_listed)
+        return;
+    heartbeat_message heartbeat;
+    heartbeat.worker = m_options.worker.id;
+    heartbeat.plannerEpoch = m_highestEpoch;
+    heartbeat.sequence = ++m_heartbeatSequence;
+    heartbeat.draining = m_draining;
+    heartbeat.backendReachable = m_backendReachable;
+    for (const auto &[attempt, member] : m_members) {
+        if (!member.startSent)
+            continue;
+        ++heartbeat.partCount;
+        // The largest task speaks for the member: limits apply to each task.
+        resources used;
+        double progress = 1;
+        bool changed = false;
+        for (const member_task &task : member.tasks) {
+            resources &reported = m_reportedUsage[task.id];
+            changed = changed || reported != task.used;
+            reported = task.used;
+            used.cores = std::max(used.cores, task.used.cores);
+            used.memory = std::max(used.memory, task.used.memory);
+            used.accelerators = std::max(used.accelerators, task.used.accelerators);
+            progress = std::min(progress, task.progress);
+        }
+        if (changed)
+            heartbeat.usage.push_back({attempt, used, progress});
+    }
+    toPlanner(std::move(heartbeat));
+}
+
+void agent_core::tick(time_point now)
+{
+    for (auto entry = m_members.begin(); entry != m_members.end();) {
+        const gang_member &member = entry->second;
+        const bool lapsed = member.state() == member_state::Held && member.holdExpired(now)
+            && m_options.mechanisms.limitHolds;
+        if (!lapsed) {
+            ++entry;
+            continue;
+        }
+        remember(entry->first, {false, false});
+        entry = m_members.erase(entry);
+    }
+    for (auto &[attempt, member] : m_members) {
+        checkGang(member, now);
+        const bool repeatStop = member.state() == member_state::Stopping
+            && now - member.stopCalledAt >= taskLeaseRenewal;
+        if (repeatStop)
+            callStop(member, now);
+        const bool repeatResult = member.state() == member_state::Ended && member.resultSentAt
+            && now - *member.resultSentAt >= resultRepeatInterval;
+        if (repeatResult)
+            sendResult(member, now);
+    }
+    if (now >= m_nextPulse) {
+        m_nextPulse = now + gangPulseInterval;
+        for (auto &[attempt, member] : m_members) {
+            if (member.startSent)
+                sendPulse(member);
+        }
+    }
+    if (now >= m_nextRenewal) {
+        m_nextRenewal = now + taskLeaseRenewal;
+        for (auto &[attempt, member] : m_members)
+            renew(member, now);
+    }
+    if (now >= m_nextList)
+        requestList(now);
+    if (now >= m_nextHeartbeat)
+        sendHeartbeat(now);
+}
+
+std::vector<agent_action> agent_core::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void agent_core::remember(const attempt_id &attempt, past_attempt past)
+{
+    const auto [entry, isNew] = m_past.emplace(attempt, past);
+    entry->second.aborted = entry->second.aborted || past.aborted;
+    entry->second.everStarted = entry->second.everStarted || past.everStarted;
+    if (!isNew)
+        return;
+    m_pastOrder.push_back(attempt);
+    if (m_pastOrder.size() <= maxPastAttempts)
+        return;
+    m_past.erase(m_pastOrder.front());
+    m_pastOrder.pop_front();
+}
+
+const agent_core::past_attempt *agent_core::past(const attempt_id &attempt) const
+{
+    const auto found = m_past.find(attempt);
+    return found == m_past.end() ? nullptr : &found->second;
+}
+
+void agent_core::toPlanner(message content)
+{
+    if (m_plannerOpen)
+        m_actions.emplace_back(send_to_planner{std::move(content)});
+}
+
+} // namespace goldcrest
