Add the decisions of the planner

A planner serves one epoch. It rebuilds from the records and the agents' inventories, holds on all members, writes the intent, starts, collects results and decides outcomes. "Not run" needs proof: no start was sent, or every agent that could have the attempt refuses it and remembers that it did not start it. start_message gets resumeFrom, since a job that was stopped with a checkpoint could not continue otherwise.

--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -202,7 +202,7 @@
     member.beginStart(now);
     for (const member_task &task : member.tasks)
         m_actions.emplace_back(start_task{task.id, member.gang(), start.payload,
-                                          member.gang().spec.perTask, taskLease});
+                                          member.gang().spec.perTask, taskLease, start.resumeFrom});
 }
 
 void agent_core::backendStarted(const std::string &id, const result<done> &answer, time_point now)
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -59,6 +59,7 @@
     std::string payload;
     resources reserved;
     duration lease = taskLease;
+    double resumeFrom = 0;
 };
 
 struct stop_task
--- /dev/null
+++ b/goldcrest/cell_planner.h
@@ -0,0 +1,292 @@
+#pragma once
+
+// The decisions of a cell's planner for one epoch, around a decision engine (scheduler.h): links of
+// agents and entries, inventories, job records, gangs, the start gate and outcomes. No sockets, no
+// store and no clock.
+//
+//   cell_planner planner(options, makeGangScheduler("cell-a"), makeUnanimousPolicy(), now);
+//   planner.received(link, message, now);
+//   for (planner_action &action : planner.takeActions()) ...
+//
+// A planner lives for one epoch. It first asks for the records of the cell's unfinished jobs, and
+// places nothing on a worker before it has read that worker's inventory.
+
+#include "goldcrest/config_view.h"
+#include "goldcrest/gang_coordinator.h"
+#include "goldcrest/job_record.h"
+#include "goldcrest/outage_rule.h"
+#include "goldcrest/platform_store.h"
+#include "goldcrest/scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace goldcrest {
+
+using link_id = std::uint64_t;
+
+constexpr duration workerSuspectAfter = 6s;
+constexpr duration workerLostAfter = 12s; // task lease and a margin of 2 s
+constexpr duration holdLifetime = 1500ms;
+
+// No start is sent later than this after its hold, so that it arrives within the hold's lifetime.
+constexpr duration startSendLimit = 1200ms;
+
+// A member that does not confirm its start for this long makes the planner abort the attempt.
+constexpr duration startAnswerLimit = 8s;
+
+// A new planner waits this long for inventories before it places the first job.
+constexpr duration rebuildSettleTime = 2500ms;
+
+// Answers of entries to the outage question count for this long, from when the question was sent;
+// with the hold's lifetime this stays below 5 s.
+constexpr duration outageAnswerLimit = 3s;
+
+// "Not run" because of a deadline is answered this long after the deadline, so that a planner on
+// a host whose wall clock is slow does not start the job after the answer.
+constexpr duration deadlineSkewMargin = 2s;
+
+struct send_message
+{
+    link_id link = 0;
+    message content;
+};
+
+// Read the records of all jobs in the cell's index.
+struct load_records
+{ };
+
+struct read_record
+{
+    job_key job;
+};
+
+// Write a record in a transaction that also requires the leader key of this epoch.
+struct write_record
+{
+    job_key job;
+    job_record record;
+    store_revision expected = 0; // modification revision of the present record; 0: absent
+    bool retire = false; // remove the job from the cell's index
+    std::vector<std::string> resultParts; // written before the record
+};
+
+// The planner was replaced; it takes no further decision.
+struct step_down
+{
+    std::string reason;
+};
+
+using planner_action
+    = std::variant<send_message, load_records, read_record, write_record, step_down>;
+
+struct loaded_record
+{
+    job_record record;
+    store_revision modRevision = 0;
+};
+
+enum class write_status { Applied, Unavailable, Ambiguous, Conflict, NotLeader, Rejected };
+
+struct write_answer
+{
+    write_status status = write_status::Applied;
+    store_revision modRevision = 0; // if applied
+};
+
+// Switches that tests use to show that a check fails without the mechanism.
+struct planner_mechanisms
+{
+    bool writeIntent = true;
+    bool inventoryFirst = true;
+};
+
+struct planner_options
+{
+    std::string cell;
+    worker_id worker; // where the planner runs
+    epoch number = 0;
+    std::int64_t startUnixMs = 0; // wall clock at the time of construction
+    planner_mechanisms mechanisms;
+};
+
+class cell_planner
+{
+public:
+    cell_planner(planner_options options, std::unique_ptr<scheduler> engine,
+                 std::unique_ptr<outage_policy> policy, time_point now);
+    ~cell_planner();
+    cell_planner(const cell_planner &) = delete;
+    cell_planner &operator=(const cell_planner &) = delete;
+
+    // State of the own lease. `storeSilent`: no renewal was answered since the last that held.
+    void leaseChanged(bool holds, bool storeSilent, time_point now);
+
+    // A configuration from the store or from an entry; it was current `age` ago.
+    void configurationOffered(const configuration &config, std::optional<duration> age,
+                              time_point now);
+    void configurationConfirmed(revision number, duration age, time_point now);
+
+    // Answers to store actions.
+    void recordsLoaded(const result<std::vector<loaded_record>> &answer, time_point now);
+    void recordRead(const job_key &key, const result<std::optional<loaded_record>> &answer,
+                    time_point now);
+    void recordWritten(const job_key &key, const write_answer &answer, time_point now);
+
+    // Links of agents and entries; an agent's link counts once its inventory arrives.
+    void entryOpened(link_id link, const std::string &name, time_point now);
+    void linkClosed(link_id link, time_point now);
+    void received(link_id link, const message &content, time_point now);
+
+    // An entry pushed a configuration, which the caller has parsed and offered.
+    void acknowledgeConfiguration(link_id link);
+
+    void tick(time_point now);
+
+    // Starts nothing more and gives unstarted attempts up, before the role is handed over.
+    void beginHandover(time_point now);
+    bool isHandoverReady() const;
+
+    std::vector<planner_action> takeActions();
+
+    bool isActive() const { return !m_steppedDown; }
+    bool mayStart(time_point now) const;
+    epoch number() const { return m_options.number; }
+    revision configRevision() const { return m_config.current().number; }
+    std::size_t jobCount() const { return m_jobs.size(); }
+    const scheduler &engine() const { return *m_engine; }
+
+private:
+    struct planned_job;
+    struct worker_state;
+    struct entry_state;
+    using job_map = std::unordered_map<job_key, std::unique_ptr<planned_job>, job_key_hash>;
+
+    // Messages.
+    void handle(link_id link, const submit_job_message &submit, time_point now);
+    void handle(link_id link, const cancel_job_message &cancel, time_point now);
+    void handle(link_id link, const explain_job_message &query, time_point now);
+    void handle(link_id link, const cell_status_request_message &query, time_point now);
+    void handle(link_id link, const outage_reply_message &reply, time_point now);
+    void handle(link_id link, const inventory_message &inventory, time_point now);
+    void handle(link_id link, const heartbeat_message &heartbeat, time_point now);
+    void handle(link_id link, const drain_notice_message &notice, time_point now);
+    void handle(link_id link, const hold_reply_message &reply, time_point now);
+    void handle(link_id link, const task_started_message &started, time_point now);
+    void handle(link_id link, const abort_reply_message &reply, time_point now);
+    void handle(link_id link, const task_finished_message &finished, time_point now);
+    template<typename other>
+    void handle(link_id, const other &, time_point)
+    { }
+
+    // Jobs.
+    planned_job *find(const job_key &key);
+    planned_job &addJob(const job_spec &spec, time_point now);
+    void addLoaded(const loaded_record &loaded, time_point now);
+    void mergeRecord(planned_job &job, const loaded_record &loaded, time_point now);
+    void park(planned_job &job, duration delay, time_point now);
+    void releaseParked(time_point now);
+    bool mayQueue(const planned_job &job, time_point now) const;
+    void enqueue(planned_job &job, time_point now);
+    void leaveEngine(planned_job &job, const stopped_event &event, time_point now);
+    void expireDeadlines(time_point now);
+    bool isProvenNotRun(const planned_job &job) const;
+    void endWithoutResult(planned_job &job, const failure &why, time_point now);
+    void conclude(planned_job &job, job_outcome outcome, std::optional<failure> why,
+                  time_point now);
+    void sendUpdate(const planned_job &job, link_id link, time_point now);
+    void sendUpdates(const planned_job &job, time_point now);
+    void answerOrWait(planned_job &job, time_point now);
+    void retire(planned_job &job, time_point now);
+    void flushUpdates(time_point now);
+
+    // Records.
+    job_record recordOf(const planned_job &job) const;
+    void resolveUnknownParts(const job_key &key, const std::optional<loaded_record> &found,
+                             time_point now);
+    void markDirty(planned_job &job, time_point now);
+    void pumpRecord(planned_job &job, time_point now);
+    void noteStoreAnswer(bool answered, time_point now);
+
+    // Gangs.
+    void pump(time_point now);
+    void apply(const place_action &place, time_point now);
+    void apply(const stop_action &stop, time_point now);
+    void apply(const reject_action &reject, time_point now);
+    void apply(const throttle_action &throttle, time_point now);
+    bool isUsable(const worker_id &worker) const;
+    void hold(planned_job &job, time_point now);
+    void afterHolds(planned_job &job, time_point now);
+    void afterIntent(planned_job &job, bool written, time_point now);
+    void startGang(planned_job &job, time_point now);
+    void abortGang(planned_job &job, time_point now);
+    void stopGang(planned_job &job, time_point now);
+    void sendStops(planned_job &job, time_point now);
+    void reviewGang(planned_job &job, time_point now);
+    void finishGang(planned_job &job, time_point now);
+    void requeueOrEnd(planned_job &job, stopped_event event, time_point now);
+    void reviewRecovery(planned_job &job, time_point now);
+    void adopt(planned_job &job, time_point now);
+    void reviewTransient(time_point now);
+    void beginRecovery(planned_job &job, const job_record &record, time_point now);
+    void dropForbiddenHolds(time_point now);
+
+    // Workers.
+    void readParts(worker_state &worker, const inventory_message &inventory, bool newLink,
+                   time_point now);
+    void noteSeenPart(worker_state &worker, const running_part &seen, time_point now);
+    void updateWorker(worker_state &worker, time_point now);
+    void checkWorkers(time_point now);
+    void loseWorker(worker_state &worker, time_point now);
+    bool isBlocked(const worker_id &worker) const;
+    void sendTo(const worker_id &worker, message content);
+    void acknowledge(const worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
+                     time_point now);
+    std::string_view stateNameOf(const worker_state &worker) const;
+
+    void askEntries(time_point now);
+    outage_census takeCensus(time_point now) const;
+    void checkEpoch(epoch seen);
+    void send(link_id link, message content);
+    std::int64_t unixNow(time_point now) const;
+
+    planner_options m_options;
+    std::unique_ptr<scheduler> m_engine;
+    std::unique_ptr<outage_policy> m_policy;
+    time_point m_startedAt;
+    config_view m_config;
+    job_map m_jobs;
+    std::map<worker_id, std::unique_ptr<worker_state>> m_workers;
+    std::map<link_id, worker_id> m_agentLinks;
+    std::map<std::string, std::unique_ptr<entry_state>> m_entries; // by name
+    std::map<link_id, std::string> m_entryLinks;
+    std::multimap<time_point, job_key> m_parked; // by release time
+    std::multimap<time_point, job_key> m_deadlines;
+    std::set<job_key> m_transient; // jobs whose gang waits for an answer
+    std::set<job_key> m_recovering;
+    std::set<job_key> m_dirty; // jobs whose record must be written
+    std::set<job_key> m_finished; // of this epoch, to answer late messages without the store
+    std::map<job_key, std::vector<running_part>> m_unknownParts; // until their record is read
+    std::set<job_key> m_updated; // jobs whose entries get an update
+    std::set<job_key> m_retired; // ended jobs that leave the memory
+    std::set<job_key> m_orphans; // unfinished jobs without a payload that leave the memory
+    std::vector<planner_action> m_actions;
+    bool m_leaseHolds = false;
+    bool m_storeSilent = false;
+    bool m_loaded = false;
+    bool m_handingOver = false;
+    bool m_steppedDown = false;
+    bool m_pumping = false;
+    std::uint64_t m_query = 0;
+    time_point m_nextLoad;
+    time_point m_nextQuery;
+};
+
+} // namespace goldcrest
--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -218,7 +218,8 @@
     {
         fields("attempt", value.attempt)
             .count("plannerEpoch", value.plannerEpoch)
-            .bytes("payload", value.payload);
+            .bytes("payload", value.payload)
+            .fraction("resumeFrom", value.resumeFrom);
     }
 };
 
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -64,6 +64,7 @@
     attempt_id attempt;
     epoch plannerEpoch = 0;
     std::string payload;
+    double resumeFrom = 0; // share of the work kept by a checkpoint, 0 to 1
 };
 
 struct task_started_message
