--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -58,9 +58,8 @@
     const bool changed = worker.capacity != capacity || worker.slots != slots;
     worker.capacity = capacity;
     worker.slots = slots;
-    drainChanged(false, now);
-    m_listIssued.reset();
-    requestList(now);
+    if (!m_listed || !m_backendReachable)
+        requestList(now);
     if (changed && m_listed)
         sendInventory(now);
 }
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -121,7 +121,7 @@
 
     void begin(time_point now);
 
-    // The backend server announced itself; a repeated announcement means that it restarted.
+    // The backend server announced itself; it repeats this.
     void backendAnnounced(const resources &capacity, std::int32_t slots, time_point now);
 
     // The backend server's graceful shutdown, or the agent's own, began or ended.
