--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -26,6 +26,13 @@
 
 constexpr duration outageQueryInterval = 500ms;
 
+// The entry that accepted a job during an outage creates its record, since it knows the digest of
+// the request. The planner creates it only if that entry seems to be gone.
+constexpr duration entryRecordLimit = 60s;
+
+// Larger results are not part of an update; the entry reads them from the store.
+constexpr std::size_t maxUpdateBytes = 1024 * 1024;
+
 // Idempotent work waits this long for its record, which may say that it has ended already.
 constexpr duration recordReadLimit = 500ms;
 
@@ -47,6 +54,14 @@
     return std::min(most, first * (1 << doublings));
 }
 
+std::size_t resultBytes(const std::vector<task_result> &results)
+{
+    std::size_t bytes = 0;
+    for (const task_result &each : results)
+        bytes += each.output.size();
+    return bytes;
+}
+
 } // namespace
 
 cell_planner::cell_planner(planner_options options, std::unique_ptr<scheduler> engine,
@@ -288,6 +303,12 @@
             job->spec = submit.spec;
             job->hasPayload = true;
         }
+        if (submit.recorded && !job->recorded) {
+            job->recorded = true;
+            if (!job->storeBusy)
+                job->baseRevision.reset();
+            pumpRecord(*job, now);
+        }
         sendUpdate(*job, link, now);
         return;
     }
@@ -633,7 +654,8 @@
     // A later planner would start a job again that it finds unfinished, so "not run" waits for its
     // record, except after the deadline, which binds every planner.
     const bool deadline = job.why && job.why->number == code::DeadlinePassed;
-    const bool mayAnswerEarly = *job.outcome != job_outcome::NotRun || deadline;
+    const bool fits = resultBytes(job.results) <= maxUpdateBytes;
+    const bool mayAnswerEarly = fits && (*job.outcome != job_outcome::NotRun || deadline);
     if (!job.durable && !(m_storeSilent && mayAnswerEarly))
         return;
     if (deadline && *job.outcome == job_outcome::NotRun) {
@@ -664,7 +686,7 @@
         update.outcome = job.outcome;
         update.why = job.why;
         update.recorded = job.durable;
-        if (*job.outcome == job_outcome::Completed || *job.outcome == job_outcome::Failed)
+        if (resultBytes(job.results) <= maxUpdateBytes)
             update.results = job.results;
     } else if (job.outcome) {
         update.phase = job_phase::Stopping;
@@ -751,7 +773,9 @@
         return;
     }
     m_dirty.insert(key);
-    if (job.storeBusy || now < job.retryAt || m_steppedDown)
+    const bool entryCreates
+        = job.baseRevision == store_revision(0) && !job.recorded && now < job.createAfter;
+    if (job.storeBusy || now < job.retryAt || entryCreates || m_steppedDown)
         return;
     job.storeBusy = true;
     if (!job.baseRevision) {
@@ -760,10 +784,7 @@
     }
     write_record write{key, recordOf(job), *job.baseRevision, false, {}};
     write.retire = job.outcome && *job.outcome != job_outcome::Unknown;
-    std::size_t bytes = 0;
-    for (const task_result &each : job.results)
-        bytes += each.output.size();
-    if (bytes > maxResultPartBytes / 2) {
+    if (resultBytes(job.results) > maxResultPartBytes / 2) {
         write.resultParts = encodeResultParts(job.results);
         write.record.resultParts = static_cast<std::int32_t>(write.resultParts.size());
     } else {
@@ -806,6 +827,7 @@
             mergeRecord(*job, *found, now);
         } else {
             job->baseRevision = 0;
+            job->createAfter = now + entryRecordLimit;
             if (job->recorded && !job->spec.idempotent && !job->outcome) {
                 if (job->place == job_place::Queued)
                     m_engine->jobCancelled(key, now);
@@ -994,7 +1016,8 @@
 void cell_planner::afterHolds(planned_job &job, time_point now)
 {
     gang_coordinator &gang = *job.gang;
-    const bool needsIntent = !job.spec.idempotent || !m_storeSilent;
+    const bool absent = !job.recorded && job.baseRevision.value_or(0) == 0;
+    const bool needsIntent = !job.spec.idempotent || (!m_storeSilent && !absent);
     gang.phase = gang_phase::WritingIntent;
     job.intentAttempt = gang.attempt().number;
     job.intentEpoch = m_options.number;
--- a/goldcrest/cell_planner_state.h
+++ b/goldcrest/cell_planner_state.h
@@ -51,6 +51,7 @@
     job_record sentRecord;
     std::int32_t sentIntent = 0; // attempt of the intent in the open write
     time_point retryAt;
+    time_point createAfter; // of a record that the entry has not created
     std::int32_t storeFailures = 0;
 
     // The end.
--- /dev/null
+++ b/goldcrest/planner_daemon.cc
@@ -0,0 +1,403 @@
+#include "goldcrest/planner_daemon.h"
+
+#include "goldcrest/catalogue_codec.h"
+#include "goldcrest/log_fields.h"
+
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+constexpr duration tickInterval = 200ms;
+constexpr duration retentionRenewal = 1h;
+constexpr duration handoverPoll = 50ms;
+constexpr duration handoverLimit = 5s;
+constexpr duration confirmDeadline = 900ms;
+constexpr duration recordDeadline = 2s;
+
+// Records read at a time while a planner rebuilds, well below the store's read rate.
+constexpr std::size_t parallelLoads = 32;
+
+call_options urgent(duration deadline)
+{
+    return {call_priority::Urgent, deadline};
+}
+
+call_options normal()
+{
+    return {call_priority::Normal, recordDeadline};
+}
+
+} // namespace
+
+write_answer writeAnswerOf(const result<commit_reply> &reply, std::string_view leader, epoch number)
+{
+    if (const failure *error = failureOf(reply)) {
+        switch (error->number) {
+        case code::StoreAmbiguous:
+            return {write_status::Ambiguous, 0};
+        case code::StoreValueTooLarge:
+        case code::StoreProtocol:
+            return {write_status::Rejected, 0};
+        default:
+            return {write_status::Unavailable, 0};
+        }
+    }
+    const commit_reply &commit = valueOf(reply);
+    if (commit.applied)
+        return {write_status::Applied, commit.at};
+    for (const store_entry &entry : commit.current) {
+        if (entry.key == leader && entry.createRevision == number)
+            return {write_status::Conflict, 0};
+    }
+    return {write_status::NotLeader, 0};
+}
+
+planner_daemon::planner_daemon(const planner_environment &environment,
+                               planner_daemon_options options)
+    : m_environment(environment)
+    , m_cell(options.cell)
+    , m_number(options.number)
+    , m_onStepDown(std::move(options.onStepDown))
+    , m_core(planner_options{options.cell, options.worker, options.number, unixTimeMs(), {}},
+             std::move(options.engine), std::move(options.policy), environment.loop.now())
+{
+    event_loop &loop = m_environment.loop;
+    m_environment.history.write(history_event("epoch").number("epoch", m_number));
+    m_tick = loop.every(tickInterval, [this] { tick(); });
+    m_confirm = loop.every(configConfirmInterval, [this] { confirmConfiguration(); });
+    m_retentionTimer = loop.every(retentionRenewal, [this] { renewRetention(); });
+    loop.post([this, alive = m_alive] {
+        if (!*alive)
+            return;
+        renewRetention();
+        confirmConfiguration();
+        tick();
+    });
+}
+
+planner_daemon::~planner_daemon()
+{
+    *m_alive = false;
+}
+
+void planner_daemon::addLink(link_id id, std::shared_ptr<peer_link> link)
+{
+    const hello_message &peer = link->peer();
+    const bool isEntry = peer.role == "entry";
+    const std::string name = peer.name;
+    m_links[id] = std::move(link);
+    if (isEntry)
+        m_core.entryOpened(id, name, m_environment.loop.now());
+    run();
+}
+
+void planner_daemon::linkClosed(link_id id)
+{
+    if (m_links.erase(id) == 0)
+        return;
+    m_core.linkClosed(id, m_environment.loop.now());
+    run();
+}
+
+void planner_daemon::received(link_id id, const message &content)
+{
+    const time_point now = m_environment.loop.now();
+    const auto *push = std::get_if<config_push_message>(&content);
+    if (!push) {
+        m_core.received(id, content, now);
+        run();
+        return;
+    }
+    if (!push->document.empty() && push->number > m_core.configRevision()) {
+        const result<configuration> parsed = parseConfiguration(push->document);
+        if (const failure *error = failureOf(parsed))
+            log_line(log_level::Warning, "pushed configuration refused").error(*error).write();
+        else if (valueOf(parsed).number == push->number)
+            m_core.configurationOffered(valueOf(parsed), push->confirmedAge, now);
+    } else {
+        m_core.configurationConfirmed(push->number, push->confirmedAge, now);
+    }
+    m_core.acknowledgeConfiguration(id);
+    run();
+}
+
+void planner_daemon::tick()
+{
+    const time_point now = m_environment.loop.now();
+    const membership &leadership = m_environment.leadership;
+    m_core.leaseChanged(leadership.leaseHolds(now), leadership.storeSilent(), now);
+    m_core.tick(now);
+    run();
+}
+
+void planner_daemon::confirmConfiguration()
+{
+    if (m_confirming)
+        return;
+    m_confirming = true;
+    const time_point sent = m_environment.loop.now();
+    m_environment.store.get(
+        configurationKey, urgent(confirmDeadline),
+        [this, alive = m_alive, sent](const result<std::optional<store_entry>> &answer) {
+            if (!*alive)
+                return;
+            m_confirming = false;
+            if (failureOf(answer) || !valueOf(answer))
+                return;
+            const time_point now = m_environment.loop.now();
+            const result<configuration> parsed = parseConfiguration(valueOf(answer)->value);
+            if (const failure *error = failureOf(parsed)) {
+                log_line(log_level::Error, "stored configuration is invalid")
+                    .error(*error)
+                    .limit(m_cell)
+                    .write();
+                return;
+            }
+            m_core.configurationOffered(valueOf(parsed), now - sent, now);
+            m_core.configurationConfirmed(valueOf(parsed).number, now - sent, now);
+            run();
+        });
+}
+
+void planner_daemon::renewRetention()
+{
+    m_environment.store.grantLease(recordRetention + retentionRenewal,
+                                   {call_priority::Background, recordDeadline},
+                                   [this, alive = m_alive](const result<lease_id> &answer) {
+                                       if (*alive && !failureOf(answer))
+                                           m_retention = valueOf(answer);
+                                   });
+}
+
+void planner_daemon::run()
+{
+    noteRevision();
+    std::vector<planner_action> actions = m_core.takeActions();
+    for (planner_action &action : actions)
+        std::visit([this](auto &typed) { carryOut(typed); }, action);
+}
+
+void planner_daemon::noteRevision()
+{
+    if (m_core.configRevision() == m_loggedRevision)
+        return;
+    m_loggedRevision = m_core.configRevision();
+    m_environment.history.write(history_event("configuration")
+                                    .number("epoch", m_number)
+                                    .number("revision", m_loggedRevision));
+}
+
+void planner_daemon::noteInHistory(const message &content)
+{
+    history_log &history = m_environment.history;
+    if (!history.isOpen())
+        return;
+    const auto note = [&](std::string_view event, const attempt_id &attempt) {
+        history.write(history_event(event).attempt(attempt).number("epoch", m_number));
+    };
+    if (const auto *hold = std::get_if<hold_message>(&content)) {
+        history.write(history_event("hold")
+                          .attempt(hold->gang.attempt)
+                          .text("worker", hold->gang.own.worker)
+                          .number("tasks", hold->gang.own.tasks)
+                          .number("epoch", m_number)
+                          .number("revision", hold->configRevision));
+    } else if (const auto *start = std::get_if<start_message>(&content)) {
+        note("sendStart", start->attempt);
+    } else if (const auto *abort = std::get_if<abort_message>(&content)) {
+        note("abort", abort->attempt);
+    } else if (const auto *stop = std::get_if<stop_message>(&content)) {
+        note("stop", stop->attempt);
+    } else if (const auto *update = std::get_if<job_update_message>(&content)) {
+        if (update->outcome)
+            history.write(history_event("result")
+                              .attempt({update->job, update->attempt})
+                              .number("outcome", static_cast<std::int64_t>(*update->outcome))
+                              .number("recorded", update->recorded ? 1 : 0)
+                              .number("epoch", m_number));
+    }
+}
+
+void planner_daemon::carryOut(const send_message &action)
+{
+    const auto found = m_links.find(action.link);
+    if (found == m_links.end())
+        return;
+    noteInHistory(action.content);
+    found->second->send(action.content);
+}
+
+void planner_daemon::carryOut(const step_down &action)
+{
+    log_line(log_level::Warning, "planner steps down")
+        .atEpoch(m_number)
+        .field("why", action.reason)
+        .write();
+    m_environment.loop.post([alive = m_alive, callback = m_onStepDown] {
+        if (*alive && callback)
+            callback();
+    });
+}
+
+// Reads of the index and then of each record, a few at a time.
+struct planner_daemon::open_load
+{
+    std::vector<std::string> keys;
+    std::size_t next = 0;
+    std::size_t open = 0;
+    std::vector<loaded_record> records;
+    std::optional<failure> error;
+};
+
+void planner_daemon::carryOut(const load_records &)
+{
+    const std::string prefix = cellJobPrefix(m_cell);
+    m_environment.store.list(
+        prefix, 0, urgent(recordDeadline),
+        [this, alive = m_alive, prefix](const result<std::vector<store_entry>> &answer) {
+            if (!*alive)
+                return;
+            auto load = std::make_shared<open_load>();
+            if (const failure *error = failureOf(answer)) {
+                load->error = *error;
+            } else {
+                for (const store_entry &entry : valueOf(answer))
+                    load->keys.push_back("jobs/" + entry.key.substr(prefix.size()));
+            }
+            loadNext(load);
+        });
+}
+
+void planner_daemon::loadNext(const std::shared_ptr<open_load> &load)
+{
+    while (!load->error && load->next < load->keys.size() && load->open < parallelLoads) {
+        ++load->open;
+        m_environment.store.get(
+            load->keys[load->next++], urgent(recordDeadline),
+            [this, alive = m_alive, load](const result<std::optional<store_entry>> &answer) {
+                if (!*alive)
+                    return;
+                --load->open;
+                if (const failure *error = failureOf(answer)) {
+                    load->error = *error;
+                } else if (const std::optional<store_entry> &entry = valueOf(answer)) {
+                    const result<job_record> record = decodeJobRecord(entry->value);
+                    if (const failure *fault = failureOf(record))
+                        log_line(log_level::Error, "job record is malformed")
+                            .error(*fault)
+                            .field("key", entry->key)
+                            .write();
+                    else
+                        load->records.push_back({valueOf(record), entry->modRevision});
+                }
+                loadNext(load);
+            });
+    }
+    if (load->open != 0)
+        return;
+    const time_point now = m_environment.loop.now();
+    if (load->error)
+        m_core.recordsLoaded(*load->error, now);
+    else
+        m_core.recordsLoaded(std::move(load->records), now);
+    run();
+}
+
+void planner_daemon::carryOut(const read_record &action)
+{
+    m_environment.store.get(
+        jobRecordKey(action.job), normal(),
+        [this, alive = m_alive,
+         job = action.job](const result<std::optional<store_entry>> &answer) {
+            if (!*alive)
+                return;
+            result<std::optional<loaded_record>> read = std::optional<loaded_record>();
+            if (const failure *error = failureOf(answer)) {
+                read = *error;
+            } else if (const std::optional<store_entry> &entry = valueOf(answer)) {
+                const result<job_record> record = decodeJobRecord(entry->value);
+                if (const failure *fault = failureOf(record))
+                    read = *fault;
+                else
+                    read = std::optional(loaded_record{valueOf(record), entry->modRevision});
+            }
+            m_core.recordRead(job, read, m_environment.loop.now());
+            run();
+        });
+}
+
+void planner_daemon::carryOut(write_record &action)
+{
+    writePart(std::make_shared<write_record>(std::move(action)), 0);
+}
+
+void planner_daemon::writePart(const std::shared_ptr<write_record> &write, std::size_t index)
+{
+    if (index == write->resultParts.size()) {
+        writeRecord(write);
+        return;
+    }
+    const std::string key
+        = resultPartKey(write->job, write->record.attempt, static_cast<std::int32_t>(index));
+    store_transaction transaction;
+    transaction.requireCreateRevision(leaderKey(m_cell), m_number)
+        .put(key, write->resultParts[index], m_retention);
+    m_environment.store.commit(
+        std::move(transaction), normal(),
+        [this, alive = m_alive, write, index](const result<commit_reply> &reply) {
+            if (!*alive)
+                return;
+            if (failureOf(reply) || !valueOf(reply).applied)
+                written(write->job, reply);
+            else
+                writePart(write, index + 1);
+        });
+}
+
+void planner_daemon::writeRecord(const std::shared_ptr<write_record> &write)
+{
+    const std::string key = jobRecordKey(write->job);
+    job_record &record = write->record;
+    record.writer
+        = "planner-" + m_cell + "-" + std::to_string(m_number) + "-" + std::to_string(++m_writes);
+    store_transaction transaction;
+    transaction.requireCreateRevision(leaderKey(m_cell), m_number)
+        .requireModRevision(key, write->expected)
+        .put(key, encodeJobRecord(record), write->retire ? m_retention : 0);
+    if (write->retire)
+        transaction.remove(cellJobKey(m_cell, write->job));
+    else if (write->expected == 0)
+        transaction.put(cellJobKey(m_cell, write->job), record.writer);
+    m_environment.store.commit(
+        std::move(transaction), urgent(recordDeadline),
+        [this, alive = m_alive, job = write->job](const result<commit_reply> &reply) {
+            if (*alive)
+                written(job, reply);
+        });
+}
+
+void planner_daemon::written(const job_key &job, const result<commit_reply> &reply)
+{
+    m_core.recordWritten(job, writeAnswerOf(reply, leaderKey(m_cell), m_number),
+                         m_environment.loop.now());
+    run();
+}
+
+void planner_daemon::handOver(std::function<void()> then)
+{
+    m_core.beginHandover(m_environment.loop.now());
+    run();
+    m_handoverLimit = m_environment.loop.now() + handoverLimit;
+    m_handover = m_environment.loop.every(handoverPoll, [this, then = std::move(then)] {
+        if (!m_core.isHandoverReady() && m_environment.loop.now() < m_handoverLimit)
+            return;
+        // The callback may destroy this object and the timer that runs it.
+        const std::function<void()> next = then;
+        m_environment.loop.post(next);
+        m_handover.reset();
+    });
+}
+
+} // namespace goldcrest
