--- /dev/null
+++ b/goldcrest/fifo_scheduler.cc
@@ -0,0 +1,200 @@
+// The baseline: jobs start in order of arrival, each on the first workers that have room. A job
+// that does not fit holds back all later ones, except those that fit into their own team's
+// guarantee. Nothing is stopped but borrowers of a guarantee that its owner claims.
+
+#include "goldcrest/cell_engine.h"
+
+namespace goldcrest {
+
+namespace {
+
+class fifo_scheduler final : public cell_engine
+{
+public:
+    using cell_engine::cell_engine;
+
+protected:
+    void enqueue(job_index index) override
+    {
+        m_queue.emplace(job(index).serial, index);
+        m_byTeam[job(index).team].emplace(job(index).serial, index);
+    }
+    void dequeue(job_index index) override
+    {
+        m_queue.erase(job(index).serial);
+        m_byTeam[job(index).team].erase(job(index).serial);
+    }
+    bool isQueued(job_index index) const override { return m_queue.count(job(index).serial) > 0; }
+    std::int32_t positionOf(job_index index) const override
+    {
+        return std::int32_t(std::distance(m_queue.begin(), m_queue.find(job(index).serial)) + 1);
+    }
+    void schedule() override;
+
+private:
+    using room_of = load (fifo_scheduler::*)(worker_index, const job_entry &) const;
+
+    load protectedRoom(worker_index w, const job_entry &entry) const
+    {
+        return minOf(cell().at(w).free(), ledger().headroom(w, entry.team));
+    }
+    load freeRoom(worker_index w, const job_entry &) const { return cell().at(w).free(); }
+    load guaranteeRoom(worker_index w, const job_entry &entry) const;
+
+    std::vector<placed_part> firstFit(const job_entry &entry, room_of room) const;
+    bool tryStart(job_index index);
+    bool tryClaim(job_index index);
+    std::optional<job_index>
+    firstWithinLimits(const std::map<std::uint64_t, job_index> &queue) const;
+
+    std::map<std::uint64_t, job_index> m_queue;
+    std::map<team_index, std::map<std::uint64_t, job_index>> m_byTeam;
+};
+
+// What the owner of a guarantee may use there once its borrowers have stopped.
+load fifo_scheduler::guaranteeRoom(worker_index w, const job_entry &entry) const
+{
+    load room = cell().at(w).free();
+    for (const job_index other : jobsOn(w)) {
+        if (job(other).use != use_kind::Borrowed && job(other).state != run_state::Stopping)
+            continue;
+        if (job(other).state == run_state::Claiming)
+            continue;
+        for (const placed_part &part : job(other).parts) {
+            if (part.worker == w)
+                room += job(other).perTask * part.tasks;
+        }
+    }
+    return minOf(room, ledger().unusedGuarantee(w, entry.team));
+}
+
+std::vector<placed_part> fifo_scheduler::firstFit(const job_entry &entry, room_of room) const
+{
+    const auto take = [&](const std::vector<worker_index> &workers) {
+        std::vector<placed_part> parts;
+        std::int32_t left = entry.spec.tasks;
+        for (const worker_index w : workers) {
+            if (left == 0)
+                break;
+            if (!cell().at(w).inService())
+                continue;
+            const std::int64_t fits = fitCount((this->*room)(w, entry), entry.perTask);
+            const std::int32_t taken = std::int32_t(std::min<std::int64_t>(left, fits));
+            if (taken > 0)
+                parts.push_back({w, taken});
+            left -= taken;
+        }
+        return left == 0 ? parts : std::vector<placed_part>{};
+    };
+    std::vector<std::vector<worker_index>> groups(1);
+    for (const rack_state &rack : cell().racks()) {
+        if (entry.spec.closeness == adjacency::Rack)
+            groups.push_back(rack.workers);
+        for (const worker_index w : rack.workers) {
+            if (entry.spec.closeness == adjacency::Worker)
+                groups.push_back({w});
+            if (entry.spec.closeness == adjacency::None)
+                groups.front().push_back(w);
+        }
+    }
+    if (entry.spec.closeness == adjacency::FailureDomain) {
+        for (const domain_state &domain : cell().domains()) {
+            groups.emplace_back();
+            for (const rack_index rack : domain.racks) {
+                const std::vector<worker_index> &here = cell().racks()[std::size_t(rack)].workers;
+                groups.back().insert(groups.back().end(), here.begin(), here.end());
+            }
+        }
+    }
+    for (const std::vector<worker_index> &group : groups) {
+        std::vector<placed_part> parts = take(group);
+        if (!parts.empty())
+            return parts;
+    }
+    return {};
+}
+
+bool fifo_scheduler::tryStart(job_index index)
+{
+    const job_entry &entry = job(index);
+    std::vector<placed_part> parts = firstFit(entry, &fifo_scheduler::protectedRoom);
+    if (!parts.empty()) {
+        place(index, std::move(parts), use_kind::Protected);
+        return true;
+    }
+    if (entry.spec.preemptible()) {
+        parts = firstFit(entry, &fifo_scheduler::freeRoom);
+        if (!parts.empty()) {
+            place(index, std::move(parts), use_kind::Borrowed);
+            return true;
+        }
+    }
+    return tryClaim(index);
+}
+
+bool fifo_scheduler::tryClaim(job_index index)
+{
+    const job_entry &entry = job(index);
+    std::vector<placed_part> parts = firstFit(entry, &fifo_scheduler::guaranteeRoom);
+    if (parts.empty())
+        return false;
+    std::vector<job_index> victims;
+    for (const placed_part &part : parts) {
+        load missing = entry.perTask * part.tasks - cell().at(part.worker).free();
+        // The newest borrower stops first.
+        const std::vector<job_index> here = jobsOn(part.worker);
+        for (auto it = here.rbegin(); it != here.rend(); ++it) {
+            if (load{}.covers(missing))
+                break;
+            const job_entry &other = job(*it);
+            const bool leaves = other.state == run_state::Stopping
+                || (other.state == run_state::Running && other.use == use_kind::Borrowed);
+            if (!leaves)
+                continue;
+            for (const placed_part &theirs : other.parts) {
+                if (theirs.worker == part.worker)
+                    missing -= other.perTask * theirs.tasks;
+            }
+            if (std::find(victims.begin(), victims.end(), *it) == victims.end())
+                victims.push_back(*it);
+        }
+    }
+    if (victims.empty())
+        place(index, std::move(parts), use_kind::Protected);
+    else
+        claim(index, std::move(parts), use_kind::Protected, victims, stop_reason::Reclaim);
+    return true;
+}
+
+std::optional<job_index>
+fifo_scheduler::firstWithinLimits(const std::map<std::uint64_t, job_index> &queue) const
+{
+    for (const auto &[serial, index] : queue) {
+        if (job(index).state == run_state::Waiting && quotaAllows(job(index)))
+            return index;
+    }
+    return std::nullopt;
+}
+
+void fifo_scheduler::schedule()
+{
+    while (const std::optional<job_index> head = firstWithinLimits(m_queue)) {
+        if (!tryStart(*head))
+            break;
+    }
+    for (auto &[owner, queue] : m_byTeam) {
+        while (const std::optional<job_index> head = firstWithinLimits(queue)) {
+            if (!tryClaim(*head))
+                break;
+        }
+    }
+}
+
+} // namespace
+
+std::unique_ptr<scheduler> makeFifoScheduler(std::string_view cell)
+{
+    return std::make_unique<fifo_scheduler>(cell);
+}
+
+} // namespace goldcrest
--- a/goldcrest/scheduler.h
+++ b/goldcrest/scheduler.h
@@ -106,8 +106,7 @@
     std::int64_t totalAccelerators = 0; // on workers in service
     std::int64_t freeAccelerators = 0;
     std::int64_t borrowedAccelerators = 0;
-    std::int64_t largestPlaceableGang
-        = 0; // single-accelerator tasks that fit within one rack or, unless bound, the cell
+    std::int64_t largestPlaceableGang = 0; // single-accelerator tasks that fit within one rack
     std::size_t queuedJobs = 0;
     std::size_t runningJobs = 0;
     std::vector<std::string>
