--- /dev/null
+++ b/goldcrest/capacity_index.cc
@@ -0,0 +1,83 @@
+#include "goldcrest/capacity_index.h"
+
+namespace goldcrest {
+
+void capacity_index::count(rack_index rack, worker_index worker, const load &room, int sign)
+{
+    domain_room &domain = m_domains[std::size_t(m_cell.racks()[std::size_t(rack)].domain)];
+    for (std::size_t size = 1; size <= maxSize; ++size)
+        domain.fitsBySize[size] += sign * (room.accelerators() / std::int64_t(size));
+    domain.cores += sign * room.v[load::coresAt];
+    std::int64_t &total = m_rackAccelerators[std::size_t(rack)];
+    std::int32_t &workers = m_rackWorkers[std::size_t(rack)];
+    if (workers > 0)
+        domain.racks.erase({total, rack});
+    total += sign * room.accelerators();
+    workers += sign;
+    if (workers > 0)
+        domain.racks.insert({total, rack});
+    if (sign > 0)
+        m_workers.insert({room.accelerators(), worker});
+    else
+        m_workers.erase({room.accelerators(), worker});
+}
+
+void capacity_index::set(worker_index worker, const load &room)
+{
+    const std::size_t w = std::size_t(worker);
+    if (m_room.size() <= w) {
+        m_room.resize(w + 1);
+        m_rackOf.resize(w + 1, -1);
+    }
+    if (m_domains.size() < m_cell.domains().size())
+        m_domains.resize(m_cell.domains().size());
+    if (m_rackAccelerators.size() < m_cell.racks().size()) {
+        m_rackAccelerators.resize(m_cell.racks().size());
+        m_rackWorkers.resize(m_cell.racks().size());
+    }
+    const load now = maxOf(room, load{});
+    const rack_index rack = now == load{} ? -1 : m_cell.at(worker).rack;
+    if (now == m_room[w] && rack == m_rackOf[w])
+        return;
+    if (m_rackOf[w] >= 0)
+        count(m_rackOf[w], worker, m_room[w], -1);
+    if (rack >= 0)
+        count(rack, worker, now, 1);
+    m_room[w] = now;
+    m_rackOf[w] = rack;
+}
+
+std::int64_t capacity_index::mayFitIn(domain_index domain, const load &perTask) const
+{
+    const domain_room &room = m_domains[std::size_t(domain)];
+    const std::size_t size = std::min(maxSize, std::size_t(perTask.accelerators()));
+    if (size > 0)
+        return room.fitsBySize[size];
+    const std::int64_t cores = perTask.v[load::coresAt];
+    return cores > 0 ? room.cores / cores : std::int64_t(load::unlimitedSlots);
+}
+
+bool capacity_index::mayFit(const load &perTask, std::int32_t tasks, adjacency closeness) const
+{
+    if (m_workers.empty())
+        return false;
+    const std::int64_t most = m_workers.rbegin()->first;
+    if (closeness == adjacency::Worker || tasks == 1)
+        return most >= perTask.accelerators() * tasks;
+    if (most < perTask.accelerators())
+        return false;
+    std::int64_t total = 0;
+    for (domain_index d = 0; std::size_t(d) < m_domains.size(); ++d) {
+        const std::int64_t here = mayFitIn(d, perTask);
+        total += here;
+        if (closeness == adjacency::FailureDomain && here >= tasks)
+            return true;
+        const std::set<rack_key> &racks = m_domains[std::size_t(d)].racks;
+        if (closeness == adjacency::Rack && !racks.empty()
+            && racks.rbegin()->first >= perTask.accelerators() * tasks)
+            return true;
+    }
+    return closeness == adjacency::None && total >= tasks;
+}
+
+} // namespace goldcrest
--- a/goldcrest/cell_engine.cc
+++ b/goldcrest/cell_engine.cc
@@ -11,6 +11,9 @@
 // Bounds the cache of shapes that were checked against the whole fleet.
 constexpr std::size_t maxCheckedShapes = 10000;
 
+// Waiting jobs that are checked again on each tick.
+constexpr std::size_t verifiedPerTick = 64;
+
 std::string text(const load &amount)
 {
     return std::to_string(amount.v[load::coresAt]) + " millicores, "
@@ -127,8 +130,10 @@
     }
     if (!workers.empty() && (cameBack || m_ledger.unmetCount() > 0))
         planGuarantees();
-    for (const worker_index w : workers)
+    for (const worker_index w : workers) {
+        touch(w);
         onService(w);
+    }
 }
 
 void cell_engine::planGuarantees()
@@ -149,8 +154,10 @@
             || !m_ledger.hasStoppableExcess(worker, entry.team))
             continue;
         entry.use = use_kind::Borrowed;
-        for (const placed_part &part : entry.parts)
+        for (const placed_part &part : entry.parts) {
             m_ledger.release(part.worker, entry.team, entry.perTask * part.tasks, false);
+            touch(part.worker);
+        }
     }
 }
 
@@ -287,8 +294,6 @@
         const std::string impossible = whyImpossible(entry);
         if (!impossible.empty() && isSettled())
             reject(index, code::ShapeFitsNowhere, impossible);
-        else if (!impossible.empty())
-            m_unverified.emplace_back(index, entry.serial);
     }
     schedule();
 }
@@ -352,13 +357,18 @@
     return why;
 }
 
+// Rejects jobs that can never run after guarantees or the fleet changed. A few per tick, so that
+// the cost does not grow with the queue.
 void cell_engine::verifyWaiting()
 {
-    if (m_unverified.empty() || !isSettled())
+    if (!isSettled() || m_jobs.empty())
         return;
-    for (const auto &[index, serial] : std::exchange(m_unverified, {})) {
+    const std::size_t count = std::min(m_jobs.size(), verifiedPerTick);
+    for (std::size_t i = 0; i < count; ++i) {
+        m_verifyNext = (m_verifyNext + 1) % m_jobs.size();
+        const job_index index = job_index(m_verifyNext);
         const job_entry &entry = job(index);
-        if (entry.serial != serial || entry.state != run_state::Waiting)
+        if (entry.state != run_state::Waiting)
             continue;
         const std::string impossible = whyImpossible(entry);
         if (!impossible.empty())
@@ -491,6 +501,25 @@
 
 // --- placement ---
 
+void cell_engine::touch(worker_index worker)
+{
+    if (m_isTouched.size() < m_cell.workers().size())
+        m_isTouched.resize(m_cell.workers().size());
+    if (m_isTouched[std::size_t(worker)])
+        return;
+    m_isTouched[std::size_t(worker)] = true;
+    m_touched.push_back(worker);
+}
+
+std::vector<worker_index> cell_engine::takeTouched()
+{
+    for (const worker_index w : m_ledger.takeTouched())
+        touch(w);
+    for (const worker_index w : m_touched)
+        m_isTouched[std::size_t(w)] = false;
+    return std::exchange(m_touched, {});
+}
+
 bool cell_engine::quotaAllows(const job_entry &entry) const
 {
     const team_state &owner = team(entry.team);
@@ -515,6 +544,7 @@
         if (use == use_kind::Protected)
             m_ledger.charge(part.worker, entry.team, amount, !entry.spec.preemptible());
         m_jobsOn[std::size_t(part.worker)].push_back(index);
+        touch(part.worker);
     }
 }
 
@@ -529,12 +559,14 @@
             m_ledger.release(part.worker, entry.team, amount, !entry.spec.preemptible());
         std::vector<job_index> &here = m_jobsOn[std::size_t(part.worker)];
         here.erase(std::find(here.begin(), here.end(), index));
+        touch(part.worker);
     }
     entry.parts.clear();
 }
 
 void cell_engine::place(job_index index, std::vector<placed_part> parts, use_kind use)
 {
+    dequeue(index);
     occupy(index, std::move(parts), use);
     emitPlace(index);
 }
@@ -542,7 +574,6 @@
 void cell_engine::emitPlace(job_index index)
 {
     job_entry &entry = job(index);
-    dequeue(index);
     --m_waiting;
     --m_teams[std::size_t(entry.team)].queued;
     ++m_running;
@@ -568,6 +599,7 @@
 void cell_engine::claim(job_index index, std::vector<placed_part> parts, use_kind use,
                         const std::vector<job_index> &victims, stop_reason reason)
 {
+    dequeue(index);
     occupy(index, std::move(parts), use);
     job(index).state = run_state::Claiming;
     for (const job_index victim : victims) {
@@ -589,6 +621,7 @@
     vacate(index);
     job(index).victimsLeft = 0;
     job(index).state = run_state::Waiting;
+    enqueue(index);
     if (!job(index).spec.preemptible() && m_ledger.unmetCount() > 0)
         planGuarantees();
 }
@@ -754,7 +787,7 @@
         if (known == m_byKey.end() || known->second != i)
             return "job " + name + " cannot be found by its key";
         const bool waits = entry.state == run_state::Waiting || entry.state == run_state::Claiming;
-        if (waits != isQueued(i))
+        if ((entry.state == run_state::Waiting) != isQueued(i))
             return "job " + name + (waits ? " waits but is not queued" : " runs but is queued");
         std::int32_t tasks = 0;
         for (const placed_part &part : entry.parts)
--- a/goldcrest/cell_engine.h
+++ b/goldcrest/cell_engine.h
@@ -44,7 +44,7 @@
     std::int32_t attempts = 0;
     std::int32_t victimsLeft = 0; // of a claim: jobs that have to stop first
     std::vector<job_index> claimants; // of a stopping job: claims that wait for it
-    std::uint64_t serial = 0; // order of arrival
+    std::uint64_t serial = 0; // order of arrival; identifies the job across attempts
 
     load total() const { return perTask * spec.tasks; }
 };
@@ -84,7 +84,7 @@
     std::string checkInvariants() const override;
 
 protected:
-    // Queue of the derived engine.
+    // Queue of the derived engine. It holds the jobs in state Waiting.
     virtual void enqueue(job_index job) = 0;
     virtual void dequeue(job_index job) = 0;
     virtual bool isQueued(job_index job) const = 0;
@@ -112,6 +112,9 @@
     std::size_t teamCount() const { return m_teams.size(); }
     time_point now() const { return m_now; }
 
+    // Returns the workers whose room or guarantees changed since the last call, each once.
+    std::vector<worker_index> takeTouched();
+
     bool quotaAllows(const job_entry &entry) const;
 
     // Starts the job on these workers. Parts must fit into free capacity and, for protected use,
@@ -133,6 +136,7 @@
     void block(worker_index worker, block_reason reason, bool on);
 
 private:
+    void touch(worker_index worker);
     team_index teamOf(const team_id &name);
     std::vector<guarantee_unit> unitsOf(const catalogue &entries);
     void changeService(const std::vector<worker_index> &workers);
@@ -168,11 +172,13 @@
     std::vector<team_state> m_teams;
     std::unordered_map<team_id, team_index> m_teamByName;
     std::set<std::pair<time_point, job_index>> m_deadlines;
-    std::vector<std::pair<job_index, std::uint64_t>> m_unverified; // job and its serial
+    std::size_t m_verifyNext = 0;
     std::map<std::tuple<load, std::int32_t, adjacency, team_index, bool>, std::string> m_possible;
     std::vector<scheduler_action> m_actions;
     time_point m_now;
     time_point m_lastNewWorker;
+    std::vector<worker_index> m_touched;
+    std::vector<bool> m_isTouched;
     std::uint64_t m_nextSerial = 1;
     std::size_t m_running = 0;
     std::size_t m_waiting = 0;
--- a/goldcrest/fifo_scheduler.cc
+++ b/goldcrest/fifo_scheduler.cc
@@ -170,7 +170,7 @@
 fifo_scheduler::firstWithinLimits(const std::map<std::uint64_t, job_index> &queue) const
 {
     for (const auto &[serial, index] : queue) {
-        if (job(index).state == run_state::Waiting && quotaAllows(job(index)))
+        if (quotaAllows(job(index)))
             return index;
     }
     return std::nullopt;
@@ -178,6 +178,7 @@
 
 void fifo_scheduler::schedule()
 {
+    takeTouched(); // there is no index to update
     while (const std::optional<job_index> head = firstWithinLimits(m_queue)) {
         if (!tryStart(*head))
             break;
--- /dev/null
+++ b/goldcrest/gang_scheduler.cc
@@ -0,0 +1,725 @@
+// The policy of docs/design.md. A job is tried in this order: on its team's guarantee, on capacity
+// that no guarantee needs, as a borrower, and on its team's guarantee after stopping borrowers.
+
+#include "goldcrest/cell_engine.h"
+#include "goldcrest/job_queue.h"
+#include "goldcrest/placement.h"
+#include "goldcrest/preemption.h"
+#include "goldcrest/runtime_estimator.h"
+#include "goldcrest/worker_health.h"
+
+#include <cmath>
+
+namespace goldcrest {
+
+namespace {
+
+// Jobs of different teams that are tried in a bucket before it counts as blocked.
+constexpr std::size_t triesPerBucket = 3;
+
+// Jobs of one team that are tried on its own guarantee, per bucket.
+constexpr std::size_t claimTries = 2;
+
+// Urgent work starts within 3 s: borrowers that need no longer to stop are preferred.
+constexpr duration urgentStopBound = 2500ms;
+
+// Use above the declaration that counts as exceeding it, and reports in a row before a stop.
+constexpr double usageTolerance = 1.1;
+
+// A gang that would only lose work by a move out of a domain may finish if little is left.
+constexpr duration finishInsteadOfMove = 30s;
+
+// Key penalty for each doubling of a team's use above its guarantee.
+constexpr double overusePenalty = 60000;
+
+// A job that fails again and again is stopped even if no worker can be told healthy.
+constexpr std::int32_t maxFailures = 8;
+
+class gang_scheduler final : public cell_engine
+{
+public:
+    explicit gang_scheduler(std::string_view name)
+        : cell_engine(name)
+        , m_free(cell())
+        , m_open(cell())
+        , m_stoppable(cell())
+        , m_placement(std::make_unique<best_fit_placement>(cell()))
+        , m_order(std::make_unique<aged_work_order>())
+        , m_victimCost(std::make_unique<lost_work_cost>())
+    { }
+
+    void usageReported(const job_key &key, const worker_id &worker, const resources &used,
+                       time_point now) override;
+    void tick(time_point now) override;
+    capacity_view capacity() const override;
+
+protected:
+    void enqueue(job_index index) override;
+    void dequeue(job_index index) override { m_queue.remove(index); }
+    bool isQueued(job_index index) const override { return m_queue.contains(index); }
+    std::int32_t positionOf(job_index index) const override { return m_queue.positionOf(index); }
+    void schedule() override;
+    void onConfiguration(const configuration &config) override;
+    bool onEnded(job_index index, const stopped_event &event) override;
+    void onForgotten(job_index index) override;
+    void onPlaced(job_index index) override;
+
+private:
+    friend class free_room;
+    friend class open_room;
+    friend class protected_room;
+    friend class claim_room;
+    friend class urgent_room;
+
+    struct usage_record
+    {
+        worker_index worker = 0;
+        load used; // per task
+        std::int32_t tasks = 0;
+    };
+
+    using candidates = std::vector<std::pair<double, job_index>>;
+
+    bool mayUse(worker_index worker, const job_entry &entry) const;
+    void refreshIndexes();
+    void updatePenalty(team_index owner);
+    bool startOneUrgent();
+    void runUrgent();
+    void runClaims();
+    void runQueue();
+    // Returns the place of an unused guarantee of the job's own shape.
+    std::vector<placed_part> guaranteedPlace(const job_entry &entry, const room_policy &room) const;
+    bool hasGuaranteedShape(const job_entry &entry) const;
+    bool tryFree(job_index index);
+    bool tryMixed(job_index index);
+    bool placeOn(job_index index, std::vector<placed_part> parts);
+    bool tryClaim(job_index index);
+    bool tryUrgent(job_index index, duration stopBound);
+    bool claimWithVictims(job_index index, std::vector<placed_part> parts, stop_reason reason,
+                          duration stopBound, bool onlyOwnGuarantee);
+    bool fitsProtected(const job_entry &entry, const std::vector<placed_part> &parts) const;
+    bool mayStop(const job_entry &victim, const job_entry &claimant, duration stopBound) const;
+    void leaveDomains();
+    queue_facts factsOf(const job_entry &entry) const;
+    static bucket_key bucketOf(const job_entry &entry);
+
+    capacity_index m_free; // free capacity
+    capacity_index m_open; // the part of it that no guarantee needs
+    capacity_index m_stoppable; // free capacity and borrowed use
+    std::unique_ptr<placement_strategy> m_placement;
+    std::unique_ptr<queue_order> m_order;
+    std::unique_ptr<victim_cost> m_victimCost;
+    job_queue m_queue;
+    runtime_estimator m_estimator;
+    worker_health m_health;
+    std::set<bucket_key> m_newWork; // buckets that got a job since the last decision
+    std::set<team_index> m_claimTeams; // teams that may claim since the last decision
+    bool m_grown = true; // capacity grew since the last decision
+    std::set<std::string> m_leaving; // failure domains that are out
+    std::unordered_map<job_index, std::vector<usage_record>> m_usage; // of jobs above declaration
+    std::set<job_index> m_exceeded; // jobs that were stopped for it
+    std::uint64_t m_examinedJobs = 0;
+};
+
+// Free capacity that a job may use.
+class free_room final : public room_policy
+{
+public:
+    free_room(const gang_scheduler &engine, const job_entry &entry)
+        : m_engine(engine)
+        , m_entry(entry)
+    { }
+    load room(worker_index w) const override
+    {
+        return m_engine.mayUse(w, m_entry) ? m_engine.m_free.room(w) : load{};
+    }
+
+private:
+    const gang_scheduler &m_engine;
+    const job_entry &m_entry;
+};
+
+// Free capacity outside all guarantees.
+class open_room final : public room_policy
+{
+public:
+    open_room(const gang_scheduler &engine, const job_entry &entry)
+        : m_engine(engine)
+        , m_entry(entry)
+    { }
+    load room(worker_index w) const override
+    {
+        return m_engine.mayUse(w, m_entry) ? m_engine.m_open.room(w) : load{};
+    }
+
+private:
+    const gang_scheduler &m_engine;
+    const job_entry &m_entry;
+};
+
+// Free capacity within the team's guarantee or outside all guarantees.
+class protected_room final : public room_policy
+{
+public:
+    protected_room(const gang_scheduler &engine, const job_entry &entry)
+        : m_engine(engine)
+        , m_entry(entry)
+    { }
+    load room(worker_index w) const override
+    {
+        if (!m_engine.mayUse(w, m_entry))
+            return {};
+        return minOf(m_engine.m_free.room(w), m_engine.ledger().headroom(w, m_entry.team));
+    }
+
+private:
+    const gang_scheduler &m_engine;
+    const job_entry &m_entry;
+};
+
+// The team's unused guarantee, counting what its borrowers use as free.
+class claim_room final : public room_policy
+{
+public:
+    claim_room(const gang_scheduler &engine, const job_entry &entry)
+        : m_engine(engine)
+        , m_entry(entry)
+    { }
+    load room(worker_index w) const override
+    {
+        if (!m_engine.mayUse(w, m_entry))
+            return {};
+        const load unused = m_engine.ledger().unusedGuarantee(w, m_entry.team);
+        load room = m_engine.cell().at(w).free();
+        for (const job_index other : m_engine.jobsOn(w)) {
+            const job_entry &victim = m_engine.job(other);
+            if (!m_engine.mayStop(victim, m_entry, duration::max()))
+                continue;
+            for (const placed_part &part : victim.parts) {
+                if (part.worker == w)
+                    room += victim.perTask * part.tasks;
+            }
+        }
+        return minOf(unused, room);
+    }
+
+private:
+    const gang_scheduler &m_engine;
+    const job_entry &m_entry;
+};
+
+// Free capacity and what borrowers use that stop soon enough.
+class urgent_room final : public room_policy
+{
+public:
+    urgent_room(const gang_scheduler &engine, const job_entry &entry, duration stopBound)
+        : m_engine(engine)
+        , m_entry(entry)
+        , m_stopBound(stopBound)
+    { }
+    load room(worker_index w) const override
+    {
+        if (!m_engine.mayUse(w, m_entry))
+            return {};
+        load room = m_engine.cell().at(w).free();
+        for (const job_index other : m_engine.jobsOn(w)) {
+            const job_entry &victim = m_engine.job(other);
+            if (!m_engine.mayStop(victim, m_entry, m_stopBound))
+                continue;
+            for (const placed_part &part : victim.parts) {
+                if (part.worker == w)
+                    room += victim.perTask * part.tasks;
+            }
+        }
+        if (!m_entry.spec.preemptible())
+            room = minOf(room, m_engine.ledger().headroom(w, m_entry.team));
+        return room;
+    }
+
+private:
+    const gang_scheduler &m_engine;
+    const job_entry &m_entry;
+    duration m_stopBound;
+};
+
+// --- queue ---
+
+queue_facts gang_scheduler::factsOf(const job_entry &entry) const
+{
+    constexpr double typical = 0.5;
+    queue_facts facts;
+    facts.queuedAt = entry.queuedAt;
+    const double left = 1 - entry.progress;
+    const duration whole = m_estimator.estimate(entry.spec, typical);
+    facts.remaining = duration(std::int64_t(double(whole.count()) * left));
+    facts.accelerators = entry.total().accelerators();
+    facts.weight = entry.classWeight;
+    return facts;
+}
+
+bucket_key gang_scheduler::bucketOf(const job_entry &entry)
+{
+    bucket_key key;
+    key.urgent = entry.urgent;
+    key.preemptible = entry.spec.preemptible();
+    key.closeness = entry.spec.tasks == 1 ? adjacency::Worker : entry.spec.closeness;
+    key.accelerators = std::int32_t(entry.perTask.accelerators());
+    key.tasks = taskClass(entry.spec.tasks);
+    // Doublings of the larger of 1 core and 4 GiB, so that a job with little need is not held back
+    // by one with much.
+    const double units = std::max(double(entry.spec.perTask.cores) / 1000,
+                                  double(entry.spec.perTask.memory) / 4096);
+    key.share = std::int32_t(std::ceil(std::log2(std::max(1.0, units))));
+    return key;
+}
+
+void gang_scheduler::enqueue(job_index index)
+{
+    const job_entry &entry = job(index);
+    const bucket_key key = bucketOf(entry);
+    m_queue.add(index, entry.team, key, m_order->key(factsOf(entry)));
+    m_newWork.insert(key);
+    m_claimTeams.insert(entry.team);
+}
+
+void gang_scheduler::updatePenalty(team_index owner)
+{
+    const team_state &state = team(owner);
+    const double used = double(std::max<std::int64_t>(1, state.inUse.accelerators()));
+    const double own = double(std::max<std::int64_t>(1, state.guaranteed.accelerators()));
+    const double doublings = std::floor(std::log2(std::max(1.0, used / own)));
+    m_queue.setPenalty(owner, doublings * overusePenalty);
+}
+
+// --- indexes ---
+
+// A worker under probe takes one job at a time, and a job is not tried where it failed before.
+bool gang_scheduler::mayUse(worker_index worker, const job_entry &entry) const
+{
+    if (!cell().at(worker).inService())
+        return false;
+    if (m_health.isProbing(worker) && !jobsOn(worker).empty())
+        return false;
+    return !m_health.failedOn(entry.serial, worker, now());
+}
+
+void gang_scheduler::refreshIndexes()
+{
+    for (const worker_index w : takeTouched()) {
+        const worker_state &worker = cell().at(w);
+        if (!worker.inService()) {
+            m_free.set(w, {});
+            m_open.set(w, {});
+            m_stoppable.set(w, {});
+            continue;
+        }
+        const load free = worker.free();
+        load stoppable = free;
+        for (const job_index index : jobsOn(w)) {
+            const job_entry &entry = job(index);
+            if (entry.use != use_kind::Borrowed && entry.state != run_state::Stopping)
+                continue;
+            if (entry.state == run_state::Claiming)
+                continue;
+            for (const placed_part &part : entry.parts) {
+                if (part.worker == w)
+                    stoppable += entry.perTask * part.tasks;
+            }
+        }
+        constexpr team_index noTeam = -1;
+        const load open = minOf(free, ledger().headroom(w, noTeam));
+        const bool grew
+            = !m_free.room(w).covers(maxOf(free, {})) || !m_open.room(w).covers(maxOf(open, {}));
+        m_grown = m_grown || grew;
+        m_free.set(w, free);
+        m_open.set(w, open);
+        m_stoppable.set(w, stoppable);
+        for (const guarantee_ledger::share &s : ledger().sharesOn(w)) {
+            if (s.guaranteed != load{})
+                m_claimTeams.insert(s.team);
+        }
+    }
+}
+
+// --- decisions ---
+
+bool gang_scheduler::fitsProtected(const job_entry &entry,
+                                   const std::vector<placed_part> &parts) const
+{
+    return std::all_of(parts.begin(), parts.end(), [&](const placed_part &part) {
+        return ledger().headroom(part.worker, entry.team).covers(entry.perTask * part.tasks);
+    });
+}
+
+bool gang_scheduler::hasGuaranteedShape(const job_entry &entry) const
+{
+    for (const std::size_t i : ledger().unitsOf(entry.team)) {
+        const guarantee_unit &unit = ledger().units()[i];
+        if (unit.tasks == entry.spec.tasks && unit.perTask == entry.perTask)
+            return true;
+    }
+    return false;
+}
+
+// Jobs of a guaranteed shape take the place of one whole guarantee, so that the places of the
+// team's other guarantees stay usable for their shapes.
+std::vector<placed_part> gang_scheduler::guaranteedPlace(const job_entry &entry,
+                                                         const room_policy &room) const
+{
+    for (const std::size_t i : ledger().unitsOf(entry.team)) {
+        const guarantee_unit &unit = ledger().units()[i];
+        if (unit.tasks != entry.spec.tasks || unit.perTask != entry.perTask
+            || unit.closeness < entry.spec.closeness)
+            continue;
+        const bool fits = !unit.parts.empty()
+            && std::all_of(unit.parts.begin(), unit.parts.end(), [&](const placed_part &part) {
+                   const load need = entry.perTask * part.tasks;
+                   return ledger().unusedGuarantee(part.worker, entry.team).covers(need)
+                       && room.room(part.worker).covers(need);
+               });
+        if (fits)
+            return unit.parts;
+    }
+    return {};
+}
+
+bool gang_scheduler::placeOn(job_index index, std::vector<placed_part> parts)
+{
+    if (parts.empty())
+        return false;
+    const use_kind use
+        = fitsProtected(job(index), parts) ? use_kind::Protected : use_kind::Borrowed;
+    place(index, std::move(parts), use);
+    return true;
+}
+
+bool gang_scheduler::tryFree(job_index index)
+{
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    if (!m_free.mayFit(request.perTask, request.tasks, request.closeness))
+        return false;
+    const protected_room room(*this, entry);
+    std::vector<placed_part> parts = guaranteedPlace(entry, room);
+    if (parts.empty() && !hasGuaranteedShape(entry))
+        parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
+    if (parts.empty())
+        parts = m_placement->find(request, m_open, open_room(*this, entry));
+    if (parts.empty() && entry.spec.preemptible())
+        parts = m_placement->find(request, m_free, free_room(*this, entry));
+    return placeOn(index, std::move(parts));
+}
+
+// Partly on the own guarantee, partly on open capacity.
+bool gang_scheduler::tryMixed(job_index index)
+{
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    if (entry.spec.preemptible())
+        return false;
+    return placeOn(index, m_placement->find(request, m_free, protected_room(*this, entry)));
+}
+
+bool gang_scheduler::mayStop(const job_entry &victim, const job_entry &claimant,
+                             duration stopBound) const
+{
+    if (victim.state == run_state::Stopping)
+        return now() + stopBound >= victim.stopSentAt + victim.spec.stopTime
+            || stopBound == duration::max();
+    return victim.state == run_state::Running && victim.use == use_kind::Borrowed
+        && !(victim.urgent && claimant.urgent) && victim.spec.stopTime <= stopBound;
+}
+
+bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
+                                      stop_reason reason, duration stopBound, bool onlyOwnGuarantee)
+{
+    const job_entry &entry = job(index);
+    std::vector<shortage> shortages;
+    std::set<job_index> seen;
+    std::vector<victim_candidate> found;
+    for (const placed_part &part : parts) {
+        const load missing = entry.perTask * part.tasks - cell().at(part.worker).free();
+        if (load{}.covers(missing))
+            continue;
+        shortages.push_back({part.worker, missing});
+        for (const job_index other : jobsOn(part.worker)) {
+            const job_entry &victim = job(other);
+            if (!mayStop(victim, entry, stopBound) || !seen.insert(other).second)
+                continue;
+            const double cost
+                = victim.state == run_state::Stopping ? 0 : m_victimCost->of(victim, now());
+            found.push_back({other, cost, victim.perTask, victim.parts});
+        }
+    }
+    const victim_set victims = chooseVictims(shortages, found);
+    if (!victims.isEnough)
+        return false;
+    const use_kind use = onlyOwnGuarantee || fitsProtected(entry, parts) ? use_kind::Protected
+                                                                         : use_kind::Borrowed;
+    if (use == use_kind::Borrowed && !entry.spec.preemptible())
+        return false;
+    if (victims.jobs.empty())
+        place(index, std::move(parts), use);
+    else
+        claim(index, std::move(parts), use, victims.jobs, reason);
+    return true;
+}
+
+bool gang_scheduler::tryClaim(job_index index)
+{
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    std::vector<placed_part> parts
+        = m_placement->findAmong(request, ledger().workersOf(entry.team), claim_room(*this, entry));
+    return !parts.empty()
+        && claimWithVictims(index, std::move(parts), stop_reason::Reclaim, duration::max(), true);
+}
+
+bool gang_scheduler::tryUrgent(job_index index, duration stopBound)
+{
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    std::vector<placed_part> parts
+        = m_placement->find(request, m_stoppable, urgent_room(*this, entry, stopBound));
+    return !parts.empty()
+        && claimWithVictims(index, std::move(parts), stop_reason::Urgent, stopBound, false);
+}
+
+bool gang_scheduler::startOneUrgent()
+{
+    candidates jobs;
+    for (const auto &[key, bucket] : m_queue.buckets()) {
+        if (key.urgent)
+            m_queue.firstOf(bucket, std::numeric_limits<std::size_t>::max(), jobs);
+    }
+    std::sort(jobs.begin(), jobs.end());
+    for (const auto &[order, index] : jobs) {
+        ++m_examinedJobs;
+        if (!quotaAllows(job(index)))
+            continue;
+        if (tryFree(index) || tryUrgent(index, urgentStopBound) || tryClaim(index)
+            || tryUrgent(index, duration::max()) || tryMixed(index))
+            return true;
+    }
+    return false;
+}
+
+void gang_scheduler::runUrgent()
+{
+    while (startOneUrgent())
+        refreshIndexes();
+}
+
+void gang_scheduler::runClaims()
+{
+    while (!m_claimTeams.empty()) {
+        const team_index owner = *m_claimTeams.begin();
+        m_claimTeams.erase(m_claimTeams.begin());
+        if (ledger().workersOf(owner).empty())
+            continue;
+        candidates jobs;
+        m_queue.firstOfOwner(owner, claimTries, jobs);
+        std::sort(jobs.begin(), jobs.end());
+        for (const auto &[order, index] : jobs) {
+            ++m_examinedJobs;
+            if (!quotaAllows(job(index)) || !(tryFree(index) || tryClaim(index) || tryMixed(index)))
+                continue;
+            refreshIndexes(); // adds the team again
+            m_claimTeams.insert(owner);
+            break;
+        }
+    }
+}
+
+void gang_scheduler::runQueue()
+{
+    const bool all = std::exchange(m_grown, false);
+    const std::set<bucket_key> fresh = std::exchange(m_newWork, {});
+    std::set<std::tuple<double, job_index, const job_queue::bucket *>> heads;
+    const auto offer = [&](const job_queue::bucket &bucket) {
+        const bucket_key &key = bucket.key;
+        const load least{{0, 0, key.accelerators, 1}};
+        if (key.urgent || !m_free.mayFit(least, 1, key.closeness))
+            return;
+        candidates first;
+        m_queue.firstOf(bucket, 1, first);
+        heads.insert({first.front().first, first.front().second, &bucket});
+    };
+    for (const auto &[key, bucket] : m_queue.buckets()) {
+        if (all || fresh.count(key) > 0)
+            offer(bucket);
+    }
+    candidates jobs;
+    while (!heads.empty()) {
+        const job_queue::bucket *bucket = std::get<2>(*heads.begin());
+        const bucket_key key = bucket->key;
+        heads.erase(heads.begin());
+        jobs.clear();
+        m_queue.firstOf(*bucket, triesPerBucket, jobs);
+        for (const auto &[order, index] : jobs) {
+            ++m_examinedJobs;
+            if (!quotaAllows(job(index)) || !(tryFree(index) || tryMixed(index)))
+                continue;
+            refreshIndexes();
+            const auto left = m_queue.buckets().find(key);
+            if (left != m_queue.buckets().end())
+                offer(left->second);
+            break;
+        }
+    }
+}
+
+void gang_scheduler::schedule()
+{
+    if (m_queue.isEmpty()) {
+        refreshIndexes();
+        return;
+    }
+    refreshIndexes();
+    runUrgent();
+    runClaims();
+    runQueue();
+}
+
+// --- events ---
+
+void gang_scheduler::onPlaced(job_index index)
+{
+    updatePenalty(job(index).team);
+}
+
+bool gang_scheduler::onEnded(job_index index, const stopped_event &event)
+{
+    job_entry &entry = job(index);
+    m_usage.erase(index);
+    const duration ran = now() - entry.placedAt;
+    if (event.how == stop_result::Finished) {
+        constexpr double smallest = 0.01;
+        const double share = std::max(smallest, 1 - entry.progress);
+        m_estimator.finished(entry.spec, duration(std::int64_t(double(ran.count()) / share)));
+        for (const placed_part &part : entry.parts)
+            m_health.succeeded(part.worker);
+    }
+    if (m_exceeded.erase(index) > 0 && event.requeue) {
+        reject(index, code::ExceededDeclaration,
+               "a task used more than it declared, and more than was free on its worker");
+        return false;
+    }
+    if (event.how != stop_result::Failed)
+        return true;
+    const worker_index worker = cell().find(event.failedOn);
+    if (worker != topology::none
+        && m_health.failed(worker, entry.serial, now()) == health_change::Quarantine)
+        block(worker, block_reason::Quarantined, true);
+    const std::size_t failures = m_health.healthyFailures(entry.serial);
+    if (!event.requeue
+        || (failures < worker_health::jobFailureLimit && entry.attempts <= maxFailures))
+        return true;
+    reject(index, code::FailedOnSeveralWorkers,
+           "a task failed on " + std::to_string(failures) + " healthy workers in "
+               + std::to_string(entry.attempts) + " attempts");
+    return false;
+}
+
+void gang_scheduler::onForgotten(job_index index)
+{
+    updatePenalty(job(index).team);
+    m_health.forgetJob(job(index).serial);
+}
+
+void gang_scheduler::onConfiguration(const configuration &config)
+{
+    m_leaving = config.domainsOut;
+    m_grown = true;
+    leaveDomains();
+}
+
+// Preemptible work leaves a failure domain that is out; the rest finishes.
+void gang_scheduler::leaveDomains()
+{
+    if (m_leaving.empty())
+        return;
+    for (const domain_state &domain : cell().domains()) {
+        if (m_leaving.count(domain.name) == 0)
+            continue;
+        for (const rack_index rack : domain.racks) {
+            for (const worker_index w : cell().racks()[std::size_t(rack)].workers) {
+                for (const job_index index : jobsOn(w)) {
+                    const job_entry &entry = job(index);
+                    if (entry.state != run_state::Running || !entry.spec.preemptible())
+                        continue;
+                    constexpr double typical = 0.5;
+                    const duration left
+                        = m_estimator.remaining(entry.spec, typical, now() - entry.placedAt);
+                    if (entry.spec.canCheckpoint || left > finishInsteadOfMove)
+                        stop(index, stop_reason::DomainOut);
+                }
+            }
+        }
+    }
+}
+
+void gang_scheduler::usageReported(const job_key &key, const worker_id &worker,
+                                   const resources &used, time_point now)
+{
+    cell_engine::usageReported(key, worker, used, now);
+    const std::optional<job_index> index = findJob(key);
+    const worker_index w = cell().find(worker);
+    if (!index || w == topology::none || job(*index).state != run_state::Running)
+        return;
+    const job_entry &entry = job(*index);
+    const load reported = load::ofTask(used);
+    bool exceeds = false;
+    for (std::size_t i = 0; i < load::slotsAt; ++i)
+        exceeds = exceeds || double(reported.v[i]) > double(entry.perTask.v[i]) * usageTolerance;
+    if (!exceeds)
+        return;
+    std::vector<usage_record> &records = m_usage[*index];
+    const auto known = std::find_if(records.begin(), records.end(),
+                                    [&](const usage_record &r) { return r.worker == w; });
+    if (known == records.end()) {
+        std::int32_t tasks = 0;
+        for (const placed_part &part : entry.parts)
+            tasks += part.worker == w ? part.tasks : 0;
+        records.push_back({w, reported, tasks});
+        throttle(*index, w, entry.spec.perTask);
+        return;
+    }
+    known->used = reported;
+    // Still above the declaration after it was throttled: does it take what others were promised?
+    const load excess = (reported - entry.perTask) * known->tasks;
+    const load spare = cell().at(w).free();
+    for (std::size_t i = 0; i < load::slotsAt; ++i) {
+        if (excess.v[i] > std::max<std::int64_t>(0, spare.v[i])) {
+            stop(*index, stop_reason::Exceeded);
+            m_exceeded.insert(*index);
+            return;
+        }
+    }
+}
+
+void gang_scheduler::tick(time_point now)
+{
+    cell_engine::tick(now);
+    for (const worker_index w : m_health.dueProbes(now))
+        block(w, block_reason::Quarantined, false);
+    leaveDomains();
+    m_grown = true; // a worker may be allowed again for a job that failed there
+    schedule();
+}
+
+capacity_view gang_scheduler::capacity() const
+{
+    capacity_view view = cell_engine::capacity();
+    view.examined = m_placement->examined() + m_examinedJobs;
+    return view;
+}
+
+} // namespace
+
+std::unique_ptr<scheduler> makeGangScheduler(std::string_view cell)
+{
+    return std::make_unique<gang_scheduler>(cell);
+}
+
+} // namespace goldcrest
--- a/goldcrest/guarantee_ledger.cc
+++ b/goldcrest/guarantee_ledger.cc
@@ -95,6 +95,12 @@
     return std::size_t(team) < m_workersOf.size() ? m_workersOf[std::size_t(team)] : empty;
 }
 
+const std::vector<std::size_t> &guarantee_ledger::unitsOf(team_index team) const
+{
+    static const std::vector<std::size_t> empty;
+    return std::size_t(team) < m_unitsOf.size() ? m_unitsOf[std::size_t(team)] : empty;
+}
+
 void guarantee_ledger::charge(worker_index worker, team_index team, const load &use, bool pinned)
 {
     share &s = shareFor(worker, team);
@@ -211,6 +217,7 @@
         shares.committed -= maxOf(s.guaranteed, s.protectedUse);
         s.guaranteed += unit.perTask * (sign * part.tasks);
         shares.committed += maxOf(s.guaranteed, s.protectedUse);
+        m_touched.push_back(part.worker);
     }
 }
 
@@ -308,9 +315,14 @@
     m_unmet = 0;
     for (std::vector<worker_index> &workers : m_workersOf)
         workers.clear();
-    for (const guarantee_unit &unit : m_units) {
+    m_unitsOf.clear();
+    for (std::size_t i = 0; i < m_units.size(); ++i) {
+        const guarantee_unit &unit = m_units[i];
         if (m_workersOf.size() <= std::size_t(unit.team))
             m_workersOf.resize(std::size_t(unit.team) + 1);
+        if (m_unitsOf.size() <= std::size_t(unit.team))
+            m_unitsOf.resize(std::size_t(unit.team) + 1);
+        m_unitsOf[std::size_t(unit.team)].push_back(i);
         if (unit.parts.empty())
             ++m_unmet;
         for (const placed_part &part : unit.parts)
--- a/goldcrest/guarantee_ledger.h
+++ b/goldcrest/guarantee_ledger.h
@@ -86,6 +86,12 @@
     // Workers where the team has a guarantee, in index order, each once.
     const std::vector<worker_index> &workersOf(team_index team) const;
 
+    // Units of the team, as positions in units().
+    const std::vector<std::size_t> &unitsOf(team_index team) const;
+
+    // Returns the workers whose guarantees changed since the last call.
+    std::vector<worker_index> takeTouched() { return std::exchange(m_touched, {}); }
+
     // Returns whether a unit without a place would fit now.
     bool couldPlace(const guarantee_unit &unit) const;
 
@@ -110,6 +116,8 @@
     std::vector<guarantee_unit> m_units;
     std::vector<worker_shares> m_shares;
     std::vector<std::vector<worker_index>> m_workersOf;
+    std::vector<std::vector<std::size_t>> m_unitsOf;
+    std::vector<worker_index> m_touched;
     std::size_t m_unmet = 0;
 };
 
--- /dev/null
+++ b/goldcrest/preemption.cc
@@ -0,0 +1,98 @@
+#include "goldcrest/preemption.h"
+
+namespace goldcrest {
+
+namespace {
+
+// Returns how much of `missing` a job frees, as the largest share of one dimension.
+double usefulShare(const load &missing, const load &freed)
+{
+    double share = 0;
+    for (std::size_t i = 0; i < load::dimensions; ++i) {
+        if (missing.v[i] > 0)
+            share = std::max(share,
+                             double(std::min(missing.v[i], freed.v[i])) / double(missing.v[i]));
+    }
+    return share;
+}
+
+double usefulness(const std::vector<shortage> &open, const victim_candidate &candidate)
+{
+    double useful = 0;
+    for (const placed_part &part : candidate.parts) {
+        for (const shortage &s : open) {
+            if (s.worker == part.worker && !load{}.covers(s.missing))
+                useful += usefulShare(s.missing, candidate.perTask * part.tasks);
+        }
+    }
+    return useful;
+}
+
+void subtract(std::vector<shortage> &open, const victim_candidate &candidate, std::int64_t sign)
+{
+    for (const placed_part &part : candidate.parts) {
+        for (shortage &s : open) {
+            if (s.worker == part.worker)
+                s.missing -= candidate.perTask * (sign * part.tasks);
+        }
+    }
+}
+
+bool isCovered(const std::vector<shortage> &open)
+{
+    return std::all_of(open.begin(), open.end(),
+                       [](const shortage &s) { return load{}.covers(s.missing); });
+}
+
+} // namespace
+
+victim_set chooseVictims(const std::vector<shortage> &shortages,
+                         const std::vector<victim_candidate> &candidates)
+{
+    std::vector<shortage> open = shortages;
+    std::vector<bool> taken(candidates.size());
+    std::vector<std::size_t> order;
+    while (!isCovered(open)) {
+        std::size_t best = candidates.size();
+        double bestRate = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (taken[i])
+                continue;
+            const double useful = usefulness(open, candidates[i]);
+            // One unit of cost keeps the rate finite for jobs that are stopping already.
+            const double rate = useful / (candidates[i].cost + 1);
+            if (rate > bestRate) {
+                best = i;
+                bestRate = rate;
+            }
+        }
+        if (best == candidates.size())
+            return {};
+        taken[best] = true;
+        order.push_back(best);
+        subtract(open, candidates[best], 1);
+    }
+    victim_set result;
+    result.isEnough = true;
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return candidates[a].cost > candidates[b].cost;
+    });
+    for (const std::size_t i : order) {
+        subtract(open, candidates[i], -1);
+        if (isCovered(open))
+            continue;
+        subtract(open, candidates[i], 1);
+        result.jobs.push_back(candidates[i].job);
+        result.cost += candidates[i].cost;
+    }
+    return result;
+}
+
+double lost_work_cost::of(const job_entry &entry, time_point now) const
+{
+    const double width = double(std::max<std::int64_t>(1, entry.total().accelerators()));
+    const duration lost = entry.spec.canCheckpoint ? 0ms : now - entry.placedAt;
+    return width * double((lost + entry.spec.stopTime).count());
+}
+
+} // namespace goldcrest
--- a/goldcrest/scheduler.h
+++ b/goldcrest/scheduler.h
@@ -109,6 +109,7 @@
     std::int64_t largestPlaceableGang = 0; // single-accelerator tasks that fit within one rack
     std::size_t queuedJobs = 0;
     std::size_t runningJobs = 0;
+    std::uint64_t examined = 0; // workers, racks and queued jobs that all decisions looked at
     std::vector<std::string>
         unmetGuarantees; // "team/shape" that do not fit on the workers in service
 };
