--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -289,6 +289,13 @@
         write_some(net::buffer(refusalText(why)), ignored);
     }
 
+    // Ends the connection in both directions; RESTinio sees the end and closes it.
+    void abort()
+    {
+        net::error_code ignored;
+        net::ip::tcp::socket::shutdown(net::socket_base::shutdown_both, ignored);
+    }
+
 private:
     template<typename Buffers, typename Handler>
     static void handleRead(const std::shared_ptr<connection_state> &state, const Buffers &buffers,
@@ -457,6 +464,16 @@
         finish();
     }
 
+    void abort() override
+    {
+        if (!m_request)
+            return;
+        m_chunks.reset();
+        if (m_connection && m_connection->socket)
+            m_connection->socket->abort();
+        finish();
+    }
+
     bool isOpen() const override { return m_request && m_connection && !m_connection->closed; }
 
 private:
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -60,6 +60,10 @@
     virtual void sendChunk(const server_response &head, std::string_view piece) = 0;
     virtual void endChunks() = 0;
 
+    // Closes the connection without an answer, or without the rest of it. Stand-ins inject such
+    // faults; a real service always answers.
+    virtual void abort() { }
+
     // Returns whether the caller is still connected, as far as is known.
     virtual bool isOpen() const = 0;
 };
