--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -160,12 +160,6 @@
     void drain(duration limit);
     bool isIdle() const;
 
-    std::shared_ptr<const configuration> m_config = std::make_shared<configuration>();
-    std::map<std::string, std::int64_t> m_queuedInCell;
-    cell_workers m_workers;
-    entry_counters m_counters;
-    std::unordered_map<job_key, job_pointer, job_key_hash> m_jobs;
-
 private:
     struct explain_query
     {
@@ -241,6 +235,11 @@
     event_loop &m_loop;
     planner_links &m_planners;
     entry_options m_options;
+    std::shared_ptr<const configuration> m_config = std::make_shared<configuration>();
+    std::map<std::string, std::int64_t> m_queuedInCell;
+    cell_workers m_workers;
+    entry_counters m_counters;
+    std::unordered_map<job_key, job_pointer, job_key_hash> m_jobs;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::map<std::string, epoch> m_plannerEpochs;
     std::map<team_id, std::size_t> m_openOfTeam;
