--- a/goldcrest/job_request.cc
+++ b/goldcrest/job_request.cc
@@ -31,7 +31,7 @@
 
 constexpr std::pair<std::string_view, adjacency> adjacencyNames[] = {
     {"none", adjacency::None},
-    {"failure domain", adjacency::FailureDomain},
+    {"failureDomain", adjacency::FailureDomain},
     {"rack", adjacency::Rack},
     {"worker", adjacency::Worker},
 };
@@ -141,7 +141,7 @@
             return value;
     }
     reader.fail(code::InvalidValue, "adjacency",
-                "must be one of none, failure domain, rack, worker");
+                "must be one of none, failureDomain, rack, worker");
     return adjacency::None;
 }
 
--- /dev/null
+++ b/testing/config_publisher_test.cc
@@ -0,0 +1,252 @@
+#include "goldcrest/config_publisher.h"
+
+#include "goldcrest/catalogue_codec.h"
+#include "goldcrest/guarantee_check.h"
+#include "goldcrest/job_record.h"
+#include "testing/memory_store_support.h"
+#include "testing/virtual_event_loop.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace goldcrest;
+
+namespace {
+
+catalogue twoDomains()
+{
+    catalogue entries;
+    class_entry &planning = entries.classes["planning"];
+    planning.name = "planning";
+    planning.owner = "ops";
+    shape_entry &shape = entries.shapes["gang"];
+    shape.name = "gang";
+    shape.owner = "ops";
+    shape.className = "planning";
+    shape.tasks = 8;
+    shape.perTask = {1000, 1024, 1};
+    shape.closeness = adjacency::Rack;
+    team_entry &team = entries.teams["routes"];
+    team.name = "routes";
+    team.owner = "ops";
+    team.className = "planning";
+    team.guarantees = {{"gang", 1, "main"}};
+    cell_entry &cell = entries.cells["main"];
+    cell.name = "main";
+    cell.owner = "ops";
+    cell.failureDomains = {"Amqui", "Matane"};
+    return entries;
+}
+
+worker_status workerOf(const std::string &rack, std::int64_t accelerators)
+{
+    worker_status worker;
+    worker.worker = "w-" + rack;
+    worker.failureDomain = "Matane";
+    worker.rack = rack;
+    worker.capacity = {64000, 262144, accelerators};
+    return worker;
+}
+
+} // namespace
+
+TEST_GROUP(configPublisher)
+{
+    virtual_event_loop loop;
+    memory_store store{loop};
+    cell_workers workers;
+    config_publisher publisher{store, loop, optionsOf("e1")};
+    config_publisher rival{store, loop, optionsOf("e2")};
+    std::vector<result<configuration>> answers;
+
+    publisher_options optionsOf(const std::string &name)
+    {
+        publisher_options options;
+        options.name = name;
+        options.checkCapacity
+            = [this](const catalogue &entries) { return checkGuarantees(entries, workers); };
+        return options;
+    }
+
+    publish_callback keep()
+    {
+        return [this](result<configuration> answer) { answers.push_back(std::move(answer)); };
+    }
+
+    revision putFirst()
+    {
+        publisher.putCatalogue(formatCatalogue(twoDomains()), 0, keep());
+        loop.runPosted();
+        CHECK(failureOf(answers.back()) == nullptr);
+        return valueOf(answers.back()).number;
+    }
+
+    code lastError()
+    {
+        const failure *error = failureOf(answers.back());
+        return error == nullptr ? code::Internal : error->number;
+    }
+
+    configuration stored()
+    {
+        return valueOf(parseConfiguration(store.entry(configurationKey)->value));
+    }
+};
+
+// Guards against revisions that do not grow and against a change that drops another part of the
+// document.
+TEST(configPublisher, storesChangesAsGrowingRevisions)
+{
+    LONGS_EQUAL(1, putFirst());
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.runPosted();
+    publisher.setDrained("w1", true, std::nullopt, keep());
+    loop.runPosted();
+    LONGS_EQUAL(3, stored().number);
+    CHECK(stored().domainsOut.count("Matane") == 1);
+    CHECK(stored().drainedWorkers.count("w1") == 1);
+    CHECK(stored().entries.teams.count("routes") == 1);
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.runPosted();
+    LONGS_EQUAL(3, valueOf(answers.back()).number); // nothing to change
+}
+
+// Guards against a lost update: both operators read revision 1 and only one may write.
+TEST(configPublisher, racingOperatorsGetAConflictWithTheRevision)
+{
+    putFirst();
+    publisher.setDomain("Matane", true, 1, keep());
+    rival.setDomain("Amqui", true, 1, keep());
+    loop.runPosted();
+    LONGS_EQUAL(3, answers.size());
+    CHECK((failureOf(answers[1]) == nullptr) != (failureOf(answers[2]) == nullptr));
+    const failure *error = failureOf(answers[2]);
+    CHECK(error->number == code::RevisionConflict);
+    CHECK(error->reason.find('2') != std::string::npos);
+    LONGS_EQUAL(1, stored().domainsOut.size());
+}
+
+// Guards against a failed change when two operators change different things without If-Match.
+TEST(configPublisher, unconditionalChangesOfBothOperatorsAreKept)
+{
+    putFirst();
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    rival.setDomain("Amqui", true, std::nullopt, keep());
+    loop.runPosted();
+    LONGS_EQUAL(3, stored().number);
+    LONGS_EQUAL(2, stored().domainsOut.size());
+}
+
+// Guards against a second revision, or a false failure, when the answer to the write was lost.
+TEST(configPublisher, resolvesAWriteWhoseAnswerWasLost)
+{
+    putFirst();
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.post([this] { store.fault = store_fault::AnswerLost; });
+    loop.runPosted();
+    store.fault = store_fault::None;
+    loop.advance(1s);
+    LONGS_EQUAL(2, answers.size());
+    LONGS_EQUAL(2, valueOf(answers[1]).number);
+    LONGS_EQUAL(2, stored().number);
+}
+
+// Guards against a repeated change that undoes a later one: the first write was stored without an
+// answer, and another operator has changed it back since.
+TEST(configPublisher, doesNotRepeatAChangeThatMayHaveBeenUndone)
+{
+    putFirst();
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.post([this] { store.fault = store_fault::AnswerLost; });
+    loop.runPosted();
+    store.fault = store_fault::None;
+    CHECK(stored().domainsOut.count("Matane") == 1);
+    rival.setDomain("Matane", false, std::nullopt, keep());
+    loop.runPosted();
+    loop.advance(2s);
+    CHECK(lastError() == code::StoreAmbiguous);
+    CHECK(stored().domainsOut.empty());
+    LONGS_EQUAL(3, stored().number);
+}
+
+// Guards against "nothing was changed" when a write may have taken effect, and against an operator
+// who gets no answer while the store is down.
+TEST(configPublisher, saysWhetherAnUnansweredChangeMayBeStored)
+{
+    putFirst();
+    store.fault = store_fault::Down;
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.advance(10s);
+    CHECK(lastError() == code::StoreUnavailable);
+    store.fault = store_fault::None;
+    publisher.setDomain("Matane", true, std::nullopt, keep());
+    loop.post([this] { store.fault = store_fault::RequestLost; });
+    loop.advance(10s);
+    CHECK(lastError() == code::StoreAmbiguous);
+    LONGS_EQUAL(0, publisher.openChanges());
+}
+
+// Guards against catalogues that name what does not exist or guarantee more than there is.
+TEST(configPublisher, refusesWrongNamesAndGuaranteesThatDoNotFit)
+{
+    putFirst();
+    publisher.setDomain("Nowhere", true, std::nullopt, keep());
+    loop.runPosted();
+    CHECK(lastError() == code::UnknownFailureDomain);
+    workers["main"] = {workerOf("r1", 8), workerOf("r2", 8)};
+    catalogue entries = twoDomains();
+    entries.teams["routes"].guarantees[0].count = 2;
+    CHECK(publisher.validate(formatCatalogue(entries)).empty());
+    entries.teams["routes"].guarantees[0].count = 3;
+    publisher.putCatalogue(formatCatalogue(entries), 1, keep());
+    loop.runPosted();
+    CHECK(lastError() == code::GuaranteesDoNotFit);
+    CHECK(failureOf(answers.back())->reason.find("24 accelerators") != std::string::npos);
+    // Both racks have 6 accelerators left: 12 in sum, but none holds a gang of 8.
+    workers["main"] = {workerOf("r1", 6), workerOf("r2", 6)};
+    LONGS_EQUAL(1, publisher.validate(formatCatalogue(twoDomains())).size());
+    LONGS_EQUAL(1, stored().number);
+}
+
+TEST_GROUP(configTracker)
+{
+    config_tracker tracker;
+    const time_point start{};
+};
+
+// Guards against a pending change that is called in force: acknowledged by a replaced planner, or
+// by no planner yet.
+TEST(configTracker, onlyThePresentPlannersAcknowledgementCounts)
+{
+    CHECK(!tracker.stateOf("main", 1).inForce);
+    tracker.leaderSeen("main", 7);
+    CHECK(!tracker.stateOf("main", 1).inForce);
+    CHECK(tracker.acknowledged("main", 7, 1));
+    CHECK(!tracker.acknowledged("main", 7, 1));
+    CHECK(tracker.stateOf("main", 1).inForce);
+    CHECK(!tracker.stateOf("main", 2).inForce);
+    tracker.leaderSeen("main", 9);
+    CHECK(!tracker.acknowledged("main", 7, 2));
+    CHECK(!tracker.stateOf("main", 2).inForce);
+    CHECK(tracker.stateOf("main", 2).reason.find("epoch 9") != std::string::npos);
+    tracker.acknowledged("main", 9, 2);
+    CHECK(tracker.stateOf("main", 2).inForce);
+}
+
+// Guards against "in force" while the last planner's start messages may still arrive, and from a
+// read that is older than the revision.
+TEST(configTracker, withoutAPlannerItIsInForceAfterTheHoldLifetime)
+{
+    tracker.leaderSeen("main", 7);
+    tracker.revisionSeen(2, start + 3s);
+    tracker.leaderAbsent("main", start, start + 100ms);
+    tracker.leaderAbsent("main", start + 2s, start + 2100ms);
+    CHECK(!tracker.stateOf("main", 2).inForce);
+    tracker.leaderAbsent("main", start + 3100ms, start + 3200ms);
+    CHECK(tracker.stateOf("main", 2).inForce);
+    tracker.leaderSeen("main", 8);
+    CHECK(!tracker.stateOf("main", 2).inForce);
+}
