Use the shared in-memory store and guarantee check in the entry's tests

The checks are the same; the store's faults now come from store_model_support. The text of a refused guarantee names the shape with its placed and wanted gangs instead of accelerators.

--- a/testing/config_publisher_test.cc
+++ b/testing/config_publisher_test.cc
@@ -3,7 +3,7 @@
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/guarantee_check.h"
 #include "goldcrest/job_record.h"
-#include "testing/memory_store_support.h"
+#include "testing/store_model_support.h"
 #include "testing/virtual_event_loop.h"
 
 #include <optional>
@@ -41,10 +41,10 @@
     return entries;
 }
 
-worker_status workerOf(const std::string &rack, std::int64_t accelerators)
+worker_info workerOf(const std::string &rack, std::int64_t accelerators)
 {
-    worker_status worker;
-    worker.worker = "w-" + rack;
+    worker_info worker;
+    worker.id = "w-" + rack;
     worker.failureDomain = "Matane";
     worker.rack = rack;
     worker.capacity = {64000, 262144, accelerators};
@@ -56,18 +56,24 @@
 TEST_GROUP(configPublisher)
 {
     virtual_event_loop loop;
-    memory_store store{loop};
-    cell_workers workers;
+    store_model model;
+    fake_store store{model, loop};
+    fake_store rivalStore{model, loop};
+    std::vector<worker_info> workers;
     config_publisher publisher{store, loop, optionsOf("e1")};
-    config_publisher rival{store, loop, optionsOf("e2")};
+    config_publisher rival{rivalStore, loop, optionsOf("e2")};
     std::vector<result<configuration>> answers;
 
     publisher_options optionsOf(const std::string &name)
     {
         publisher_options options;
         options.name = name;
-        options.checkCapacity
-            = [this](const catalogue &entries) { return checkGuarantees(entries, workers); };
+        options.checkCapacity = [this](const catalogue &entries) {
+            const guarantee_report report = checkGuarantees(entries, "main", workers);
+            const failure error = makeFailure(code::GuaranteesDoNotFit, report.text());
+            return workers.empty() || report.fits() ? std::vector<failure>()
+                                                    : std::vector<failure>{error};
+        };
         return options;
     }
 
@@ -79,7 +85,7 @@
     revision putFirst()
     {
         publisher.putCatalogue(formatCatalogue(twoDomains()), 0, keep());
-        loop.runPosted();
+        loop.advance(1ms);
         CHECK(failureOf(answers.back()) == nullptr);
         return valueOf(answers.back()).number;
     }
@@ -92,7 +98,8 @@
 
     configuration stored()
     {
-        return valueOf(parseConfiguration(store.entry(configurationKey)->value));
+        return valueOf(
+            parseConfiguration(model.range(std::string(configurationKey), "").front().value));
     }
 };
 
@@ -102,15 +109,15 @@
 {
     LONGS_EQUAL(1, putFirst());
     publisher.setDomain("Matane", true, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     publisher.setDrained("w1", true, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(3, stored().number);
     CHECK(stored().domainsOut.count("Matane") == 1);
     CHECK(stored().drainedWorkers.count("w1") == 1);
     CHECK(stored().entries.teams.count("routes") == 1);
     publisher.setDomain("Matane", true, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(3, valueOf(answers.back()).number); // nothing to change
 }
 
@@ -120,7 +127,7 @@
     putFirst();
     publisher.setDomain("Matane", true, 1, keep());
     rival.setDomain("Amqui", true, 1, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(3, answers.size());
     CHECK((failureOf(answers[1]) == nullptr) != (failureOf(answers[2]) == nullptr));
     const failure *error = failureOf(answers[2]);
@@ -135,7 +142,7 @@
     putFirst();
     publisher.setDomain("Matane", true, std::nullopt, keep());
     rival.setDomain("Amqui", true, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(3, stored().number);
     LONGS_EQUAL(2, stored().domainsOut.size());
 }
@@ -145,9 +152,8 @@
 {
     putFirst();
     publisher.setDomain("Matane", true, std::nullopt, keep());
-    loop.post([this] { store.fault = store_fault::AnswerLost; });
-    loop.runPosted();
-    store.fault = store_fault::None;
+    store.faults().loseAnswers = 1;
+    loop.advance(1ms);
     loop.advance(1s);
     LONGS_EQUAL(2, answers.size());
     LONGS_EQUAL(2, valueOf(answers[1]).number);
@@ -160,12 +166,11 @@
 {
     putFirst();
     publisher.setDomain("Matane", true, std::nullopt, keep());
-    loop.post([this] { store.fault = store_fault::AnswerLost; });
-    loop.runPosted();
-    store.fault = store_fault::None;
+    store.faults().loseAnswers = 1;
+    loop.advance(1ms);
     CHECK(stored().domainsOut.count("Matane") == 1);
     rival.setDomain("Matane", false, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     loop.advance(2s);
     CHECK(lastError() == code::StoreAmbiguous);
     CHECK(stored().domainsOut.empty());
@@ -177,13 +182,13 @@
 TEST(configPublisher, saysWhetherAnUnansweredChangeMayBeStored)
 {
     putFirst();
-    store.fault = store_fault::Down;
+    store.faults().down = true;
     publisher.setDomain("Matane", true, std::nullopt, keep());
     loop.advance(10s);
     CHECK(lastError() == code::StoreUnavailable);
-    store.fault = store_fault::None;
+    store.faults() = {};
     publisher.setDomain("Matane", true, std::nullopt, keep());
-    loop.post([this] { store.fault = store_fault::RequestLost; });
+    store.faults().loseRequests = 1000;
     loop.advance(10s);
     CHECK(lastError() == code::StoreAmbiguous);
     LONGS_EQUAL(0, publisher.openChanges());
@@ -194,19 +199,19 @@
 {
     putFirst();
     publisher.setDomain("Nowhere", true, std::nullopt, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::UnknownFailureDomain);
-    workers["main"] = {workerOf("r1", 8), workerOf("r2", 8)};
+    workers = {workerOf("r1", 8), workerOf("r2", 8)};
     catalogue entries = twoDomains();
     entries.teams["routes"].guarantees[0].count = 2;
     CHECK(publisher.validate(formatCatalogue(entries)).empty());
     entries.teams["routes"].guarantees[0].count = 3;
     publisher.putCatalogue(formatCatalogue(entries), 1, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::GuaranteesDoNotFit);
-    CHECK(failureOf(answers.back())->reason.find("24 accelerators") != std::string::npos);
+    CHECK(failureOf(answers.back())->reason.find("routes/gang 2 of 3") != std::string::npos);
     // Both racks have 6 accelerators left: 12 in sum, but none holds a gang of 8.
-    workers["main"] = {workerOf("r1", 6), workerOf("r2", 6)};
+    workers = {workerOf("r1", 6), workerOf("r2", 6)};
     LONGS_EQUAL(1, publisher.validate(formatCatalogue(twoDomains())).size());
     LONGS_EQUAL(1, stored().number);
 }
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -1,7 +1,7 @@
 #include "goldcrest/entry_core.h"
 
 #include "goldcrest/digest.h"
-#include "testing/memory_store_support.h"
+#include "testing/store_model_support.h"
 #include "testing/virtual_event_loop.h"
 
 #include <map>
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int manyCalls = 1000;
 const job_key keyR1{"routes", "r1"};
 
 std::shared_ptr<const configuration> smallConfiguration()
@@ -102,7 +103,8 @@
 TEST_GROUP(entryCore)
 {
     virtual_event_loop loop;
-    memory_store store{loop};
+    store_model model;
+    fake_store store{model, loop};
     fake_planners planners;
     entry_core core{store, loop, planners, optionsOf("e1")};
     std::vector<job_answer> answers;
@@ -121,7 +123,7 @@
     void submit(const std::string &body, duration wait = 0ms)
     {
         core.submit(body, wait, keep());
-        loop.runPosted();
+        loop.advance(1ms);
     }
 
     const job_answer &last()
@@ -138,13 +140,25 @@
     void receive(const job_update_message &update)
     {
         core.received("main", update);
-        loop.runPosted();
+        loop.advance(1ms);
+    }
+
+    std::optional<store_entry> read(const std::string &key)
+    {
+        const std::vector<store_entry> found = model.range(key, "");
+        return found.empty() ? std::nullopt : std::optional<store_entry>(found.front());
+    }
+
+    // Writes a key as another process would.
+    void put(const std::string &key, const std::string &value)
+    {
+        CHECK(failureOf(model.commit(store_transaction().put(key, value))) == nullptr);
     }
 
     std::optional<job_record> stored(const job_key &key = keyR1)
     {
-        const store_entry *found = store.entry(jobRecordKey(key));
-        if (found == nullptr)
+        const std::optional<store_entry> found = read(jobRecordKey(key));
+        if (!found)
             return std::nullopt;
         return valueOf(decodeJobRecord(found->value));
     }
@@ -158,7 +172,7 @@
     CHECK(!last().error);
     CHECK(last().created);
     CHECK(stored().has_value());
-    CHECK(store.entry(cellJobKey("main", keyR1)) != nullptr);
+    CHECK(read(cellJobKey("main", keyR1)).has_value());
     LONGS_EQUAL(1, planners.submits.size());
     CHECK(planners.submits[0].recorded);
 }
@@ -171,7 +185,7 @@
     other.setConfiguration(smallConfiguration());
     core.submit(bodyOf("r1", false), 0ms, keep());
     other.submit(bodyOf("r1", false), 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(2, answers.size());
     CHECK(answers[0].created != answers[1].created);
     CHECK(!answers[0].error && !answers[1].error);
@@ -186,17 +200,17 @@
     entry_core other(store, loop, planners, optionsOf("e2"));
     other.setConfiguration(smallConfiguration());
     other.submit(bodyOf("r1", true), 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::RequestIdReused);
 }
 
 // Guards against a lost write answer that is taken for a failure or creates a second job.
 TEST(entryCore, resolvesAWriteWhoseAnswerWasLost)
 {
-    store.fault = store_fault::AnswerLost;
+    store.faults().loseAnswers = manyCalls;
     submit(bodyOf("r1", false));
     LONGS_EQUAL(0, answers.size());
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(2s);
     CHECK(!last().error);
     CHECK(last().created);
@@ -207,12 +221,12 @@
 // entry has settled it as not run.
 TEST(entryCore, answersUnknownAndSettlesALostRequest)
 {
-    store.fault = store_fault::RequestLost;
+    store.faults().loseRequests = manyCalls;
     submit(bodyOf("r1", false, R"(,"deadlineMs":3000)"));
     loop.advance(4s);
     CHECK(lastError() == code::OutcomeUnknown);
     CHECK(!last().notRun);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(5s);
     CHECK(stored()->outcome == job_outcome::NotRun);
     LONGS_EQUAL(0, planners.submits.size());
@@ -222,11 +236,11 @@
 // Guards against a settled answer that contradicts a record which did come into being.
 TEST(entryCore, answersUnknownAndRunsAJobThatWasWritten)
 {
-    store.fault = store_fault::AnswerLost;
+    store.faults().loseAnswers = manyCalls;
     submit(bodyOf("r1", false, R"(,"deadlineMs":3000)"));
     loop.advance(4s);
     CHECK(lastError() == code::OutcomeUnknown);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(5s);
     CHECK(!stored()->outcome);
     LONGS_EQUAL(1, planners.submits.size());
@@ -236,14 +250,14 @@
 // had it.
 TEST(entryCore, nonIdempotentJobWaitsForTheStoreUntilItsDeadline)
 {
-    store.fault = store_fault::Down;
+    store.faults().down = true;
     submit(bodyOf("r1", false, R"(,"deadlineMs":3000)"));
     loop.advance(2900ms);
     LONGS_EQUAL(0, answers.size());
     loop.advance(200ms);
     CHECK(lastError() == code::DeadlinePassed);
     CHECK(last().notRun);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(1min);
     CHECK(!stored());
     LONGS_EQUAL(0, planners.submits.size());
@@ -252,10 +266,10 @@
 // Guards against a non-idempotent job that is lost although the store came back in time.
 TEST(entryCore, nonIdempotentJobIsAcceptedWhenTheStoreReturns)
 {
-    store.fault = store_fault::Down;
+    store.faults().down = true;
     submit(bodyOf("r1", false, R"(,"deadlineMs":10000)"));
     loop.advance(3s);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(3s);
     CHECK(!last().error);
     CHECK(stored().has_value());
@@ -265,7 +279,7 @@
 // that is lost when the planner changes.
 TEST(entryCore, idempotentJobGoesToThePlannerDuringAnOutage)
 {
-    store.fault = store_fault::Down;
+    store.faults().down = true;
     submit(bodyOf("r1", true));
     LONGS_EQUAL(1, planners.submits.size());
     CHECK(!planners.submits[0].recorded);
@@ -276,7 +290,7 @@
     core.plannerUp("main", 9);
     LONGS_EQUAL(3, planners.submits.size());
     CHECK(!planners.submits.back().recorded);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(5s);
     CHECK(stored().has_value());
     CHECK(planners.submits.back().recorded);
@@ -297,14 +311,14 @@
 // Guards against "not run" for an unrecorded job whose own record write may have taken effect.
 TEST(entryCore, fencesTheRecordBeforeNotRunOfAnUnrecordedJob)
 {
-    store.fault = store_fault::RequestLost;
+    store.faults().loseRequests = manyCalls;
     submit(bodyOf("r1", true), 1min);
     receive(updateOf(job_phase::Queued, 0, 5));
     job_update_message update = finalUpdate(job_outcome::NotRun, false, "");
     receive(update);
     loop.advance(5s);
     LONGS_EQUAL(0, answers.size());
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(5s);
     CHECK(last().view.outcome == job_outcome::NotRun);
     CHECK(stored()->outcome == job_outcome::NotRun);
@@ -350,8 +364,8 @@
     second.offset = 6;
     const std::string part = encodeResultParts({first, second}).at(0);
     record.resultParts = 1;
-    store.put(resultPartKey(keyR1, 1, 0), part);
-    store.put(jobRecordKey(keyR1), encodeJobRecord(record));
+    put(resultPartKey(keyR1, 1, 0), part);
+    put(jobRecordKey(keyR1), encodeJobRecord(record));
     receive(cut);
     STRCMP_EQUAL("whole answer", last().view.results.at(0).output.c_str());
     CHECK(last().view.outcome == job_outcome::Completed);
@@ -359,7 +373,7 @@
     // Another entry gives the same answer.
     entry_core other(store, loop, planners, optionsOf("e2"));
     other.find(keyR1, 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     STRCMP_EQUAL("whole answer", last().view.results.at(0).output.c_str());
 }
 
@@ -370,7 +384,7 @@
     job_record record = *stored();
     record.phase = job_phase::Finished;
     record.outcome = job_outcome::Failed;
-    store.put(jobRecordKey(keyR1), encodeJobRecord(record));
+    put(jobRecordKey(keyR1), encodeJobRecord(record));
     loop.advance(8s);
     CHECK(last().view.outcome == job_outcome::Failed);
 }
@@ -396,12 +410,12 @@
     other.setConfiguration(smallConfiguration());
     std::vector<job_answer> found;
     other.find(keyR1, 1min, [&found](const job_answer &answer) { found.push_back(answer); });
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(2, planners.submits.size()); // also subscribes to the planner's updates
     other.received("main", finalUpdate(job_outcome::Completed, true, "x"));
     LONGS_EQUAL(1, found.size());
     other.find({"routes", "none"}, 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::UnknownRequest);
 }
 
@@ -411,7 +425,7 @@
     submit(bodyOf("r1", false));
     planners.up = false;
     core.cancel(keyR1, 1min, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     planners.up = true;
     core.plannerUp("main", 7);
     LONGS_EQUAL(1, planners.cancels);
@@ -425,12 +439,12 @@
 // Guards against a cancelled job that is accepted later.
 TEST(entryCore, cancelBeforeAcceptanceIsNotRun)
 {
-    store.fault = store_fault::Down;
+    store.faults().down = true;
     submit(bodyOf("r1", false), 1min);
     core.cancel(keyR1, 0ms, keep());
     LONGS_EQUAL(2, answers.size());
     CHECK(answers[0].notRun && answers[1].notRun);
-    store.fault = store_fault::None;
+    store.faults() = {};
     loop.advance(30s);
     CHECK(!stored());
 }
@@ -452,10 +466,10 @@
     entry_core other(store, loop, planners, tight);
     other.setConfiguration(smallConfiguration());
     other.submit(bodyOf("r1", false), 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(!last().error);
     other.submit(bodyOf("r5", false), 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::QueueFull);
 
     cell_status_message status;
@@ -465,7 +479,7 @@
     third.setConfiguration(smallConfiguration());
     third.received(status);
     third.submit(bodyOf("r6", false), 0ms, keep());
-    loop.runPosted();
+    loop.advance(1ms);
     CHECK(lastError() == code::QueueFull);
 }
 
@@ -490,7 +504,7 @@
     submit(bodyOf("r1", false));
     std::vector<explain_answer> explained;
     core.explain(keyR1, [&](const explain_answer &answer) { explained.push_back(answer); });
-    loop.runPosted();
+    loop.advance(1ms);
     explain_reply_message reply;
     reply.query = planners.lastQuery + 1;
     core.received("main", reply);
@@ -509,13 +523,13 @@
 {
     submit(bodyOf("r1", false));
     submit(bodyOf("r2", false));
-    store.put(jobRecordKey({"routes2", "x"}), store.entry(jobRecordKey(keyR1))->value);
+    put(jobRecordKey({"routes2", "x"}), read(jobRecordKey(keyR1))->value);
     std::vector<job_view> views;
     const auto take = [&](result<std::vector<job_view>> listed) { views = valueOf(listed); };
     core.list("routes", 0, take);
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(2, views.size());
     core.list("routes", 1, take);
-    loop.runPosted();
+    loop.advance(1ms);
     LONGS_EQUAL(1, views.size());
 }
