--- a/goldcrest/entry_http.cc
+++ b/goldcrest/entry_http.cc
@@ -647,7 +647,7 @@
 
 entry_http::~entry_http() = default;
 
-void entry_http::handle(const server_request &request, std::shared_ptr<responder> respond)
+void entry_http::handle(const server_request &request, const std::shared_ptr<responder> &respond)
 {
     m_impl->handle(request, respond);
 }
--- a/goldcrest/entry_http.h
+++ b/goldcrest/entry_http.h
@@ -56,7 +56,7 @@
     entry_http(const entry_http &) = delete;
     entry_http &operator=(const entry_http &) = delete;
 
-    void handle(const server_request &request, std::shared_ptr<responder> respond);
+    void handle(const server_request &request, const std::shared_ptr<responder> &respond);
 
 private:
     class impl;
--- a/goldcrest/job_request.cc
+++ b/goldcrest/job_request.cc
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <limits>
 
@@ -18,16 +17,15 @@
 constexpr std::int64_t maxCores = 1'000'000; // thousandths, of one task
 constexpr std::int64_t maxMemoryMiB = 64 * 1024 * 1024;
 constexpr std::int64_t maxAccelerators = 1024;
-constexpr double coreThousandths = 1000.0;
 
-constexpr std::string_view knownFields[]
-    = {"team",          "requestId",  "class",     "shape",        "tasks",
-       "cores",         "memoryMiB",  "adjacency", "accelerators", "idempotent",
-       "canCheckpoint", "deadlineMs", "runTimeMs", "stopTimeMs",   "payload"};
+constexpr std::string_view knownFields[] = {
+    "team",       "requestId",     "class",      "shape",     "tasks",      "perTask", "closeness",
+    "idempotent", "canCheckpoint", "deadlineMs", "runTimeMs", "stopTimeMs", "payload"};
+
+constexpr std::string_view knownResources[] = {"cores", "memory", "accelerators"};
 
 // Sizes that a shape fixes.
-constexpr std::string_view sizeFields[]
-    = {"tasks", "cores", "memoryMiB", "accelerators", "adjacency"};
+constexpr std::string_view sizeFields[] = {"tasks", "perTask", "closeness"};
 
 constexpr std::pair<std::string_view, adjacency> adjacencyNames[] = {
     {"none", adjacency::None},
@@ -40,8 +38,9 @@
 class field_reader
 {
 public:
-    explicit field_reader(const json &object)
+    explicit field_reader(const json &object, std::string path = {})
         : m_object(object)
+        , m_path(std::move(path))
     { }
 
     bool has(std::string_view name) const { return m_object.contains(std::string(name)); }
@@ -95,27 +94,36 @@
         return value->get<std::int64_t>();
     }
 
-    // Reads a decimal number of cores as thousandths.
-    std::int64_t cores(std::string_view name)
+    // Reads the resources of one task in the units of the catalogue.
+    resources perTask()
     {
-        const json *value = find(name);
-        if (value == nullptr)
-            return 0;
-        const double number = value->is_number() ? value->get<double>() : -1;
-        const double thousandths = std::round(number * coreThousandths);
-        if (!(thousandths >= 0) || thousandths > static_cast<double>(maxCores)) {
-            fail(code::InvalidValue, name,
-                 "must be a number from 0 to " + std::to_string(maxCores / 1000));
-            return 0;
+        resources value;
+        const json *object = find("perTask");
+        if (object == nullptr)
+            return value;
+        if (!object->is_object()) {
+            fail(code::InvalidValue, "perTask", "must be an object");
+            return value;
         }
-        return static_cast<std::int64_t>(thousandths);
+        for (const auto &[name, field] : object->items()) {
+            if (std::find(std::begin(knownResources), std::end(knownResources), name)
+                == std::end(knownResources))
+                fail(code::UnknownField, "perTask." + name, "is not a known field");
+        }
+        field_reader fields(*object, "perTask.");
+        value.cores = fields.integer("cores", 0, maxCores, 0);
+        value.memory = fields.integer("memory", 0, maxMemoryMiB, 0);
+        value.accelerators = fields.integer("accelerators", 0, maxAccelerators, 0);
+        if (!m_error)
+            m_error = fields.error();
+        return value;
     }
 
     void fail(code number, std::string_view field, std::string_view reason)
     {
         if (!m_error)
-            m_error = makeFailure(number, std::string(field) + " " + std::string(reason),
-                                  std::string(field));
+            m_error = makeFailure(number, m_path + std::string(field) + " " + std::string(reason),
+                                  m_path + std::string(field));
     }
 
     const std::optional<failure> &error() const { return m_error; }
@@ -128,19 +136,20 @@
     }
 
     const json &m_object;
+    std::string m_path; // of the object, with a dot at its end
     std::optional<failure> m_error;
 };
 
-adjacency readAdjacency(field_reader &reader)
+adjacency readCloseness(field_reader &reader)
 {
-    if (!reader.has("adjacency"))
+    if (!reader.has("closeness"))
         return adjacency::None;
-    const std::string name = reader.text("adjacency");
+    const std::string name = reader.text("closeness");
     for (const auto &[known, value] : adjacencyNames) {
         if (known == name)
             return value;
     }
-    reader.fail(code::InvalidValue, "adjacency",
+    reader.fail(code::InvalidValue, "closeness",
                 "must be one of none, failureDomain, rack, worker");
     return adjacency::None;
 }
@@ -148,13 +157,10 @@
 void readSizes(field_reader &reader, const request_limits &limits, job_spec &spec)
 {
     spec.tasks = static_cast<std::int32_t>(reader.integer("tasks", 1, limits.maxTasks, 1));
-    spec.perTask.cores = reader.cores("cores");
-    spec.perTask.memory = reader.integer("memoryMiB", 0, maxMemoryMiB, 0);
-    spec.perTask.accelerators = reader.integer("accelerators", 0, maxAccelerators, 0);
-    spec.closeness = readAdjacency(reader);
+    spec.perTask = reader.perTask();
+    spec.closeness = readCloseness(reader);
     if (spec.perTask == resources{})
-        reader.fail(code::MissingField, "shape",
-                    "is required unless cores, memoryMiB or accelerators is given");
+        reader.fail(code::MissingField, "shape", "is required unless perTask names resources");
 }
 
 void applyShape(field_reader &reader, const catalogue &entries, job_spec &spec,
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -33,7 +33,7 @@
 
 std::string bodyOf(const std::string &id, bool idempotent, const std::string &more = "")
 {
-    return R"({"team":"routes","cores":1,"requestId":")" + id + R"(","idempotent":)"
+    return R"({"team":"routes","perTask":{"cores":1000},"requestId":")" + id + R"(","idempotent":)"
         + (idempotent ? "true" : "false") + more + "}";
 }
 
--- a/testing/job_request_test.cc
+++ b/testing/job_request_test.cc
@@ -79,9 +79,9 @@
 // differently, and against a reuse that is taken for a repeat.
 TEST(jobRequest, digestDependsOnContentOnly)
 {
-    const auto first = parse(R"({"team":"routes","requestId":"r","cores":2.5})");
-    const auto repeat = parse(R"({ "cores": 2.5, "requestId":"r", "team":"routes"})");
-    const auto other = parse(R"({"team":"routes","requestId":"r","cores":2})");
+    const auto first = parse(R"({"team":"routes","requestId":"r","perTask":{"cores":2500}})");
+    const auto repeat = parse(R"({ "perTask": {"cores": 2500}, "requestId":"r", "team":"routes"})");
+    const auto other = parse(R"({"team":"routes","requestId":"r","perTask":{"cores":2000}})");
     CHECK(valueOf(first).bodyDigest == valueOf(repeat).bodyDigest);
     CHECK(valueOf(first).bodyDigest != valueOf(other).bodyDigest);
     LONGS_EQUAL(2500, valueOf(first).spec.perTask.cores);
@@ -92,32 +92,39 @@
 {
     checkRefused("{", code::MalformedJson, "");
     checkRefused("[]", code::MalformedJson, "");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"gpu":1})", code::UnknownField,
-                 "gpu");
-    checkRefused(R"({"requestId":"r","cores":1})", code::MissingField, "team");
-    checkRefused(R"({"team":"routes","cores":1})", code::MissingField, "requestId");
-    checkRefused(R"({"team":"routes","requestId":"a/b","cores":1})", code::InvalidValue,
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1},"gpu":1})",
+                 code::UnknownField, "gpu");
+    checkRefused(R"({"requestId":"r","perTask":{"cores":1}})", code::MissingField, "team");
+    checkRefused(R"({"team":"routes","perTask":{"cores":1}})", code::MissingField, "requestId");
+    checkRefused(R"({"team":"routes","requestId":"a/b","perTask":{"cores":1}})", code::InvalidValue,
                  "requestId");
-    checkRefused(R"({"team":"routes","requestId":7,"cores":1})", code::InvalidValue, "requestId");
-    checkRefused(R"({"team":"nobody","requestId":"r","cores":1})", code::UnknownTeam, "team");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"class":"fast"})",
+    checkRefused(R"({"team":"routes","requestId":7,"perTask":{"cores":1}})", code::InvalidValue,
+                 "requestId");
+    checkRefused(R"({"team":"nobody","requestId":"r","perTask":{"cores":1}})", code::UnknownTeam,
+                 "team");
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1},"class":"fast"})",
                  code::UnknownClass, "class");
     checkRefused(R"({"team":"routes","requestId":"r","shape":"huge"})", code::UnknownShape,
                  "shape");
     checkRefused(R"({"team":"routes","requestId":"r","shape":"gang-16","tasks":2})",
                  code::InvalidValue, "tasks");
     checkRefused(R"({"team":"routes","requestId":"r"})", code::MissingField, "shape");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":-1})", code::InvalidValue, "cores");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1e300})", code::InvalidValue, "cores");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"tasks":0})", code::InvalidValue,
-                 "tasks");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"tasks":18446744073709551615})",
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":-1}})", code::InvalidValue,
+                 "perTask.cores");
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1e300}})",
+                 code::InvalidValue, "perTask.cores");
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"gpus":1}})", code::UnknownField,
+                 "perTask.gpus");
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1},"tasks":0})",
                  code::InvalidValue, "tasks");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"adjacency":"near"})",
-                 code::InvalidValue, "adjacency");
+    checkRefused(
+        R"({"team":"routes","requestId":"r","perTask":{"cores":1},"tasks":18446744073709551615})",
+        code::InvalidValue, "tasks");
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1},"closeness":"near"})",
+                 code::InvalidValue, "closeness");
     checkRefused(R"({"team":"routes","requestId":"r","shape":"gang-16","runTimeMs":3600001})",
                  code::InvalidValue, "runTimeMs");
-    checkRefused(R"({"team":"routes","requestId":"r","cores":1,"payload":")"
+    checkRefused(R"({"team":"routes","requestId":"r","perTask":{"cores":1},"payload":")"
                      + std::string(256 * 1024 + 1, 'x') + "\"}",
                  code::BodyTooLarge, "payload");
 }
