--- a/goldcrest/entry_http.cc
+++ b/goldcrest/entry_http.cc
@@ -93,41 +93,18 @@
     return number;
 }
 
-int hexValue(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
-std::string decodePercent(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool escape = text[i] == '%' && i + 2 < text.size() && hexValue(text[i + 1]) >= 0
-            && hexValue(text[i + 2]) >= 0;
-        if (!escape) {
-            decoded += text[i];
-            continue;
-        }
-        decoded += static_cast<char>(hexValue(text[i + 1]) * 16 + hexValue(text[i + 2]));
-        i += 2;
-    }
-    return decoded;
-}
-
-std::vector<std::string> segmentsOf(std::string_view path)
+// Returns nothing if a segment has a malformed escape.
+std::optional<std::vector<std::string>> segmentsOf(std::string_view path)
 {
     std::vector<std::string> segments;
     std::size_t start = 0;
     while (start < path.size()) {
         const std::size_t slash = std::min(path.find('/', start), path.size());
+        result<std::string> segment = decodePercent(path.substr(start, slash - start));
+        if (failureOf(segment) != nullptr)
+            return std::nullopt;
         if (slash > start)
-            segments.push_back(decodePercent(path.substr(start, slash - start)));
+            segments.push_back(std::move(valueOf(segment)));
         start = slash + 1;
     }
     return segments;
@@ -301,11 +278,13 @@
     if (!isAuthorized(request))
         return answerError(
             respond, makeFailure(code::Unauthorized, "a valid bearer token is required"), true);
-    const std::vector<std::string> path = segmentsOf(request.path);
+    const std::optional<std::vector<std::string>> path = segmentsOf(request.path);
+    if (!path)
+        return answerError(respond, makeFailure(code::NotFound, "no such path"), true);
     bool otherMethod = false;
     for (const route &candidate : m_routes) {
         std::vector<std::string> names;
-        if (!matches(candidate, path, names))
+        if (!matches(candidate, *path, names))
             continue;
         if (candidate.method == request.method)
             return (this->*candidate.handler)({request, respond, std::move(names)});
