--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -333,10 +333,25 @@
 
 } // namespace
 
+namespace {
+
+// The settings give URLs; tests also pass a bare host:port.
+std::string baseUrl(std::string_view address)
+{
+    constexpr std::string_view scheme = "http://";
+    if (address.substr(0, scheme.size()) != scheme)
+        return std::string(scheme) + std::string(address);
+    while (!address.empty() && address.back() == '/')
+        address.remove_suffix(1);
+    return std::string(address);
+}
+
+} // namespace
+
 etcd_store::etcd_store(http_client &client, event_loop &loop, std::string_view address)
     : m_client(client)
     , m_loop(loop)
-    , m_base("http://" + std::string(address))
+    , m_base(baseUrl(address))
 { }
 
 http_request etcd_store::makeRequest(std::string_view path, std::string body,
--- a/goldcrest/etcd_store.h
+++ b/goldcrest/etcd_store.h
@@ -19,7 +19,7 @@
 class etcd_store final : public platform_store
 {
 public:
-    // `address` is host:port. The client and the loop must outlive the store.
+    // `address` is host:port or http://host:port. The client and the loop must outlive the store.
     etcd_store(http_client &client, event_loop &loop, std::string_view address);
 
     void get(std::string_view key, const call_options &options,
--- a/testing/examples_test.cc
+++ b/testing/examples_test.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/guarantee_check.h"
+#include "goldcrest/settings.h"
 
 #include <fstream>
 #include <set>
@@ -68,10 +69,28 @@
     }
 }
 
+// Guards against example settings that a daemon refuses, or that describe other workers than the
+// catalogue's comments.
+void checkSettings(const deployment &site)
+{
+    const auto entry = loadEntrySettings(site.directory + "/entry.json");
+    LONGS_EQUAL(0, entry.errors.size());
+    const auto agent = loadAgentSettings(site.directory + "/agent.json");
+    LONGS_EQUAL(0, agent.errors.size());
+    CHECK(agent.value.capacity == site.worker);
+    STRCMP_EQUAL(site.domainOfWorker[0].c_str(), agent.value.failureDomain.c_str());
+}
+
 } // namespace
 
 TEST_GROUP(examples){};
 
+TEST(examples, settingsAreValid)
+{
+    checkSettings(regie);
+    checkSettings(waterBoard);
+}
+
 TEST(examples, regieCatalogueFitsWithAnyDomainOut)
 {
     checkCatalogue(regie);
