--- a/goldcrest/config_publisher.cc
+++ b/goldcrest/config_publisher.cc
@@ -372,6 +372,12 @@
     return true;
 }
 
+std::optional<time_point> config_tracker::seenAt(revision number) const
+{
+    const auto seen = m_seenAt.find(number);
+    return seen == m_seenAt.end() ? std::nullopt : std::optional(seen->second);
+}
+
 cell_config_state config_tracker::stateOf(const std::string &cell, revision number) const
 {
     cell_config_state answer;
--- a/goldcrest/config_publisher.h
+++ b/goldcrest/config_publisher.h
@@ -106,6 +106,9 @@
     // Returns whether this is the first acknowledgement of the revision in the cell.
     bool acknowledged(const std::string &cell, epoch plannerEpoch, revision number);
 
+    // Returns when a revision was first seen here, if it is remembered.
+    std::optional<time_point> seenAt(revision number) const;
+
     cell_config_state stateOf(const std::string &cell, revision number) const;
 
 private:
--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -374,7 +374,7 @@
                                        true));
                    job_answer answer = errorAnswer(request.spec.key, why, true);
                    if (m_options.onEvent)
-                       m_options.onEvent({entry_event::kind::Refused, answer.view, 0ms, why});
+                       m_options.onEvent({entry_event::kind::Refused, answer.view, true, why});
                    callback(answer);
                });
 }
@@ -710,8 +710,7 @@
 {
     if (!m_options.onEvent)
         return;
-    const duration since = job.submittedHere ? m_loop.now() - job.submittedAt : 0ms;
-    m_options.onEvent({kind, job.view, since, std::move(error)});
+    m_options.onEvent({kind, job.view, job.submittedHere, std::move(error)});
 }
 
 // Planners
--- a/goldcrest/entry_core.h
+++ b/goldcrest/entry_core.h
@@ -86,7 +86,7 @@
     enum class kind { Accepted, Refused, Finished };
     kind what = kind::Accepted;
     const job_view &view;
-    duration sinceSubmit = 0ms; // 0 if the job was submitted elsewhere
+    bool submittedHere = false; // else another entry accepted the job and measures it
     std::optional<failure> error; // of a refusal
 };
 
--- a/goldcrest/entry_daemon.cc
+++ b/goldcrest/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/entry_daemon.h"
 
+#include "goldcrest/burn_report.h"
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/cell_directory.h"
 #include "goldcrest/config_publisher.h"
@@ -15,6 +16,7 @@
 #include "goldcrest/job_record.h"
 #include "goldcrest/log_fields.h"
 #include "goldcrest/membership.h"
+#include "goldcrest/metrics.h"
 #include "goldcrest/store_client.h"
 #include "goldcrest/websocket_link.h"
 
@@ -77,6 +79,38 @@
             {"used", resourcesJson(worker.used)}};
 }
 
+// Counts answers by status and measures their time.
+class measured_responder final : public responder
+{
+public:
+    measured_responder(std::shared_ptr<responder> inner, event_loop &loop,
+                       metrics_registry &metrics)
+        : m_inner(std::move(inner))
+        , m_loop(loop)
+        , m_metrics(metrics)
+        , m_start(loop.now())
+    { }
+
+    void respond(server_response response) override
+    {
+        m_metrics.add(metric::HttpRequests, std::to_string(response.status));
+        m_metrics.observe(metric::HttpRequestTime, m_loop.now() - m_start);
+        m_inner->respond(std::move(response));
+    }
+    void sendChunk(const server_response &head, std::string_view piece) override
+    {
+        m_inner->sendChunk(head, piece);
+    }
+    void endChunks() override { m_inner->endChunks(); }
+    bool isOpen() const override { return m_inner->isOpen(); }
+
+private:
+    std::shared_ptr<responder> m_inner;
+    event_loop &m_loop;
+    metrics_registry &m_metrics;
+    time_point m_start;
+};
+
 } // namespace
 
 class entry_daemon::impl final : public planner_links, public entry_pages
@@ -156,10 +190,13 @@
     void peerSaid(const message &content);
     void carryOut();
     void onEvent(const entry_event &event);
+    void measure(const job_view &view);
 
     asio_event_loop &m_loop;
     entry_settings m_settings;
     history_log m_history;
+    metrics_registry m_metrics;
+    burn_report m_burn;
     std::string m_runName;
     std::unique_ptr<http_client> m_client;
     etcd_store m_plainStore;
@@ -255,7 +292,7 @@
     auto server = makeHttpServer(
         m_loop, m_settings.httpListen, m_settings.http,
         [this](const server_request &request, const std::shared_ptr<responder> &respond) {
-            m_api.handle(request, respond);
+            m_api.handle(request, std::make_shared<measured_responder>(respond, m_loop, m_metrics));
         });
     if (const failure *error = failureOf(server))
         return *error;
@@ -313,6 +350,7 @@
 {
     m_tracker.revisionSeen(m_view.current().number, m_loop.now());
     m_core.setConfiguration(m_view.share());
+    m_burn.setObjectives(m_view.current().entries, m_view.current().number);
     updateUnwanted();
     m_history.write(history_event("configuration").number("revision", m_view.current().number));
     for (auto &[cell, planner] : m_planners) {
@@ -529,6 +567,8 @@
 {
     if (!m_tracker.acknowledged(cell, ack.plannerEpoch, ack.number))
         return;
+    if (const std::optional<time_point> seen = m_tracker.seenAt(ack.number))
+        m_metrics.observe(metric::ConfigInForceTime, m_loop.now() - *seen);
     m_history.write(history_event("inForce")
                         .text("cell", cell)
                         .number("epoch", ack.plannerEpoch)
@@ -722,12 +762,51 @@
 
 std::string entry_daemon::impl::burnReport()
 {
-    return "{}";
+    return m_burn.json(unixTimeMs());
 }
 
 std::string entry_daemon::impl::metrics()
 {
-    return {};
+    const auto setCount = [this](metric which, std::uint64_t count) {
+        m_metrics.set(which, static_cast<double>(count));
+    };
+    setCount(metric::JobsAttached, m_core.counters().attached);
+    setCount(metric::OpenJobs, m_core.openJobs());
+    setCount(metric::HttpOpenRequests, m_server->openRequests());
+    setCount(metric::HttpOpenConnections, m_server->openConnections());
+    setCount(metric::ConnectedAgents, m_directory.agentCount());
+    m_metrics.set(metric::ConfigRevision, static_cast<double>(m_view.current().number));
+    if (const std::optional<duration> age = m_view.confirmedAge(m_loop.now()))
+        m_metrics.set(metric::ConfigConfirmedAge, std::chrono::duration<double>(*age).count());
+    const store_client_counts &calls = m_store.counts();
+    const auto setCalls = [this](std::string_view result, std::uint64_t count) {
+        m_metrics.set(metric::StoreCalls, static_cast<double>(count), result);
+    };
+    setCalls("sent", calls.attempts);
+    setCalls("repeated", calls.retries);
+    setCalls("over budget", calls.overBudget);
+    setCalls("failed fast", calls.failedFast);
+    setCalls("unresolved", calls.unresolved);
+    m_metrics.setLinks(m_network->traffic(), m_network->openLinks());
+    return m_metrics.text();
+}
+
+// Jobs are measured by the entry that accepted them.
+void entry_daemon::impl::measure(const job_view &view)
+{
+    measured_job job;
+    job.className = view.className;
+    if (view.startDelay > 0ms) {
+        job.startDelay = view.startDelay;
+        m_metrics.observe(metric::StartDelay, view.startDelay, view.className);
+    }
+    job.completion = duration(std::max<std::int64_t>(0, unixTimeMs() - view.acceptedAtUnixMs));
+    job.outcome = view.outcome.value_or(job_outcome::Unknown);
+    job.cancelled = view.why
+        && (view.why->number == code::Cancelled || view.why->number == code::StoppedByCaller);
+    job.answeredWhole = job.outcome != job_outcome::Unknown;
+    m_metrics.observe(metric::CompletionTime, job.completion, view.className);
+    m_burn.recordFinished(job, unixTimeMs());
 }
 
 result<done> entry_daemon::impl::setLinkBlocks(const std::vector<std::string> &blocks)
@@ -752,12 +831,17 @@
     case entry_event::kind::Accepted:
         m_history.write(
             history_event("accept").job(view.key).number("recorded", view.recorded ? 1 : 0));
+        m_metrics.add(metric::JobsAccepted, view.className);
         return;
     case entry_event::kind::Refused:
         m_history.write(history_event("refuse").job(view.key).number(
             "code", event.error ? static_cast<std::int64_t>(event.error->number) : 0));
+        m_metrics.add(metric::JobsRefused, event.error ? nameOf(event.error->number) : "");
         return;
     case entry_event::kind::Finished:
+        m_metrics.add(metric::JobsFinished, nameOf(view.outcome.value_or(job_outcome::Unknown)));
+        if (event.submittedHere)
+            measure(view);
         m_history.write(
             history_event("answer")
                 .attempt({view.key, view.attempt})
