--- /dev/null
+++ b/goldcrest/daemon_program.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// The common part of the daemons' main functions: command line, settings check, log, event loop and
+// signals.
+//
+//   int main(int argc, char **argv)
+//   {
+//       return runDaemonProgram<agent_daemon, agent_daemon_options>(
+//           {"goldcrest-agent", "Agent beside a backend server"}, loadAgentSettings, argc, argv);
+//   }
+
+#include "goldcrest/asio_event_loop.h"
+#include "goldcrest/log_fields.h"
+#include "goldcrest/settings.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <variant>
+
+namespace goldcrest {
+
+struct program_description
+{
+    std::string name;
+    std::string purpose; // one line for the help text
+};
+
+struct program_options
+{
+    std::string settingsPath;
+    std::string historyPath; // JSON lines of events for a history checker; empty: none
+    bool checkSettings = false;
+};
+
+// Parses the command line.
+// Returns the options, or the exit status if the program is to end now (help was shown, or the
+// arguments are wrong).
+std::variant<program_options, int> parseProgramOptions(const program_description &program, int argc,
+                                                       char **argv);
+
+// Writes every error of a settings file to the standard error stream.
+void printSettingsErrors(const std::string &path, const std::vector<failure> &errors);
+
+// Runs a daemon until its graceful shutdown has ended.
+// Returns the exit status.
+template<typename daemon, typename daemon_options, typename settings>
+int runDaemonProgram(const program_description &program,
+                     settings_result<settings> (*loadSettings)(const std::string &), int argc,
+                     char **argv)
+{
+    const std::variant<program_options, int> parsed = parseProgramOptions(program, argc, argv);
+    if (const int *status = std::get_if<int>(&parsed))
+        return *status;
+    const program_options &options = std::get<program_options>(parsed);
+    const settings_result<settings> loaded = loadSettings(options.settingsPath);
+    printSettingsErrors(options.settingsPath, loaded.errors);
+    if (!loaded.errors.empty())
+        return EXIT_FAILURE;
+    if (options.checkSettings)
+        return EXIT_SUCCESS;
+    startLog(program.name, loaded.value.log.directory, loaded.value.log.minLevel);
+    asio_event_loop loop;
+    daemon_options daemonOptions;
+    daemonOptions.historyPath = options.historyPath;
+    daemon process(loop, loaded.value, daemonOptions);
+    const result<done> started = process.start();
+    if (const failure *error = failureOf(started)) {
+        std::cerr << error->field << ": " << error->reason << '\n';
+        return EXIT_FAILURE;
+    }
+    loop.onSignal([&] { process.shutDown([&] { loop.stop(); }); });
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace goldcrest
