--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -160,22 +160,13 @@
     return answer;
 }
 
-// Sends a request and turns the JSON object of its answer into a value. `read` gives nothing if the
-// object is not in the expected form.
-template<typename T>
-void exchange(http_client &client, const http_request &request, effect kind,
-              store_callback<T> callback,
-              std::function<std::optional<result<T>>(const json &)> read)
+std::string baseOf(std::string_view url)
 {
-    client.send(request,
-                [kind, callback = std::move(callback),
-                 read = std::move(read)](result<http_response> outcome) {
-                    const result<json> answer = answerFrom(std::move(outcome), kind);
-                    if (const failure *error = failureOf(answer))
-                        return callback(*error);
-                    std::optional<result<T>> value = read(valueOf(answer));
-                    callback(value ? *std::move(value) : result<T>(unreadable(kind)));
-                });
+    std::string base = url.find("://") == std::string_view::npos ? "http://" : "";
+    base += url;
+    while (!base.empty() && base.back() == '/')
+        base.pop_back();
+    return base;
 }
 
 std::string rangeEndOf(std::string_view prefix)
@@ -333,33 +324,63 @@
 
 } // namespace
 
-namespace {
-
-// The settings give URLs; tests also pass a bare host:port.
-std::string baseUrl(std::string_view address)
+struct etcd_store::members
 {
-    constexpr std::string_view scheme = "http://";
-    if (address.substr(0, scheme.size()) != scheme)
-        return std::string(scheme) + std::string(address);
-    while (!address.empty() && address.back() == '/')
-        address.remove_suffix(1);
-    return std::string(address);
-}
+    std::vector<std::string> urls;
+    std::size_t current = 0;
 
-} // namespace
+    const std::string &url() const { return urls[current]; }
+
+    // Calls that started together fail together, so only the first of them moves on.
+    void leave(std::size_t failed)
+    {
+        if (failed == current)
+            current = (current + 1) % urls.size();
+    }
+};
 
-etcd_store::etcd_store(http_client &client, event_loop &loop, std::string_view address)
+etcd_store::etcd_store(http_client &client, event_loop &loop, const std::vector<std::string> &urls)
     : m_client(client)
     , m_loop(loop)
-    , m_base(baseUrl(address))
+    , m_members(std::make_shared<members>())
+{
+    for (const std::string &url : urls)
+        m_members->urls.push_back(baseOf(url));
+    if (urls.empty())
+        m_members->urls.push_back(baseOf("")); // calls fail as unavailable
+}
+
+etcd_store::etcd_store(http_client &client, event_loop &loop, std::string_view url)
+    : etcd_store(client, loop, std::vector<std::string>{std::string(url)})
 { }
 
+// Sends a request and turns the JSON object of its answer into a value. `read` gives nothing if the
+// object is not in the expected form.
+template<typename T, typename Read>
+void etcd_store::exchange(const http_request &request, bool isWrite, store_callback<T> callback,
+                          Read read)
+{
+    const effect kind = isWrite ? effect::Write : effect::Read;
+    m_client.send(request,
+                  [kind, called = m_members->current, members = m_members,
+                   callback = std::move(callback),
+                   read = std::move(read)](result<http_response> outcome) {
+                      if (failureOf(outcome))
+                          members->leave(called);
+                      const result<json> answer = answerFrom(std::move(outcome), kind);
+                      if (const failure *error = failureOf(answer))
+                          return callback(*error);
+                      std::optional<result<T>> value = read(valueOf(answer));
+                      callback(value ? *std::move(value) : result<T>(unreadable(kind)));
+                  });
+}
+
 http_request etcd_store::makeRequest(std::string_view path, std::string body,
                                      duration timeout) const
 {
     http_request request;
     request.method = "POST";
-    request.url = m_base;
+    request.url = m_members->url();
     request.url += path;
     request.headers.emplace_back("content-type", "application/json");
     request.body = std::move(body);
@@ -373,8 +394,8 @@
     using entry_option = std::optional<store_entry>;
     const json body = {{"key", encodeBase64(key)}};
     exchange<entry_option>(
-        m_client, makeRequest("/v3/kv/range", body.dump(), options.deadline), effect::Read,
-        std::move(callback), [](const json &answer) -> std::optional<result<entry_option>> {
+        makeRequest("/v3/kv/range", body.dump(), options.deadline), false, std::move(callback),
+        [](const json &answer) -> std::optional<result<entry_option>> {
             std::vector<store_entry> entries;
             if (!revisionOf(answer) || !appendEntries(answer, entries))
                 return std::nullopt;
@@ -391,8 +412,8 @@
            {"range_end", encodeBase64(rangeEndOf(prefix))}};
     if (limit > 0)
         body["limit"] = std::to_string(limit);
-    exchange<entries>(m_client, makeRequest("/v3/kv/range", body.dump(), options.deadline),
-                      effect::Read, std::move(callback),
+    exchange<entries>(makeRequest("/v3/kv/range", body.dump(), options.deadline), false,
+                      std::move(callback),
                       [](const json &answer) -> std::optional<result<entries>> {
                           entries found;
                           if (!revisionOf(answer) || !appendEntries(answer, found))
@@ -414,8 +435,8 @@
         });
     }
     exchange<commit_reply>(
-        m_client, makeRequest("/v3/kv/txn", transactionBody(transaction), options.deadline),
-        transaction.writes.empty() ? effect::Read : effect::Write, std::move(callback), readCommit);
+        makeRequest("/v3/kv/txn", transactionBody(transaction), options.deadline),
+        !transaction.writes.empty(), std::move(callback), readCommit);
 }
 
 void etcd_store::grantLease(duration lifetime, const call_options &options,
@@ -423,8 +444,8 @@
 {
     const std::int64_t seconds = (lifetime + 999ms) / 1s;
     const json body = {{"TTL", std::to_string(seconds)}};
-    exchange<lease_id>(m_client, makeRequest("/v3/lease/grant", body.dump(), options.deadline),
-                       effect::Write, std::move(callback),
+    exchange<lease_id>(makeRequest("/v3/lease/grant", body.dump(), options.deadline), true,
+                       std::move(callback),
                        [](const json &answer) -> std::optional<result<lease_id>> {
                            const std::optional<std::int64_t> id = integerOf(answer, "ID");
                            if (!id || *id == 0)
@@ -437,8 +458,8 @@
                             store_callback<duration> callback)
 {
     const json body = {{"ID", std::to_string(lease)}};
-    exchange<duration>(m_client, makeRequest("/v3/lease/keepalive", body.dump(), options.deadline),
-                       effect::Write, std::move(callback),
+    exchange<duration>(makeRequest("/v3/lease/keepalive", body.dump(), options.deadline), true,
+                       std::move(callback),
                        [](const json &answer) -> std::optional<result<duration>> {
                            const json &found = objectOf(answer, "result");
                            const std::optional<std::int64_t> seconds = integerOf(found, "TTL");
@@ -454,8 +475,8 @@
                              store_callback<done> callback)
 {
     const json body = {{"ID", std::to_string(lease)}};
-    exchange<done>(m_client, makeRequest("/v3/lease/revoke", body.dump(), options.deadline),
-                   effect::Write, std::move(callback),
+    exchange<done>(makeRequest("/v3/lease/revoke", body.dump(), options.deadline), true,
+                   std::move(callback),
                    [](const json &) -> std::optional<result<done>> { return done{}; });
 }
 
--- a/goldcrest/etcd_store.h
+++ b/goldcrest/etcd_store.h
@@ -2,7 +2,10 @@
 
 // platform_store over the HTTP/JSON interface of etcd version 3.
 //
-//   etcd_store store(*client, loop, "127.0.0.1:2379");
+//   etcd_store store(*client, loop, std::vector<std::string>{"http://127.0.0.1:2379"});
+//
+// Calls go to one member of the service; after an exchange that broke, the next call goes to the
+// next one.
 //
 // It makes one HTTP exchange per call and repeats none; store_client adds the budget, retries and
 // the resolution of ambiguous writes.
@@ -11,16 +14,22 @@
 #include "goldcrest/http_client.h"
 #include "goldcrest/platform_store.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace goldcrest {
 
 class etcd_store final : public platform_store
 {
 public:
-    // `address` is host:port or http://host:port. The client and the loop must outlive the store.
-    etcd_store(http_client &client, event_loop &loop, std::string_view address);
+    // @param urls base URLs of the service's members; host:port stands for http://host:port
+    // The client and the loop must outlive the store.
+    etcd_store(http_client &client, event_loop &loop, const std::vector<std::string> &urls);
+
+    // As above, with one member.
+    etcd_store(http_client &client, event_loop &loop, std::string_view url);
 
     void get(std::string_view key, const call_options &options,
              store_callback<std::optional<store_entry>> callback) override;
@@ -40,11 +49,16 @@
                                        std::function<void(watch_batch)> callback) override;
 
 private:
+    struct members;
+
     http_request makeRequest(std::string_view path, std::string body, duration timeout) const;
 
+    template<typename T, typename Read>
+    void exchange(const http_request &request, bool isWrite, store_callback<T> callback, Read read);
+
     http_client &m_client;
     event_loop &m_loop;
-    std::string m_base;
+    std::shared_ptr<members> m_members; // callbacks may outlive the store
 };
 
 } // namespace goldcrest
--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -266,6 +266,17 @@
     CHECK(failedWith(commit(nowhere, store_transaction{}.put("k", "v")), code::StoreUnavailable));
 }
 
+// Guards against a process that stays with a member of the service that is gone.
+TEST(etcd_store, theNextMemberIsTriedAfterAFailure)
+{
+    etcd_store several(
+        *client, *loop,
+        std::vector<std::string>{"http://127.0.0.1:1/", "http://" + server->address() + '/'});
+    CHECK(failedWith(commit(several, store_transaction{}.put("k", "v")), code::StoreUnavailable));
+    CHECK(failureOf(commit(several, store_transaction{}.put("k", "v"))) == nullptr);
+    CHECK(failureOf(commit(several, store_transaction{}.put("k", "v"))) == nullptr);
+}
+
 // Guards against a call that outlives its deadline while the service is slow.
 TEST(etcd_store, aSlowAnswerEndsWithTheDeadline)
 {
--- a/testing/store_server_support.cc
+++ b/testing/store_server_support.cc
@@ -423,13 +423,13 @@
 {
     http_limits limits;
     limits.maxBodyBytes = maxRequestBytes;
-    result<std::unique_ptr<http_server>> started
-        = makeHttpServer(m_state->loop, address, limits,
-                         [weak = std::weak_ptr<state>(m_state)](
-                             const server_request &request, std::shared_ptr<responder> respond) {
-                             if (const std::shared_ptr<state> running = weak.lock())
-                                 running->handle(request, respond);
-                         });
+    result<std::unique_ptr<http_server>> started = makeHttpServer(
+        m_state->loop, address, limits,
+        [weak = std::weak_ptr<state>(m_state)](const server_request &request,
+                                               const std::shared_ptr<responder> &respond) {
+            if (const std::shared_ptr<state> running = weak.lock())
+                running->handle(request, respond);
+        });
     if (const failure *error = failureOf(started))
         return *error;
     m_state->server = std::move(valueOf(started));
