--- a/goldcrest/outcome.h
+++ b/goldcrest/outcome.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace goldcrest {
 
@@ -133,4 +134,19 @@
 // Returns the HTTP status that answers a request which ended with `number`.
 int httpStatusOf(code number);
 
+struct code_entry
+{
+    code number;
+    std::string_view name;
+    int httpStatus;
+    std::string_view meaning;
+    std::string_view advice; // what the caller should do
+};
+
+// Returns all codes in order of their numbers.
+std::vector<code_entry> listCodes();
+
+// Returns the page docs/errors.md.
+std::string errorsMarkdown();
+
 } // namespace goldcrest
