--- a/testing/process_support.cc
+++ b/testing/process_support.cc
@@ -1,6 +1,7 @@
 #include "testing/process_support.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -24,6 +25,15 @@
 constexpr int portBlock = 100;
 constexpr int portBlocks = 120; // stays below the usual range of outgoing connections
 
+sockaddr_in loopback(int port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
 bool isPortFree(int port)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -31,10 +41,7 @@
         return false;
     const int on = 1;
     ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const sockaddr_in address = loopback(port);
     const bool isFree
         = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
     ::close(descriptor);
@@ -50,23 +57,18 @@
     return true;
 }
 
-[[noreturn]] void runChild(const std::string &output, const std::vector<std::string> &arguments,
-                           pid_t parent)
+// Runs after fork() in a program that may have threads, so it allocates nothing.
+[[noreturn]] void runChild(const char *output, char *const *arguments, pid_t parent)
 {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent)
         ::_exit(EXIT_FAILURE);
-    const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int file = ::open(output, O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (file >= 0) {
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
     }
-    std::vector<char *> list;
-    list.reserve(arguments.size() + 1);
-    for (const std::string &argument : arguments)
-        list.push_back(const_cast<char *>(argument.c_str()));
-    list.push_back(nullptr);
-    ::execv(list[0], list.data());
+    ::execv(arguments[0], arguments);
     constexpr int notFound = 127;
     ::_exit(notFound);
 }
@@ -114,7 +116,7 @@
 int findFreePorts(int count)
 {
     // Each call takes the next block, so that a restarted system does not meet its own old ports.
-    static int calls = 0;
+    static std::atomic<int> calls{0};
     for (int tries = 0; tries < portBlocks; ++tries) {
         const int block = (::getpid() * 7 + calls++) % portBlocks;
         const int first = firstPort + block * portBlock;
@@ -145,12 +147,17 @@
     if (process.pid > 0 && !process.status)
         throw std::logic_error(name + " runs already");
     const std::string output = outputPath(name);
+    std::vector<char *> list;
+    list.reserve(arguments.size() + 1);
+    for (const std::string &argument : arguments)
+        list.push_back(const_cast<char *>(argument.c_str()));
+    list.push_back(nullptr);
     const pid_t parent = ::getpid();
     const pid_t pid = ::fork();
     if (pid < 0)
         throw std::runtime_error("fork failed");
     if (pid == 0)
-        runChild(output, arguments, parent);
+        runChild(output.c_str(), list.data(), parent);
     process = child{pid, std::nullopt};
 }
 
