Convert a count explicitly in the link benchmark

clang-tidy reported a narrowing conversion.

Tested: clang-tidy passes on the file. All tests of links, HTTP server, settings, metrics, burn report and goldcrestctl passed once in a build with the address and undefined behaviour sanitizers.

--- a/testing/link_benchmark.cc
+++ b/testing/link_benchmark.cc
@@ -219,8 +219,9 @@
         pair.loop.runUntil([&] { return pair.accepting->traffic().framesReceived >= received; },
                            waitLimit);
         const double used = residentKilobytes();
-        std::printf("%5zu   %12.0f   %24.1f   %31.1f\n", count, idle, (idle - start) / count,
-                    (used - start) / count);
+        const auto links = static_cast<double>(count);
+        std::printf("%5zu   %12.0f   %24.1f   %31.1f\n", count, idle, (idle - start) / links,
+                    (used - start) / links);
     }
     return true;
 }
