Run goldcrestctl's commands against real processes

Cause: the commands were only tested against a scripted client. The harness named the stand-ins by underscores while the build names them with hyphens, so that no system of processes started; both names are corrected.

--- a/testing/system_support.cc
+++ b/testing/system_support.cc
@@ -153,7 +153,7 @@
     for (int i = 1; i <= m_options.entries; ++i)
         entryLinks.push_back(linkAddress("entry-" + std::to_string(i)));
     const json stores = {"http://" + storeAddress()};
-    m_commands["store"] = {binary("goldcrest_store_standin"), "--listen", storeAddress()};
+    m_commands["store"] = {binary("goldcrest-store-standin"), "--listen", storeAddress()};
     m_started.emplace_back("store");
     for (int i = 1; i <= m_options.entries; ++i) {
         const std::string name = "entry-" + std::to_string(i);
@@ -190,7 +190,7 @@
         writeFile(pathOf(agent, ".json"), settings.dump(2));
         m_commands[agent] = {binary("goldcrest-agent"), "--settings", pathOf(agent, ".json"),
                              "--history", pathOf(agent, ".history")};
-        m_commands[backend] = {binary("goldcrest_backend_standin"),
+        m_commands[backend] = {binary("goldcrest-backend-standin"),
                                "--listen",
                                address(port + 2),
                                "--agent",
