--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -77,7 +77,7 @@
     m_highestEpoch = std::max(m_highestEpoch, known);
     m_plannerOpen = true;
     if (m_listed)
-        sendInventory(now);
+        sendInventory(now, true);
 }
 
 void agent_core::plannerClosed()
@@ -579,7 +579,7 @@
     toPlanner(std::move(piece));
 }
 
-void agent_core::sendInventory(time_point now)
+void agent_core::sendInventory(time_point now, bool newLink)
 {
     if (!m_plannerOpen)
         return;
@@ -603,7 +603,8 @@
     toPlanner(std::move(inventory));
     m_reportedUsage.clear();
     for (auto &[attempt, member] : m_members) {
-        if (member.state() == member_state::Ended)
+        const bool recent = member.resultSentAt && now - *member.resultSentAt < taskListInterval;
+        if (member.state() == member_state::Ended && (newLink || !recent))
             sendResult(member, now);
     }
     sendHeartbeat(now);
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -183,7 +183,7 @@
     void tellBroken(const gang_member &member);
     void renew(gang_member &member, time_point now);
     void sendResult(gang_member &member, time_point now);
-    void sendInventory(time_point now);
+    void sendInventory(time_point now, bool newLink = false);
     void sendHeartbeat(time_point now);
     void requestList(time_point now);
     void remember(const attempt_id &attempt, past_attempt past);
--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -24,6 +24,12 @@
 // configuration, since entry hosts may be replaced at any time.
 constexpr duration entryMemory = 60s;
 
+// A worker is asked for its inventory at most this often.
+constexpr duration inventoryInterval = 1s;
+
+// A longer time between two ticks means that this process was paused.
+constexpr duration longestTickGap = 1s;
+
 constexpr duration outageQueryInterval = 500ms;
 
 // The entry that accepted a job during an outage creates its record, since it knows the digest of
@@ -31,13 +37,13 @@
 constexpr duration entryRecordLimit = 60s;
 
 // Wall clocks of two hosts differ by less than this.
-constexpr duration wallClockMargin = 1min;
+constexpr duration wallClockMargin = 10s;
 
 // Larger results are not part of an update; the entry reads them from the store.
 constexpr std::size_t maxUpdateBytes = 1024 * 1024;
 
 // Idempotent work waits this long for its record, which may say that it has ended already.
-constexpr duration recordReadLimit = 500ms;
+constexpr duration recordReadLimit = 1s;
 
 // An idempotent job whose tasks failed is tried this often.
 constexpr std::int32_t maxFailedAttempts = 3;
@@ -326,6 +332,7 @@
         return;
     }
     planned_job &job = addJob(submit.spec, now);
+    job.mustRead = m_finished.count(key) != 0;
     job.watchers.insert(link);
     job.recorded = submit.recorded;
     job.acceptedAtUnixMs = submit.acceptedAtUnixMs;
@@ -565,7 +572,9 @@
 
 bool cell_planner::mayQueue(const planned_job &job, time_point now) const
 {
-    if (!job.hasPayload)
+    if (!job.hasPayload || (job.mustRead && !job.baseRevision))
+        return false;
+    if (job.runUncertain && m_awake < uncertainSettleTime)
         return false;
     if (job.spec.idempotent)
         return job.baseRevision || m_storeSilent || now - job.queuedSince >= recordReadLimit;
@@ -575,8 +584,7 @@
 
 void cell_planner::releaseParked(time_point now)
 {
-    const bool settled = m_loaded && now >= m_startedAt + rebuildSettleTime;
-    if (!settled || m_steppedDown || configRevision() == 0)
+    if (!m_loaded || m_awake < rebuildSettleTime || m_steppedDown || configRevision() == 0)
         return;
     std::vector<job_key> due;
     while (!m_parked.empty() && m_parked.begin()->first <= now) {
@@ -643,6 +651,8 @@
 bool cell_planner::isHistoryKnown(const planned_job &job) const
 {
     const std::int64_t begin = m_options.startUnixMs + wallClockMargin.count();
+    if (job.runUncertain && m_awake < uncertainSettleTime)
+        return false;
     return job.baseRevision || job.base || job.acceptedAtUnixMs >= begin;
 }
 
@@ -1382,7 +1392,7 @@
         return;
     }
     // Attempts on workers that were not seen count as alive until their task leases have ended.
-    const bool waited = now - std::max(gang.phaseSince, m_startedAt) >= workerLostAfter;
+    const bool waited = now - gang.phaseSince >= workerLostAfter;
     bool decided = true;
     for (const auto &[worker, member] : gang.members()) {
         const auto state = m_workers.find(worker);
@@ -1445,10 +1455,19 @@
 
 // ---- Agents ----
 
-void cell_planner::acknowledge(const worker_state &worker, std::uint64_t sequence,
-                               bool inventoryWanted, time_point now)
+void cell_planner::acknowledge(worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
+                               time_point now)
 {
     const duration unconfirmed = 1h;
+    // Each inventory comes with results, so asking on every message would multiply them.
+    if (inventoryWanted && worker.inventoryAskedAt
+        && now - *worker.inventoryAskedAt < inventoryInterval) {
+        if (sequence == 0)
+            return;
+        inventoryWanted = false;
+    }
+    if (inventoryWanted)
+        worker.inventoryAskedAt = now;
     send(worker.link,
          heartbeat_ack_message{m_options.number, sequence, configRevision(),
                                m_config.confirmedAge(now).value_or(unconfirmed), inventoryWanted});
@@ -1534,6 +1553,15 @@
     const bool unknown = job->outcome && *job->outcome == job_outcome::Unknown;
     const bool ended = job->outcome && !unknown;
     const bool stale = attempt.number < job->intentAttempt;
+    const bool ownUnstarted = job->gang && job->place == job_place::Placed
+        && !job->gang->anyStartSent() && !(job->gang->attempt() == attempt);
+    if (ownUnstarted && !job->outcome && !stale)
+        abortGang(*job, now); // the attempt that runs goes on instead
+    const bool superseded = job->place == job_place::Recovering && job->gang
+        && job->gang->phase == gang_phase::Recovering
+        && job->gang->attempt().number < attempt.number;
+    if (superseded)
+        dropRecovering(*job, now);
     if (!job->gang && !ended && !stale && !job->cancelled) {
         if (job->place == job_place::Queued)
             m_engine->jobCancelled(attempt.job, now);
@@ -1558,6 +1586,23 @@
     reviewGang(*job, now);
 }
 
+// A later attempt was found, whose intent could not be written; only idempotent work has such.
+void cell_planner::dropRecovering(planned_job &job, time_point now)
+{
+    const gang_coordinator gang = std::move(*job.gang);
+    job.gang.reset();
+    m_recovering.erase(job.spec.key);
+    m_transient.erase(job.spec.key);
+    for (const auto &[id, member] : gang.members()) {
+        worker_state &worker = workerOf(id, now);
+        worker.gangs.erase(job.spec.key);
+        if (member.finished)
+            send(worker.link, result_stored_message{gang.attempt(), m_options.number});
+        else if (member.started)
+            send(worker.link, abort_message{gang.attempt(), m_options.number});
+    }
+}
+
 void cell_planner::handle(link_id link, const heartbeat_message &heartbeat, time_point now)
 {
     checkEpoch(heartbeat.plannerEpoch);
@@ -1746,24 +1791,31 @@
     }
 }
 
-std::string cell_planner::DEBUGdescribe(const job_key &key) const
+// ---- Time and handover ----
+
+// Time in which this process did not run counts neither as silence of the workers nor as time in
+// which their inventories could have been read.
+void cell_planner::noteOwnPause(time_point now)
 {
-    std::string t = "loaded " + std::to_string(m_loaded) + " silent " + std::to_string(m_storeSilent)+" lease "+std::to_string(m_leaseHolds)+" rev "+std::to_string(configRevision());
-    for (auto &[id, w] : m_workers) t += " [" + id + " link " + std::to_string(w->link) + " read " + std::to_string(w->inventoryRead) + (w->lost ? " lost" : "") + (w->suspect ? " suspect" : "") + (w->draining ? " draining" : "")+(w->backendReachable?"":" nobackend") + " engine " + std::to_string((int)w->inEngine) + "]";
-    auto f = m_jobs.find(key);
-    if (f == m_jobs.end()) return t + " no job";
-    auto &j = *f->second;
-    t += " place " + std::to_string((int)j.place) + " dirty " + std::to_string(j.dirty) + " busy " + std::to_string(j.storeBusy) + " base " + std::to_string(j.baseRevision.value_or(-1)) + " outcome " + std::to_string(j.outcome ? (int)*j.outcome : 0) + " durable " + std::to_string(j.durable) + " answered " + std::to_string(j.answered) + " intent " + std::to_string(j.intentAttempt)+" recorded "+std::to_string(j.recorded)+" payload "+std::to_string(j.hasPayload)+" parked "+std::to_string(m_parked.size())+" watchers "+std::to_string(j.watchers.size());
-    if (j.gang) { t += " phase " + std::to_string((int)j.gang->phase) + " att " + std::to_string(j.gang->attempt().number) + " ep " + std::to_string(j.gang->birthEpoch()) + " transient " + std::to_string(m_transient.count(key)); for (auto &[w, m] : j.gang->members()) t += " (" + w + " n" + std::to_string(m.part.tasks) + " held " + std::to_string(m.held) + " sent " + std::to_string(m.startSent) + " started " + std::to_string(m.started) + " never " + std::to_string(m.neverStarted) + " aa " + std::to_string(m.abortAnswered) + " fin " + std::to_string(m.finished) + " stopped " + std::to_string(m.stopped) + " gone " + std::to_string(m.gone) + " range " + std::to_string(m.rangeKnown) + ")"; }
-    return t;
+    const duration since = now - m_lastTick.value_or(now);
+    m_lastTick = now;
+    m_awake += std::min(since, longestTickGap);
+    if (since <= longestTickGap)
+        return;
+    for (auto &[id, worker] : m_workers)
+        worker->heardAt += since - longestTickGap;
+    for (const job_key &key : m_recovering) {
+        planned_job *job = find(key);
+        if (job && job->gang)
+            job->gang->phaseSince += since - longestTickGap;
+    }
 }
 
-// ---- Time and handover ----
-
 void cell_planner::tick(time_point now)
 {
     if (m_steppedDown)
         return;
+    noteOwnPause(now);
     if (!m_loaded && now >= m_nextLoad) {
         constexpr duration loadTimeout = 10s;
         m_nextLoad = now + loadTimeout;
--- a/goldcrest/cell_planner.h
+++ b/goldcrest/cell_planner.h
@@ -45,6 +45,10 @@
 // A new planner waits this long for inventories before it places the first job.
 constexpr duration rebuildSettleTime = 2500ms;
 
+// Idempotent work that an earlier planner may have started without an intent waits longer, so that
+// it is not started twice when its worker's inventory comes a little later.
+constexpr duration uncertainSettleTime = 5s;
+
 // Answers of entries to the outage question count for this long, from when the question was sent;
 // with the hold's lifetime this stays below 5 s.
 constexpr duration outageAnswerLimit = 3s;
@@ -162,7 +166,6 @@
     revision configRevision() const { return m_config.current().number; }
     std::size_t jobCount() const { return m_jobs.size(); }
     const scheduler &engine() const { return *m_engine; }
-    std::string DEBUGdescribe(const job_key &key) const;
 
 private:
     struct planned_job;
@@ -246,16 +249,18 @@
     void readParts(worker_state &worker, const inventory_message &inventory, bool newLink,
                    time_point now);
     void noteSeenPart(worker_state &worker, const running_part &seen, time_point now);
+    void dropRecovering(planned_job &job, time_point now);
     void updateWorker(worker_state &worker, time_point now);
     void checkWorkers(time_point now);
     void loseWorker(worker_state &worker, time_point now);
     worker_state &workerOf(const worker_id &worker, time_point now);
     bool isBlocked(const worker_id &worker) const;
     void sendTo(const worker_id &worker, message content);
-    void acknowledge(const worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
+    void acknowledge(worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
                      time_point now);
     std::string_view stateNameOf(const worker_state &worker) const;
 
+    void noteOwnPause(time_point now);
     void askEntries(time_point now);
     outage_census takeCensus(time_point now) const;
     void checkEpoch(epoch seen);
@@ -290,6 +295,8 @@
     bool m_steppedDown = false;
     bool m_pumping = false;
     std::uint64_t m_query = 0;
+    duration m_awake = 0ms; // time since the start without pauses of this process
+    std::optional<time_point> m_lastTick;
     time_point m_nextLoad;
     time_point m_nextQuery;
 };
--- a/goldcrest/cell_planner_state.h
+++ b/goldcrest/cell_planner_state.h
@@ -21,6 +21,7 @@
 {
     job_spec spec;
     bool hasPayload = true; // false for a job known only from an inventory
+    bool mustRead = false; // ended in this epoch, so its record is read before a start
     bool recorded = true; // an entry created its record
     std::int64_t acceptedAtUnixMs = 0;
     job_place place = job_place::Parked;
@@ -74,6 +75,7 @@
     bool suspect = false;
     bool lost = false;
     time_point heardAt;
+    std::optional<time_point> inventoryAskedAt;
     std::int32_t differences = 0; // heartbeats in a row whose part count differs
     enum class engine_view { Absent, Up, Suspended, Down } inEngine = engine_view::Absent;
     std::set<job_key> gangs; // jobs with a gang that has tasks here
--- a/testing/cell_model_support.cc
+++ b/testing/cell_model_support.cc
@@ -28,7 +28,7 @@
 // Gang lease, task lease and stop time (docs/design.md, 5), and the granularity of pulses and
 // ticks.
 constexpr duration partialGangBound = 25s + 3s;
-constexpr std::size_t traceLines = 3000;
+constexpr std::size_t traceLines = 120;
 constexpr std::int64_t unixStart = 1'700'000'000'000;
 
 std::string outputOf(const job_key &job, std::int32_t task, std::size_t size)
@@ -378,7 +378,6 @@
 void cell_model::impl::checkEnd()
 {
     for (const auto &[key, job] : m_jobs) {
-        if (job.submitted && !job.outcomeDurable && m_current) trace("DEBUG ", m_current->core->DEBUGdescribe(key));
         if (job.submitted && !job.outcomeDurable)
             violate("no recorded outcome long after the last fault: " + key.requestId);
         if (!job.outcome)
@@ -477,8 +476,9 @@
         violate("the outcome of " + name + " changed from "
                 + std::to_string(static_cast<int>(*job.outcome)) + " to "
                 + std::to_string(static_cast<int>(outcome)));
+    const bool same = job.outcome == outcome;
     job.outcome = outcome;
-    job.outcomeDurable = job.outcomeDurable || recorded;
+    job.outcomeDurable = recorded || (same && job.outcomeDurable);
     if (outcome == job_outcome::NotRun && job.everStarted)
         violate("\"not run\" was answered for a job that started: " + name);
     if (outcome != job_outcome::Completed || results.empty())
@@ -963,10 +963,12 @@
             if (!entry->link || entry->link->id != sent->link)
                 continue;
             const link_pointer link = entry->link;
-            after(between(1, 8), [this, &entry = *entry, link, planner, content = sent->content] {
+            link->lastDown = std::max(link->lastDown, m_now + between(1, 8));
+            const auto deliver = [this, &entry = *entry, link, planner, content = sent->content] {
                 if (link->open)
                     toEntry(entry, planner, content);
-            });
+            };
+            at(link->lastDown, deliver);
         }
     } else if (std::holds_alternative<load_records>(action)) {
         load(planner);
