--- a/goldcrest/scheduler.h
+++ b/goldcrest/scheduler.h
@@ -106,10 +106,10 @@
     std::int64_t totalAccelerators = 0; // on workers in service
     std::int64_t freeAccelerators = 0;
     std::int64_t borrowedAccelerators = 0;
-    std::int64_t largestPlaceableGang
-        = 0; // single-accelerator tasks that fit within one rack or, unless bound, the cell
+    std::int64_t largestPlaceableGang = 0; // single-accelerator tasks that fit within one rack
     std::size_t queuedJobs = 0;
     std::size_t runningJobs = 0;
+    std::uint64_t examined = 0; // workers, racks and queued jobs that all decisions looked at
     std::vector<std::string>
         unmetGuarantees; // "team/shape" that do not fit on the workers in service
 };
@@ -175,6 +175,10 @@
 // measurements.
 std::unique_ptr<scheduler> makeFifoScheduler(std::string_view cell);
 
+// The same, but a job that does not fit holds back no other. A stronger baseline at full load;
+// large gangs may wait for ever.
+std::unique_ptr<scheduler> makeFirstFitScheduler(std::string_view cell);
+
 // The policy of docs/design.md.
 std::unique_ptr<scheduler> makeGangScheduler(std::string_view cell);
 
