Use the store client and the configuration store in the agent process

The planner confirms its configuration by the conditional read of config_store instead of reading the whole document each second, and looks at its lease before each event, since it may have ended during a pause of the process.

--- a/goldcrest/agent_daemon.cc
+++ b/goldcrest/agent_daemon.cc
@@ -12,6 +12,7 @@
 #include "goldcrest/outage_rule.h"
 #include "goldcrest/planner_daemon.h"
 #include "goldcrest/scheduler.h"
+#include "goldcrest/store_client.h"
 #include "goldcrest/websocket_link.h"
 
 #include <nlohmann/json.hpp>
@@ -107,7 +108,8 @@
     agent_daemon_options m_options;
     history_log m_history;
     std::unique_ptr<http_client> m_client;
-    std::unique_ptr<platform_store> m_store;
+    etcd_store m_plainStore;
+    store_client m_store;
     std::unique_ptr<websocket_network> m_network;
     std::unique_ptr<http_server> m_server;
     http_backend m_backend;
@@ -149,6 +151,15 @@
     return options;
 }
 
+store_client_options storeOptions(const agent_settings &settings)
+{
+    store_client_options options;
+    options.callsPerSecond = settings.storeCallsPerSecond;
+    options.burst = settings.storeCallsPerSecond;
+    options.seed = std::hash<std::string>()(settings.worker);
+    return options;
+}
+
 websocket_options linkOptions(const agent_settings &settings)
 {
     websocket_options options;
@@ -169,8 +180,8 @@
     , m_options(std::move(options))
     , m_history(m_options.historyPath)
     , m_client(makeCurlClient(loop))
-    , m_store(std::make_unique<etcd_store>(
-          *m_client, loop, m_settings.storeUrls.empty() ? "" : m_settings.storeUrls.front()))
+    , m_plainStore(*m_client, loop, m_settings.storeUrls.empty() ? "" : m_settings.storeUrls[0])
+    , m_store(m_plainStore, loop, storeOptions(m_settings))
     , m_network(makeWebsocketNetwork(loop, linkOptions(m_settings)))
     , m_backend(*m_client)
     , m_core(coreOptions(m_settings))
@@ -196,9 +207,8 @@
     membership_callbacks callbacks;
     callbacks.elected = [this](epoch number) { becomePlanner(number); };
     callbacks.deposed = [this] { stopPlanning(); };
-    m_membership
-        = std::make_unique<membership>(*m_store, m_loop, m_settings.cell, m_settings.worker,
-                                       m_settings.linkListen, std::move(callbacks));
+    m_membership = std::make_unique<membership>(m_store, m_loop, m_settings.cell, m_settings.worker,
+                                                m_settings.linkListen, std::move(callbacks));
     m_core.begin(now());
     dialEntry();
     m_tick = m_loop.every(agentTickInterval, [this] {
@@ -515,7 +525,7 @@
     options.policy = makePolicy(m_settings.outageRule);
     options.onStepDown = [this] { stopPlanning(); };
     m_planner = std::make_unique<planner_daemon>(
-        planner_environment{m_loop, *m_store, *m_membership, m_history}, std::move(options));
+        planner_environment{m_loop, m_store, *m_membership, m_history}, std::move(options));
     for (const auto &[id, link] : m_accepted)
         m_planner->addLink(id, link);
     findPlanner({m_settings.cell, m_settings.linkListen, number});
--- a/goldcrest/planner_daemon.cc
+++ b/goldcrest/planner_daemon.cc
@@ -13,7 +13,6 @@
 constexpr duration retentionRenewal = 1h;
 constexpr duration handoverPoll = 50ms;
 constexpr duration handoverLimit = 5s;
-constexpr duration confirmDeadline = 900ms;
 constexpr duration recordDeadline = 2s;
 
 // Records read at a time while a planner rebuilds, well below the store's read rate.
@@ -62,17 +61,19 @@
     , m_onStepDown(std::move(options.onStepDown))
     , m_core(planner_options{options.cell, options.worker, options.number, unixTimeMs(), {}},
              std::move(options.engine), std::move(options.policy), environment.loop.now())
+    , m_configs(environment.store, environment.loop, m_view, "planner-" + options.cell,
+                [this] { onConfiguration(); })
+    , m_tokens("planner-" + options.cell)
 {
     event_loop &loop = m_environment.loop;
     m_environment.history.write(history_event("epoch").number("epoch", m_number));
     m_tick = loop.every(tickInterval, [this] { tick(); });
-    m_confirm = loop.every(configConfirmInterval, [this] { confirmConfiguration(); });
     m_retentionTimer = loop.every(retentionRenewal, [this] { renewRetention(); });
     loop.post([this, alive = m_alive] {
         if (!*alive)
             return;
+        m_configs.start();
         renewRetention();
-        confirmConfiguration();
         tick();
     });
 }
@@ -104,6 +105,7 @@
 void planner_daemon::received(link_id id, const message &content)
 {
     const time_point now = m_environment.loop.now();
+    updateLease();
     const auto *push = std::get_if<config_push_message>(&content);
     if (!push) {
         m_core.received(id, content, now);
@@ -126,39 +128,27 @@
 void planner_daemon::tick()
 {
     const time_point now = m_environment.loop.now();
-    const membership &leadership = m_environment.leadership;
-    m_core.leaseChanged(leadership.leaseHolds(now), leadership.storeSilent(), now);
+    updateLease();
+    const std::optional<duration> age = m_view.confirmedAge(now);
+    if (age)
+        m_core.configurationConfirmed(m_view.current().number, *age, now);
     m_core.tick(now);
     run();
 }
 
-void planner_daemon::confirmConfiguration()
+// After a pause of this process the lease may have ended, so each event looks at it first.
+void planner_daemon::updateLease()
 {
-    if (m_confirming)
-        return;
-    m_confirming = true;
-    const time_point sent = m_environment.loop.now();
-    m_environment.store.get(
-        configurationKey, urgent(confirmDeadline),
-        [this, alive = m_alive, sent](const result<std::optional<store_entry>> &answer) {
-            if (!*alive)
-                return;
-            m_confirming = false;
-            if (failureOf(answer) || !valueOf(answer))
-                return;
-            const time_point now = m_environment.loop.now();
-            const result<configuration> parsed = parseConfiguration(valueOf(answer)->value);
-            if (const failure *error = failureOf(parsed)) {
-                log_line(log_level::Error, "stored configuration is invalid")
-                    .error(*error)
-                    .limit(m_cell)
-                    .write();
-                return;
-            }
-            m_core.configurationOffered(valueOf(parsed), now - sent, now);
-            m_core.configurationConfirmed(valueOf(parsed).number, now - sent, now);
-            run();
-        });
+    const time_point now = m_environment.loop.now();
+    const membership &leadership = m_environment.leadership;
+    m_core.leaseChanged(leadership.leaseHolds(now), leadership.storeSilent(), now);
+}
+
+void planner_daemon::onConfiguration()
+{
+    const time_point now = m_environment.loop.now();
+    m_core.configurationOffered(m_view.current(), m_view.confirmedAge(now), now);
+    run();
 }
 
 void planner_daemon::renewRetention()
@@ -360,8 +350,7 @@
 {
     const std::string key = jobRecordKey(write->job);
     job_record &record = write->record;
-    record.writer
-        = "planner-" + m_cell + "-" + std::to_string(m_number) + "-" + std::to_string(++m_writes);
+    record.writer = m_tokens.next();
     store_transaction transaction;
     transaction.requireCreateRevision(leaderKey(m_cell), m_number)
         .requireModRevision(key, write->expected)
@@ -380,6 +369,7 @@
 
 void planner_daemon::written(const job_key &job, const result<commit_reply> &reply)
 {
+    updateLease();
     m_core.recordWritten(job, writeAnswerOf(reply, leaderKey(m_cell), m_number),
                          m_environment.loop.now());
     run();
--- a/goldcrest/planner_daemon.h
+++ b/goldcrest/planner_daemon.h
@@ -9,11 +9,13 @@
 //   planner.handOver([] { ... });             // at shutdown
 
 #include "goldcrest/cell_planner.h"
+#include "goldcrest/config_store.h"
 #include "goldcrest/event_loop.h"
 #include "goldcrest/history_log.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/peer_link.h"
 #include "goldcrest/platform_store.h"
+#include "goldcrest/writer_token.h"
 
 #include <functional>
 #include <map>
@@ -63,7 +65,8 @@
     struct open_load;
 
     void tick();
-    void confirmConfiguration();
+    void updateLease();
+    void onConfiguration();
     void run();
     void carryOut(const send_message &action);
     void carryOut(const load_records &action);
@@ -83,17 +86,17 @@
     epoch m_number;
     std::function<void()> m_onStepDown;
     cell_planner m_core;
+    config_view m_view; // what the store says
+    config_store m_configs;
+    writer_tokens m_tokens;
     std::map<link_id, std::shared_ptr<peer_link>> m_links;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     timer_handle m_tick;
-    timer_handle m_confirm;
     timer_handle m_retentionTimer;
     timer_handle m_handover;
     time_point m_handoverLimit;
     lease_id m_retention = 0; // lease of finished records
-    std::uint64_t m_writes = 0; // for unique writer tokens
     revision m_loggedRevision = 0;
-    bool m_confirming = false;
 };
 
 // Returns the answer that a commit of a planner's transaction stands for.
