--- a/goldcrest/agent_daemon.cc
+++ b/goldcrest/agent_daemon.cc
@@ -180,7 +180,7 @@
     , m_options(std::move(options))
     , m_history(m_options.historyPath)
     , m_client(makeCurlClient(loop))
-    , m_plainStore(*m_client, loop, m_settings.storeUrls.empty() ? "" : m_settings.storeUrls[0])
+    , m_plainStore(*m_client, loop, m_settings.storeUrls)
     , m_store(m_plainStore, loop, storeOptions(m_settings))
     , m_network(makeWebsocketNetwork(loop, linkOptions(m_settings)))
     , m_backend(*m_client)
