--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -24,17 +24,26 @@
 // configuration, since entry hosts may be replaced at any time.
 constexpr duration entryMemory = 60s;
 
+// A worker is asked for its inventory at most this often.
+constexpr duration inventoryInterval = 1s;
+
+// A longer time between two ticks means that this process was paused.
+constexpr duration longestTickGap = 1s;
+
 constexpr duration outageQueryInterval = 500ms;
 
 // The entry that accepted a job during an outage creates its record, since it knows the digest of
 // the request. The planner creates it only if that entry seems to be gone.
 constexpr duration entryRecordLimit = 60s;
 
+// Wall clocks of two hosts differ by less than this.
+constexpr duration wallClockMargin = 10s;
+
 // Larger results are not part of an update; the entry reads them from the store.
 constexpr std::size_t maxUpdateBytes = 1024 * 1024;
 
 // Idempotent work waits this long for its record, which may say that it has ended already.
-constexpr duration recordReadLimit = 500ms;
+constexpr duration recordReadLimit = 1s;
 
 // An idempotent job whose tasks failed is tried this often.
 constexpr std::int32_t maxFailedAttempts = 3;
@@ -54,6 +63,16 @@
     return std::min(most, first * (1 << doublings));
 }
 
+failure cancelFailure()
+{
+    return makeFailure(code::Cancelled, "the caller cancelled the job");
+}
+
+failure deadlineFailure()
+{
+    return makeFailure(code::DeadlinePassed, "the deadline passed before the start");
+}
+
 std::size_t resultBytes(const std::vector<task_result> &results)
 {
     std::size_t bytes = 0;
@@ -313,9 +332,11 @@
         return;
     }
     planned_job &job = addJob(submit.spec, now);
+    job.mustRead = m_finished.count(key) != 0;
     job.watchers.insert(link);
     job.recorded = submit.recorded;
     job.acceptedAtUnixMs = submit.acceptedAtUnixMs;
+    noteEarlierPlanners(job);
     if (job.spec.deadline > 0ms) {
         const std::int64_t left = job.acceptedAtUnixMs + job.spec.deadline.count() - unixNow(now);
         m_deadlines.emplace(now + duration(left), key);
@@ -337,10 +358,12 @@
     if (job->outcome || job->cancelled)
         return;
     job->cancelled = true;
-    const failure why = makeFailure(code::Cancelled, "the caller cancelled the job");
+    const failure why = cancelFailure();
     switch (job->place) {
     case job_place::Parked:
-        endWithoutResult(*job, why, now);
+        // Otherwise releaseParked() ends it once its record was read.
+        if (isHistoryKnown(*job))
+            endWithoutResult(*job, why, now);
         break;
     case job_place::Queued:
         m_engine->jobCancelled(cancel.job, now);
@@ -507,10 +530,7 @@
     job.lastAttempt = std::max(job.lastAttempt, record.attempt);
     job.failedAttempts = std::max(job.failedAttempts, record.failedAttempts);
     const bool earlierPlanner = record.intentEpoch != m_options.number;
-    // An idempotent job can have been started during a store outage without an intent.
-    const std::int64_t margin = duration(1min).count();
-    job.runUncertain = job.runUncertain
-        || (job.spec.idempotent && record.acceptedAtUnixMs < m_options.startUnixMs + margin);
+    noteEarlierPlanners(job);
     if (record.outcome && !job.outcome) {
         if (job.place == job_place::Queued)
             m_engine->jobCancelled(job.spec.key, now);
@@ -535,6 +555,15 @@
         beginRecovery(job, record, now);
 }
 
+// An idempotent job can have been started by an earlier planner during a store outage, without an
+// intent.
+void cell_planner::noteEarlierPlanners(planned_job &job) const
+{
+    const std::int64_t begin = m_options.startUnixMs + wallClockMargin.count();
+    if (job.spec.idempotent && job.acceptedAtUnixMs < begin)
+        job.runUncertain = true;
+}
+
 void cell_planner::park(planned_job &job, duration delay, time_point now)
 {
     job.place = job_place::Parked;
@@ -543,7 +572,9 @@
 
 bool cell_planner::mayQueue(const planned_job &job, time_point now) const
 {
-    if (!job.hasPayload)
+    if (!job.hasPayload || (job.mustRead && !job.baseRevision))
+        return false;
+    if (job.runUncertain && m_awake < uncertainSettleTime)
         return false;
     if (job.spec.idempotent)
         return job.baseRevision || m_storeSilent || now - job.queuedSince >= recordReadLimit;
@@ -553,8 +584,7 @@
 
 void cell_planner::releaseParked(time_point now)
 {
-    const bool settled = m_loaded && now >= m_startedAt + rebuildSettleTime;
-    if (!settled || m_steppedDown || configRevision() == 0)
+    if (!m_loaded || m_awake < rebuildSettleTime || m_steppedDown || configRevision() == 0)
         return;
     std::vector<job_key> due;
     while (!m_parked.empty() && m_parked.begin()->first <= now) {
@@ -565,7 +595,12 @@
         planned_job *job = find(key);
         if (!job || job->place != job_place::Parked || job->outcome)
             continue;
-        if (mayQueue(*job, now))
+        const bool known = isHistoryKnown(*job);
+        if (known && job->cancelled)
+            endWithoutResult(*job, cancelFailure(), now);
+        else if (known && isExpired(*job, now))
+            endWithoutResult(*job, deadlineFailure(), now);
+        else if (!job->cancelled && mayQueue(*job, now))
             enqueue(*job, now);
         else
             m_parked.emplace(now + parkDelay, key);
@@ -590,14 +625,16 @@
 
 void cell_planner::expireDeadlines(time_point now)
 {
-    const failure why = makeFailure(code::DeadlinePassed, "the deadline passed before the start");
+    const failure why = deadlineFailure();
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const job_key key = m_deadlines.begin()->second;
         m_deadlines.erase(m_deadlines.begin());
         planned_job *job = find(key);
         if (!job || job->outcome)
             continue;
-        if (job->place == job_place::Queued) {
+        if (!isHistoryKnown(*job)) {
+            m_deadlines.emplace(now + recordReadLimit, key);
+        } else if (job->place == job_place::Queued) {
             m_engine->jobCancelled(key, now);
             endWithoutResult(*job, why, now);
         } else if (job->place == job_place::Parked) {
@@ -609,9 +646,26 @@
     }
 }
 
+// Whether this planner knows what earlier ones did: it has read the record, or the job was accepted
+// after its own election.
+bool cell_planner::isHistoryKnown(const planned_job &job) const
+{
+    const std::int64_t begin = m_options.startUnixMs + wallClockMargin.count();
+    if (job.runUncertain && m_awake < uncertainSettleTime)
+        return false;
+    return job.baseRevision || job.base || job.acceptedAtUnixMs >= begin;
+}
+
+// Whether the job missed its deadline without a start.
+bool cell_planner::isExpired(const planned_job &job, time_point now) const
+{
+    return job.spec.deadline > 0ms && job.startedAttempts == 0
+        && unixNow(now) >= job.acceptedAtUnixMs + job.spec.deadline.count();
+}
+
 bool cell_planner::isProvenNotRun(const planned_job &job) const
 {
-    return job.startedAttempts == 0 && !job.runUncertain
+    return isHistoryKnown(job) && job.startedAttempts == 0 && !job.runUncertain
         && (!job.gang || !job.gang->anyStartSent());
 }
 
@@ -1037,7 +1091,8 @@
                                     [&](const worker_id &worker) { return isUsable(worker); });
     const bool inTime = now - gang.holdSentAt <= startSendLimit;
     const bool allowed = written || job.spec.idempotent;
-    if (allowed && inTime && usable && mayStart(now) && !job.cancelled)
+    const bool wanted = !job.cancelled && !isExpired(job, now);
+    if (allowed && inTime && usable && wanted && mayStart(now))
         startGang(job, now);
     else
         abortGang(job, now);
@@ -1183,7 +1238,7 @@
         }
     } else if (job.cancelled) {
         leaveEngine(job, {stop_result::Stopped, {}, 0, false}, now);
-        endWithoutResult(job, makeFailure(code::Cancelled, "the caller cancelled the job"), now);
+        endWithoutResult(job, cancelFailure(), now);
     } else if (never) {
         const bool known = job.place == job_place::Placed;
         leaveEngine(job, {stop_result::NeverStarted, gang.refusingMember(), 0, false}, now);
@@ -1320,12 +1375,10 @@
     m_transient.insert(job.spec.key);
     m_recovering.insert(job.spec.key);
     for (const worker_id &worker : record.intentWorkers) {
-        const auto state = m_workers.find(worker);
-        if (state == m_workers.end())
-            continue;
-        state->second->gangs.insert(job.spec.key);
-        if (state->second->inventoryRead && state->second->link != 0)
-            acknowledge(*state->second, 0, true, now);
+        worker_state &state = workerOf(worker, now);
+        state.gangs.insert(job.spec.key);
+        if (state.inventoryRead && state.link != 0)
+            acknowledge(state, 0, true, now);
     }
 }
 
@@ -1339,7 +1392,7 @@
         return;
     }
     // Attempts on workers that were not seen count as alive until their task leases have ended.
-    const bool waited = now - std::max(gang.phaseSince, m_startedAt) >= workerLostAfter;
+    const bool waited = now - gang.phaseSince >= workerLostAfter;
     bool decided = true;
     for (const auto &[worker, member] : gang.members()) {
         const auto state = m_workers.find(worker);
@@ -1379,6 +1432,18 @@
     reviewGang(job, now);
 }
 
+// A worker that a gang names and that was never seen gets an entry, and is lost like any other.
+cell_planner::worker_state &cell_planner::workerOf(const worker_id &worker, time_point now)
+{
+    std::unique_ptr<worker_state> &state = m_workers[worker];
+    if (!state) {
+        state = std::make_unique<worker_state>();
+        state->info.id = worker;
+        state->heardAt = now;
+    }
+    return *state;
+}
+
 bool cell_planner::isBlocked(const worker_id &worker) const
 {
     return std::any_of(m_recovering.begin(), m_recovering.end(), [&](const job_key &key) {
@@ -1390,10 +1455,19 @@
 
 // ---- Agents ----
 
-void cell_planner::acknowledge(const worker_state &worker, std::uint64_t sequence,
-                               bool inventoryWanted, time_point now)
+void cell_planner::acknowledge(worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
+                               time_point now)
 {
     const duration unconfirmed = 1h;
+    // Each inventory comes with results, so asking on every message would multiply them.
+    if (inventoryWanted && worker.inventoryAskedAt
+        && now - *worker.inventoryAskedAt < inventoryInterval) {
+        if (sequence == 0)
+            return;
+        inventoryWanted = false;
+    }
+    if (inventoryWanted)
+        worker.inventoryAskedAt = now;
     send(worker.link,
          heartbeat_ack_message{m_options.number, sequence, configRevision(),
                                m_config.confirmedAge(now).value_or(unconfirmed), inventoryWanted});
@@ -1404,10 +1478,7 @@
     checkEpoch(inventory.highestEpoch);
     if (m_steppedDown)
         return;
-    std::unique_ptr<worker_state> &slot = m_workers[inventory.worker.id];
-    if (!slot)
-        slot = std::make_unique<worker_state>();
-    worker_state &worker = *slot;
+    worker_state &worker = workerOf(inventory.worker.id, now);
     const bool newLink = worker.link != link;
     if (newLink && worker.link != 0)
         m_agentLinks.erase(worker.link);
@@ -1482,6 +1553,15 @@
     const bool unknown = job->outcome && *job->outcome == job_outcome::Unknown;
     const bool ended = job->outcome && !unknown;
     const bool stale = attempt.number < job->intentAttempt;
+    const bool ownUnstarted = job->gang && job->place == job_place::Placed
+        && !job->gang->anyStartSent() && !(job->gang->attempt() == attempt);
+    if (ownUnstarted && !job->outcome && !stale)
+        abortGang(*job, now); // the attempt that runs goes on instead
+    const bool superseded = job->place == job_place::Recovering && job->gang
+        && job->gang->phase == gang_phase::Recovering
+        && job->gang->attempt().number < attempt.number;
+    if (superseded)
+        dropRecovering(*job, now);
     if (!job->gang && !ended && !stale && !job->cancelled) {
         if (job->place == job_place::Queued)
             m_engine->jobCancelled(attempt.job, now);
@@ -1501,10 +1581,28 @@
         return;
     }
     job->gang->noteSeen(seen);
-    worker.gangs.insert(attempt.job);
+    for (const worker_id &member : job->gang->workers())
+        workerOf(member, now).gangs.insert(attempt.job);
     reviewGang(*job, now);
 }
 
+// A later attempt was found, whose intent could not be written; only idempotent work has such.
+void cell_planner::dropRecovering(planned_job &job, time_point now)
+{
+    const gang_coordinator gang = std::move(*job.gang);
+    job.gang.reset();
+    m_recovering.erase(job.spec.key);
+    m_transient.erase(job.spec.key);
+    for (const auto &[id, member] : gang.members()) {
+        worker_state &worker = workerOf(id, now);
+        worker.gangs.erase(job.spec.key);
+        if (member.finished)
+            send(worker.link, result_stored_message{gang.attempt(), m_options.number});
+        else if (member.started)
+            send(worker.link, abort_message{gang.attempt(), m_options.number});
+    }
+}
+
 void cell_planner::handle(link_id link, const heartbeat_message &heartbeat, time_point now)
 {
     checkEpoch(heartbeat.plannerEpoch);
@@ -1695,10 +1793,29 @@
 
 // ---- Time and handover ----
 
+// Time in which this process did not run counts neither as silence of the workers nor as time in
+// which their inventories could have been read.
+void cell_planner::noteOwnPause(time_point now)
+{
+    const duration since = now - m_lastTick.value_or(now);
+    m_lastTick = now;
+    m_awake += std::min(since, longestTickGap);
+    if (since <= longestTickGap)
+        return;
+    for (auto &[id, worker] : m_workers)
+        worker->heardAt += since - longestTickGap;
+    for (const job_key &key : m_recovering) {
+        planned_job *job = find(key);
+        if (job && job->gang)
+            job->gang->phaseSince += since - longestTickGap;
+    }
+}
+
 void cell_planner::tick(time_point now)
 {
     if (m_steppedDown)
         return;
+    noteOwnPause(now);
     if (!m_loaded && now >= m_nextLoad) {
         constexpr duration loadTimeout = 10s;
         m_nextLoad = now + loadTimeout;
