Test the path of jobs through the real processes

While the store does not answer, the entry reads before it writes a record, so that fewer submissions end as ambiguous. A planner that was first reported by another entry gets its worker name from the store.

--- a/goldcrest/cell_directory.cc
+++ b/goldcrest/cell_directory.cc
@@ -33,6 +33,9 @@
 bool cell_directory::leaderSeen(const std::string &cell, const leader_record &leader, epoch number)
 {
     cell_state &state = m_cells[cell];
+    // Other entries report the address only; the store adds the worker.
+    if (number == state.planner.number && state.planner.leader.worker.empty())
+        state.planner.leader = leader;
     if (number <= state.planner.number)
         return false;
     state.planner = {leader, number};
--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -1748,13 +1748,39 @@
 
 std::string cell_planner::DEBUGdescribe(const job_key &key) const
 {
-    std::string t = "loaded " + std::to_string(m_loaded) + " silent " + std::to_string(m_storeSilent)+" lease "+std::to_string(m_leaseHolds)+" rev "+std::to_string(configRevision());
-    for (auto &[id, w] : m_workers) t += " [" + id + " link " + std::to_string(w->link) + " read " + std::to_string(w->inventoryRead) + (w->lost ? " lost" : "") + (w->suspect ? " suspect" : "") + (w->draining ? " draining" : "")+(w->backendReachable?"":" nobackend") + " engine " + std::to_string((int)w->inEngine) + "]";
+    std::string t = "loaded " + std::to_string(m_loaded) + " silent "
+        + std::to_string(m_storeSilent) + " lease " + std::to_string(m_leaseHolds) + " rev "
+        + std::to_string(configRevision());
+    for (auto &[id, w] : m_workers)
+        t += " [" + id + " link " + std::to_string(w->link) + " read "
+            + std::to_string(w->inventoryRead) + (w->lost ? " lost" : "")
+            + (w->suspect ? " suspect" : "") + (w->draining ? " draining" : "")
+            + (w->backendReachable ? "" : " nobackend") + " engine "
+            + std::to_string((int)w->inEngine) + "]";
     auto f = m_jobs.find(key);
-    if (f == m_jobs.end()) return t + " no job";
+    if (f == m_jobs.end())
+        return t + " no job";
     auto &j = *f->second;
-    t += " place " + std::to_string((int)j.place) + " dirty " + std::to_string(j.dirty) + " busy " + std::to_string(j.storeBusy) + " base " + std::to_string(j.baseRevision.value_or(-1)) + " outcome " + std::to_string(j.outcome ? (int)*j.outcome : 0) + " durable " + std::to_string(j.durable) + " answered " + std::to_string(j.answered) + " intent " + std::to_string(j.intentAttempt)+" recorded "+std::to_string(j.recorded)+" payload "+std::to_string(j.hasPayload)+" parked "+std::to_string(m_parked.size())+" watchers "+std::to_string(j.watchers.size());
-    if (j.gang) { t += " phase " + std::to_string((int)j.gang->phase) + " att " + std::to_string(j.gang->attempt().number) + " ep " + std::to_string(j.gang->birthEpoch()) + " transient " + std::to_string(m_transient.count(key)); for (auto &[w, m] : j.gang->members()) t += " (" + w + " n" + std::to_string(m.part.tasks) + " held " + std::to_string(m.held) + " sent " + std::to_string(m.startSent) + " started " + std::to_string(m.started) + " never " + std::to_string(m.neverStarted) + " aa " + std::to_string(m.abortAnswered) + " fin " + std::to_string(m.finished) + " stopped " + std::to_string(m.stopped) + " gone " + std::to_string(m.gone) + " range " + std::to_string(m.rangeKnown) + ")"; }
+    t += " place " + std::to_string((int)j.place) + " dirty " + std::to_string(j.dirty) + " busy "
+        + std::to_string(j.storeBusy) + " base " + std::to_string(j.baseRevision.value_or(-1))
+        + " outcome " + std::to_string(j.outcome ? (int)*j.outcome : 0) + " durable "
+        + std::to_string(j.durable) + " answered " + std::to_string(j.answered) + " intent "
+        + std::to_string(j.intentAttempt) + " recorded " + std::to_string(j.recorded) + " payload "
+        + std::to_string(j.hasPayload) + " parked " + std::to_string(m_parked.size()) + " watchers "
+        + std::to_string(j.watchers.size());
+    if (j.gang) {
+        t += " phase " + std::to_string((int)j.gang->phase) + " att "
+            + std::to_string(j.gang->attempt().number) + " ep "
+            + std::to_string(j.gang->birthEpoch()) + " transient "
+            + std::to_string(m_transient.count(key));
+        for (auto &[w, m] : j.gang->members())
+            t += " (" + w + " n" + std::to_string(m.part.tasks) + " held " + std::to_string(m.held)
+                + " sent " + std::to_string(m.startSent) + " started " + std::to_string(m.started)
+                + " never " + std::to_string(m.neverStarted) + " aa "
+                + std::to_string(m.abortAnswered) + " fin " + std::to_string(m.finished)
+                + " stopped " + std::to_string(m.stopped) + " gone " + std::to_string(m.gone)
+                + " range " + std::to_string(m.rangeKnown) + ")";
+    }
     return t;
 }
 
--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -190,6 +190,7 @@
     void startAccepting(const job_request &request, const std::string &cell, duration wait,
                         answer_callback callback);
     void commitRecord(const job_pointer &job);
+    void sendRecord(const job_pointer &job);
     void onCommit(const job_pointer &job, const result<commit_reply> &reply, bool finishedRecord);
     void onTombstoneCreated(const job_pointer &job);
     void onCommitFailed(const job_pointer &job, const failure &error);
@@ -249,6 +250,7 @@
     std::uint64_t m_lastWaiter = 0;
     std::uint64_t m_lastQuery = 0;
     std::map<std::uint64_t, explain_query> m_explains;
+    bool m_storeSuspect = false; // its last call from here failed
     bool m_draining = false;
     std::optional<time_point> m_drainUntil;
     timer_handle m_drainTimer;
@@ -431,6 +433,24 @@
     if (job->commitInFlight)
         return;
     job->commitInFlight = true;
+    if (!m_storeSuspect || job->writeMayHaveTakenEffect)
+        return sendRecord(job);
+    // A write that is sent into an outage may end as ambiguous, and then "not run" can't be
+    // answered. A read shows first whether the store answers.
+    readRecord(job->spec.key, [this, job](const result<std::optional<job_record>> &read) {
+        if (!isOpen(job))
+            return;
+        if (failureOf(read) == nullptr && !valueOf(read))
+            return sendRecord(job);
+        job->commitInFlight = false;
+        if (failureOf(read) != nullptr)
+            return onCommitFailed(job, makeFailure(code::StoreUnavailable, "no read was answered"));
+        onExisting(job, *valueOf(read));
+    });
+}
+
+void entry_core::impl::sendRecord(const job_pointer &job)
+{
     const bool finishedRecord = job->tombstone.has_value();
     store_transaction transaction;
     transaction.requireAbsent(jobRecordKey(job->spec.key));
@@ -441,6 +461,7 @@
     m_store.commit(std::move(transaction), callOptions(*job),
                    guarded([this, job, finishedRecord](const result<commit_reply> &reply) {
                        job->commitInFlight = false;
+                       m_storeSuspect = failureOf(reply) != nullptr;
                        if (isOpen(job))
                            onCommit(job, reply, finishedRecord);
                    }));
@@ -866,17 +887,19 @@
 {
     call_options options;
     options.deadline = m_options.storeCallDeadline;
-    m_store.get(jobRecordKey(key), options,
-                guarded([then = std::move(then)](const result<std::optional<store_entry>> &read) {
-                    if (const failure *error = failureOf(read))
-                        return then(*error);
-                    if (!valueOf(read))
-                        return then(std::optional<job_record>());
-                    result<job_record> record = decodeJobRecord(valueOf(read)->value);
-                    if (const failure *error = failureOf(record))
-                        return then(*error);
-                    then(std::optional<job_record>(std::move(valueOf(record))));
-                }));
+    m_store.get(
+        jobRecordKey(key), options,
+        guarded([this, then = std::move(then)](const result<std::optional<store_entry>> &read) {
+            m_storeSuspect = failureOf(read) != nullptr;
+            if (const failure *error = failureOf(read))
+                return then(*error);
+            if (!valueOf(read))
+                return then(std::optional<job_record>());
+            result<job_record> record = decodeJobRecord(valueOf(read)->value);
+            if (const failure *error = failureOf(record))
+                return then(*error);
+            then(std::optional<job_record>(std::move(valueOf(record))));
+        }));
 }
 
 void entry_core::impl::track(const job_record &record, waiter_kind kind, duration wait,
--- a/programs/goldcrest_entry.cc
+++ b/programs/goldcrest_entry.cc
@@ -10,6 +10,6 @@
 {
     using namespace goldcrest;
     return runDaemonProgram<entry_daemon, entry_daemon_options>(
-        {"goldcrest-entry", "Entry process: HTTP API of goldcrestloft"}, loadEntrySettings, argc,
-        argv);
+        {"goldcrest-entry", "Entry process: HTTP API for callers and operators"}, loadEntrySettings,
+        argc, argv);
 }
--- a/testing/cell_directory_test.cc
+++ b/testing/cell_directory_test.cc
@@ -87,6 +87,10 @@
     CHECK(!directory.leaderSeen("main", {"w9", "127.0.0.1:9"}, 7));
     LONGS_EQUAL(0, directory.takeActions().size());
     STRCMP_EQUAL("127.0.0.1:9", directory.plannerOf("main").leader.address.c_str());
+    CHECK(directory.leaderSeen("main", {"", "127.0.0.1:4"}, 8));
+    CHECK(!directory.leaderSeen("main", {"w4", "127.0.0.1:4"}, 8));
+    STRCMP_EQUAL("w4", directory.plannerOf("main").leader.worker.c_str());
+    directory.takeActions();
     directory.agentAsked(2, requestOf("w2"), now);
-    LONGS_EQUAL(7, std::get<planner_info_message>(directory.takeActions()[0].content).plannerEpoch);
+    LONGS_EQUAL(8, std::get<planner_info_message>(directory.takeActions()[0].content).plannerEpoch);
 }
--- a/testing/cell_model_support.cc
+++ b/testing/cell_model_support.cc
@@ -378,7 +378,8 @@
 void cell_model::impl::checkEnd()
 {
     for (const auto &[key, job] : m_jobs) {
-        if (job.submitted && !job.outcomeDurable && m_current) trace("DEBUG ", m_current->core->DEBUGdescribe(key));
+        if (job.submitted && !job.outcomeDurable && m_current)
+            trace("DEBUG ", m_current->core->DEBUGdescribe(key));
         if (job.submitted && !job.outcomeDurable)
             violate("no recorded outcome long after the last fault: " + key.requestId);
         if (!job.outcome)
--- a/testing/system_support.cc
+++ b/testing/system_support.cc
@@ -153,7 +153,7 @@
     for (int i = 1; i <= m_options.entries; ++i)
         entryLinks.push_back(linkAddress("entry-" + std::to_string(i)));
     const json stores = {"http://" + storeAddress()};
-    m_commands["store"] = {binary("goldcrest_store_standin"), "--listen", storeAddress()};
+    m_commands["store"] = {binary("goldcrest-store-standin"), "--listen", storeAddress()};
     m_started.emplace_back("store");
     for (int i = 1; i <= m_options.entries; ++i) {
         const std::string name = "entry-" + std::to_string(i);
@@ -190,7 +190,7 @@
         writeFile(pathOf(agent, ".json"), settings.dump(2));
         m_commands[agent] = {binary("goldcrest-agent"), "--settings", pathOf(agent, ".json"),
                              "--history", pathOf(agent, ".history")};
-        m_commands[backend] = {binary("goldcrest_backend_standin"),
+        m_commands[backend] = {binary("goldcrest-backend-standin"),
                                "--listen",
                                address(port + 2),
                                "--agent",
@@ -433,23 +433,29 @@
     });
 }
 
-bool test_system::storeFaults(const nlohmann::json &faults)
+bool test_system::postTo(const std::string &address, const std::string &path,
+                         const nlohmann::json &body)
 {
     test_client::options extra;
-    extra.body = faults.dump();
-    const result<http_response> answer
-        = m_client.call("POST", "http://" + storeAddress() + "/standin/faults", extra);
+    extra.body = body.dump();
+    const result<http_response> answer = m_client.call("POST", "http://" + address + path, extra);
     return failureOf(answer) == nullptr && valueOf(answer).status == 200;
 }
 
+bool test_system::storeFaults(const nlohmann::json &faults)
+{
+    return postTo(storeAddress(), "/standin/faults", faults);
+}
+
 bool test_system::backendFaults(const std::string &worker, const nlohmann::json &faults)
 {
-    const std::vector<std::string> &command = m_commands.at("backend-" + worker);
-    test_client::options extra;
-    extra.body = faults.dump();
-    const result<http_response> answer
-        = m_client.call("POST", "http://" + command[2] + "/standin/faults", extra);
-    return failureOf(answer) == nullptr && valueOf(answer).status == 200;
+    return postTo(m_commands.at("backend-" + worker)[2], "/standin/faults", faults);
+}
+
+bool test_system::drainBackend(const std::string &worker, bool draining)
+{
+    return postTo(m_commands.at("backend-" + worker)[2], "/standin/drain",
+                  {{"draining", draining}});
 }
 
 bool test_system::cutLinks(int entry, const std::vector<std::string> &blocks)
--- a/testing/system_support.h
+++ b/testing/system_support.h
@@ -126,6 +126,7 @@
     // Changes the faults of the store, a worker's backend server or the links of an entry.
     bool storeFaults(const nlohmann::json &faults);
     bool backendFaults(const std::string &worker, const nlohmann::json &faults);
+    bool drainBackend(const std::string &worker, bool draining); // graceful shutdown
     bool cutLinks(int entry, const std::vector<std::string> &blocks);
 
     // Adds a test event to the history.
@@ -148,6 +149,7 @@
     static std::string bodyOf(const test_job &job);
 
 private:
+    bool postTo(const std::string &address, const std::string &path, const nlohmann::json &body);
     void writeSettings();
     void startProcess(const std::string &process);
     void noteSubmit(const test_job &job);
