Let long jobs that can checkpoint yield to short ones, and reserve workers for large gangs

Cause: run times are heavy-tailed and unknown, so long jobs hold accelerators while short ones wait. The first blocked gang of the queue gets a reservation.

The lower bound now also counts cores and half of each job's own run time after its mean busy time.

--- a/goldcrest/cell_engine.cc
+++ b/goldcrest/cell_engine.cc
@@ -457,6 +457,10 @@
     vacate(*index);
     --m_running;
     releaseClaimants(*index);
+    if (event.progress <= 0)
+        entry.ranKept = 0ms;
+    else if (event.progress > entry.progress)
+        entry.ranKept += m_now - entry.placedAt;
     entry.progress = event.progress;
     if (again)
         putBack(*index);
--- a/goldcrest/cell_engine.h
+++ b/goldcrest/cell_engine.h
@@ -41,9 +41,12 @@
     time_point placedAt;
     time_point stopSentAt;
     double progress = 0;
+    duration ranKept{}; // run time that `progress` took
     std::int32_t attempts = 0;
+    std::int32_t yields = 0; // times it was stopped for a job with less work
     std::int32_t victimsLeft = 0; // of a claim: jobs that have to stop first
     std::vector<job_index> claimants; // of a stopping job: claims that wait for it
+    job_index backfilledFor = -1; // the gang that a worker of this job is kept for
     std::uint64_t serial = 0; // order of arrival; identifies the job across attempts
 
     load total() const { return perTask * spec.tasks; }
@@ -104,6 +107,7 @@
     const job_entry &job(job_index index) const { return m_jobs[std::size_t(index)]; }
     job_entry &job(job_index index) { return m_jobs[std::size_t(index)]; }
     std::optional<job_index> findJob(const job_key &key) const;
+    job_index jobLimit() const { return job_index(m_jobs.size()); }
     const std::vector<job_index> &jobsOn(worker_index worker) const;
     const topology &cell() const { return m_cell; }
     topology &cell() { return m_cell; }
--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -5,10 +5,12 @@
 #include "goldcrest/job_queue.h"
 #include "goldcrest/placement.h"
 #include "goldcrest/preemption.h"
+#include "goldcrest/reservations.h"
 #include "goldcrest/runtime_estimator.h"
 #include "goldcrest/worker_health.h"
 
 #include <cmath>
+#include <functional>
 
 namespace goldcrest {
 
@@ -21,7 +23,7 @@
 constexpr std::size_t claimTries = 2;
 
 // Urgent work starts within 3 s: borrowers that need no longer to stop are preferred.
-constexpr duration urgentStopBound = 2500ms;
+constexpr duration urgentStopBound = 3000ms;
 
 // Use above the declaration that counts as exceeding it, and reports in a row before a stop.
 constexpr double usageTolerance = 1.1;
@@ -32,9 +34,34 @@
 // Key penalty for each doubling of a team's use above its guarantee.
 constexpr double overusePenalty = 60000;
 
+// A running job yields to a waiting one only after this time, so that stop times stay a small
+// share.
+constexpr duration leastRunTime = 2min;
+
+// Longest-running candidates that are looked at when a job looks for one that yields.
+constexpr int maxYieldProbes = 16;
+
+// Blocked jobs per decision that may look for one that yields.
+constexpr int maxYieldTries = 6;
+
+// Running jobs whose estimate is renewed on each tick.
+constexpr std::size_t renewedPerTick = 64;
+
+// A reservation looks at all workers, so it is made at most this often.
+constexpr duration reservationInterval = 20s;
+
+// A reservation that was not met is planned again after this time.
+constexpr duration reservationPatience = 5min;
+
+// One reservation per this many workers, at least one.
+constexpr std::size_t workersPerReservation = 24;
+
 // A job that fails again and again is stopped even if no worker can be told healthy.
 constexpr std::int32_t maxFailures = 8;
 
+// Whether a running job may be stopped for the one at hand.
+using stop_rule = std::function<bool(job_index)>;
+
 class gang_scheduler final : public cell_engine
 {
 public:
@@ -43,6 +70,7 @@
         , m_free(cell())
         , m_open(cell())
         , m_stoppable(cell())
+        , m_yielding(cell())
         , m_placement(std::make_unique<best_fit_placement>(cell()))
         , m_order(std::make_unique<aged_work_order>())
         , m_victimCost(std::make_unique<lost_work_cost>())
@@ -55,7 +83,11 @@
 
 protected:
     void enqueue(job_index index) override;
-    void dequeue(job_index index) override { m_queue.remove(index); }
+    void dequeue(job_index index) override
+    {
+        m_queue.remove(index);
+        m_reservations.remove(index);
+    }
     bool isQueued(job_index index) const override { return m_queue.contains(index); }
     std::int32_t positionOf(job_index index) const override { return m_queue.positionOf(index); }
     void schedule() override;
@@ -69,7 +101,7 @@
     friend class open_room;
     friend class protected_room;
     friend class claim_room;
-    friend class urgent_room;
+    friend class stop_room;
 
     struct usage_record
     {
@@ -95,17 +127,32 @@
     bool placeOn(job_index index, std::vector<placed_part> parts);
     bool tryClaim(job_index index);
     bool tryUrgent(job_index index, duration stopBound);
+    bool tryYield(job_index index);
+    bool tryReserved(job_index index);
+    bool isLarge(const job_entry &entry) const;
+    bool mayBackfill(worker_index worker, const job_entry &entry) const;
+    std::vector<room_forecast> forecastFor(job_index index) const;
+    void renewReservations(const candidates &blocked);
     bool claimWithVictims(job_index index, std::vector<placed_part> parts, stop_reason reason,
-                          duration stopBound, bool onlyOwnGuarantee);
+                          const stop_rule &mayStop);
+    double runningKey(const job_entry &entry) const;
+    static duration leastRun(const job_entry &entry);
+    double yieldMargin(const job_entry &waiting, const job_entry &running) const;
+    void renewRunning();
+    void dropRunning(job_index index);
     bool fitsProtected(const job_entry &entry, const std::vector<placed_part> &parts) const;
-    bool mayStop(const job_entry &victim, const job_entry &claimant, duration stopBound) const;
+    bool isOutsideGuarantee(const job_entry &entry) const;
+    stop_rule borrowersFor(const job_entry &claimant, duration stopBound) const;
+    stop_rule yieldingTo(job_index index) const;
     void leaveDomains();
+    duration estimateLeft(const job_entry &entry, duration ran) const;
     queue_facts factsOf(const job_entry &entry) const;
     static bucket_key bucketOf(const job_entry &entry);
 
     capacity_index m_free; // free capacity
     capacity_index m_open; // the part of it that no guarantee needs
     capacity_index m_stoppable; // free capacity and borrowed use
+    capacity_index m_yielding; // free capacity and use of jobs that can checkpoint
     std::unique_ptr<placement_strategy> m_placement;
     std::unique_ptr<queue_order> m_order;
     std::unique_ptr<victim_cost> m_victimCost;
@@ -119,6 +166,13 @@
     std::unordered_map<job_index, std::vector<usage_record>> m_usage; // of jobs above declaration
     std::set<job_index> m_exceeded; // jobs that were stopped for it
     std::uint64_t m_examinedJobs = 0;
+    reservation_table m_reservations;
+    time_point m_nextReservation;
+    std::int64_t m_largestWorker = 1; // accelerators
+    // Running jobs that can checkpoint, by the key that they would have in the queue.
+    std::set<std::pair<double, job_index>> m_running;
+    std::unordered_map<job_index, double> m_runningKey;
+    job_index m_renewNext = 0;
 };
 
 // Free capacity that a job may use.
@@ -177,45 +231,17 @@
     const job_entry &m_entry;
 };
 
-// The team's unused guarantee, counting what its borrowers use as free.
-class claim_room final : public room_policy
-{
-public:
-    claim_room(const gang_scheduler &engine, const job_entry &entry)
-        : m_engine(engine)
-        , m_entry(entry)
-    { }
-    load room(worker_index w) const override
-    {
-        if (!m_engine.mayUse(w, m_entry))
-            return {};
-        const load unused = m_engine.ledger().unusedGuarantee(w, m_entry.team);
-        load room = m_engine.cell().at(w).free();
-        for (const job_index other : m_engine.jobsOn(w)) {
-            const job_entry &victim = m_engine.job(other);
-            if (!m_engine.mayStop(victim, m_entry, duration::max()))
-                continue;
-            for (const placed_part &part : victim.parts) {
-                if (part.worker == w)
-                    room += victim.perTask * part.tasks;
-            }
-        }
-        return minOf(unused, room);
-    }
-
-private:
-    const gang_scheduler &m_engine;
-    const job_entry &m_entry;
-};
-
-// Free capacity and what borrowers use that stop soon enough.
-class urgent_room final : public room_policy
+// Free capacity and what jobs use that may be stopped.
+class stop_room final : public room_policy
 {
 public:
-    urgent_room(const gang_scheduler &engine, const job_entry &entry, duration stopBound)
+    // @param onlyGuarantee the room ends at the team's unused guarantee
+    stop_room(const gang_scheduler &engine, const job_entry &entry, const stop_rule &mayStop,
+              bool onlyGuarantee)
         : m_engine(engine)
         , m_entry(entry)
-        , m_stopBound(stopBound)
+        , m_mayStop(mayStop)
+        , m_onlyGuarantee(onlyGuarantee)
     { }
     load room(worker_index w) const override
     {
@@ -224,13 +250,13 @@
         load room = m_engine.cell().at(w).free();
         for (const job_index other : m_engine.jobsOn(w)) {
             const job_entry &victim = m_engine.job(other);
-            if (!m_engine.mayStop(victim, m_entry, m_stopBound))
-                continue;
             for (const placed_part &part : victim.parts) {
-                if (part.worker == w)
+                if (part.worker == w && m_mayStop(other))
                     room += victim.perTask * part.tasks;
             }
         }
+        if (m_onlyGuarantee)
+            return minOf(room, m_engine.ledger().unusedGuarantee(w, m_entry.team));
         if (!m_entry.spec.preemptible())
             room = minOf(room, m_engine.ledger().headroom(w, m_entry.team));
         return room;
@@ -239,19 +265,32 @@
 private:
     const gang_scheduler &m_engine;
     const job_entry &m_entry;
-    duration m_stopBound;
+    const stop_rule &m_mayStop;
+    bool m_onlyGuarantee;
 };
 
 // --- queue ---
 
-queue_facts gang_scheduler::factsOf(const job_entry &entry) const
+// @param ran run time of the current attempt, zero for a waiting job
+duration gang_scheduler::estimateLeft(const job_entry &entry, duration ran) const
 {
     constexpr double typical = 0.5;
+    constexpr double tellingProgress = 0.05;
+    const duration total = entry.ranKept + ran;
+    if (entry.progress < tellingProgress || entry.ranKept <= 0ms)
+        return m_estimator.remaining(entry.spec, typical, total);
+    // A checkpoint tells the speed.
+    const duration whole = duration(std::int64_t(double(entry.ranKept.count()) / entry.progress));
+    constexpr int atLeast = 20;
+    return std::max(whole - total, total / atLeast);
+}
+
+queue_facts gang_scheduler::factsOf(const job_entry &entry) const
+{
+    const bool runs = entry.state == run_state::Running || entry.state == run_state::Stopping;
     queue_facts facts;
     facts.queuedAt = entry.queuedAt;
-    const double left = 1 - entry.progress;
-    const duration whole = m_estimator.estimate(entry.spec, typical);
-    facts.remaining = duration(std::int64_t(double(whole.count()) * left));
+    facts.remaining = estimateLeft(entry, runs ? now() - entry.placedAt : 0ms);
     facts.accelerators = entry.total().accelerators();
     facts.weight = entry.classWeight;
     return facts;
@@ -300,7 +339,22 @@
         return false;
     if (m_health.isProbing(worker) && !jobsOn(worker).empty())
         return false;
-    return !m_health.failedOn(entry.serial, worker, now());
+    return !m_health.failedOn(entry.serial, worker, now()) && mayBackfill(worker, entry);
+}
+
+// Work on a worker that is kept for a gang must end before the gang is expected, or be stoppable
+// without loss. The owner of a guarantee and urgent work are not held back.
+bool gang_scheduler::mayBackfill(worker_index worker, const job_entry &entry) const
+{
+    const job_index holder = m_reservations.holderOf(worker);
+    if (holder == reservation_table::none || &job(holder) == &entry || entry.urgent
+        || entry.spec.canCheckpoint)
+        return true;
+    if (ledger().unusedGuarantee(worker, entry.team).accelerators() > 0)
+        return true;
+    constexpr double cautious = 0.8;
+    const duration left = m_estimator.estimate(entry.spec, cautious);
+    return now() + left <= m_reservations.find(holder)->expected;
 }
 
 void gang_scheduler::refreshIndexes()
@@ -311,19 +365,25 @@
             m_free.set(w, {});
             m_open.set(w, {});
             m_stoppable.set(w, {});
+            m_yielding.set(w, {});
             continue;
         }
+        m_largestWorker = std::max(m_largestWorker, worker.capacity.accelerators());
         const load free = worker.free();
         load stoppable = free;
+        load yielding = free;
         for (const job_index index : jobsOn(w)) {
             const job_entry &entry = job(index);
-            if (entry.use != use_kind::Borrowed && entry.state != run_state::Stopping)
-                continue;
             if (entry.state == run_state::Claiming)
                 continue;
+            const bool stops = entry.state == run_state::Stopping;
             for (const placed_part &part : entry.parts) {
-                if (part.worker == w)
+                if (part.worker != w)
+                    continue;
+                if (stops || entry.use == use_kind::Borrowed)
                     stoppable += entry.perTask * part.tasks;
+                if (stops || entry.spec.canCheckpoint)
+                    yielding += entry.perTask * part.tasks;
             }
         }
         constexpr team_index noTeam = -1;
@@ -334,6 +394,7 @@
         m_free.set(w, free);
         m_open.set(w, open);
         m_stoppable.set(w, stoppable);
+        m_yielding.set(w, yielding);
         for (const guarantee_ledger::share &s : ledger().sharesOn(w)) {
             if (s.guaranteed != load{})
                 m_claimTeams.insert(s.team);
@@ -420,18 +481,67 @@
     return placeOn(index, m_placement->find(request, m_free, protected_room(*this, entry)));
 }
 
-bool gang_scheduler::mayStop(const job_entry &victim, const job_entry &claimant,
-                             duration stopBound) const
+stop_rule gang_scheduler::borrowersFor(const job_entry &claimant, duration stopBound) const
 {
-    if (victim.state == run_state::Stopping)
-        return now() + stopBound >= victim.stopSentAt + victim.spec.stopTime
-            || stopBound == duration::max();
-    return victim.state == run_state::Running && victim.use == use_kind::Borrowed
-        && !(victim.urgent && claimant.urgent) && victim.spec.stopTime <= stopBound;
+    return [this, &claimant, stopBound](job_index index) {
+        const job_entry &victim = job(index);
+        if (victim.state == run_state::Stopping)
+            return stopBound == duration::max()
+                || now() + stopBound >= victim.stopSentAt + victim.spec.stopTime;
+        return victim.state == run_state::Running && victim.use == use_kind::Borrowed
+            && !(victim.urgent && claimant.urgent) && victim.spec.stopTime <= stopBound;
+    };
+}
+
+// Returns whether no part of the job runs inside its own team's guarantee.
+bool gang_scheduler::isOutsideGuarantee(const job_entry &entry) const
+{
+    return entry.use == use_kind::Borrowed
+        || std::all_of(entry.parts.begin(), entry.parts.end(), [&](const placed_part &part) {
+               return ledger().hasStoppableExcess(part.worker, entry.team);
+           });
+}
+
+// Returns the order that a running job would have in the queue.
+double gang_scheduler::runningKey(const job_entry &entry) const
+{
+    return m_order->key(factsOf(entry)) + m_queue.penaltyOf(entry.team);
+}
+
+// By how much the order of a waiting job must be ahead of a running one that yields to it. The work
+// of the waiting job counts twice, since its estimate may be too short, and a stop costs capacity.
+double gang_scheduler::yieldMargin(const job_entry &waiting, const job_entry &running) const
+{
+    const queue_facts facts = factsOf(waiting);
+    const double width = double(std::max<std::int64_t>(1, facts.accelerators));
+    const double theirs = double(std::max<std::int64_t>(1, running.total().accelerators()));
+    return double(facts.remaining.count()) * width / double(facts.weight)
+        + double(running.spec.stopTime.count() + leastRunTime.count()) * theirs;
+}
+
+// Doubles with each time that the job yielded, so that two jobs cannot go on stopping each other.
+duration gang_scheduler::leastRun(const job_entry &entry)
+{
+    constexpr std::int32_t maxDoublings = 12;
+    return leastRunTime * (1 << std::min(entry.yields, maxDoublings));
+}
+
+stop_rule gang_scheduler::yieldingTo(job_index index) const
+{
+    const double order = m_queue.orderOf(index);
+    return [this, index, order](job_index other) {
+        const job_entry &victim = job(other);
+        if (victim.state == run_state::Stopping)
+            return true;
+        return victim.state == run_state::Running && victim.spec.canCheckpoint && !victim.urgent
+            && now() - victim.placedAt >= leastRun(victim)
+            && (victim.team == job(index).team || isOutsideGuarantee(victim))
+            && order + yieldMargin(job(index), victim) < runningKey(victim);
+    };
 }
 
 bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
-                                      stop_reason reason, duration stopBound, bool onlyOwnGuarantee)
+                                      stop_reason reason, const stop_rule &mayStop)
 {
     const job_entry &entry = job(index);
     std::vector<shortage> shortages;
@@ -444,7 +554,7 @@
         shortages.push_back({part.worker, missing});
         for (const job_index other : jobsOn(part.worker)) {
             const job_entry &victim = job(other);
-            if (!mayStop(victim, entry, stopBound) || !seen.insert(other).second)
+            if (!mayStop(other) || !seen.insert(other).second)
                 continue;
             const double cost
                 = victim.state == run_state::Stopping ? 0 : m_victimCost->of(victim, now());
@@ -454,10 +564,13 @@
     const victim_set victims = chooseVictims(shortages, found);
     if (!victims.isEnough)
         return false;
-    const use_kind use = onlyOwnGuarantee || fitsProtected(entry, parts) ? use_kind::Protected
-                                                                         : use_kind::Borrowed;
+    const use_kind use = fitsProtected(entry, parts) ? use_kind::Protected : use_kind::Borrowed;
     if (use == use_kind::Borrowed && !entry.spec.preemptible())
         return false;
+    if (reason == stop_reason::Move) {
+        for (const job_index victim : victims.jobs)
+            ++job(victim).yields;
+    }
     if (victims.jobs.empty())
         place(index, std::move(parts), use);
     else
@@ -469,20 +582,182 @@
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
-    std::vector<placed_part> parts
-        = m_placement->findAmong(request, ledger().workersOf(entry.team), claim_room(*this, entry));
+    const stop_rule mayStop = borrowersFor(entry, duration::max());
+    const stop_room room(*this, entry, mayStop, true);
+    std::vector<placed_part> parts = guaranteedPlace(entry, room);
+    if (parts.empty())
+        parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     return !parts.empty()
-        && claimWithVictims(index, std::move(parts), stop_reason::Reclaim, duration::max(), true);
+        && claimWithVictims(index, std::move(parts), stop_reason::Reclaim, mayStop);
 }
 
 bool gang_scheduler::tryUrgent(job_index index, duration stopBound)
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    const stop_rule mayStop = borrowersFor(entry, stopBound);
     std::vector<placed_part> parts
-        = m_placement->find(request, m_stoppable, urgent_room(*this, entry, stopBound));
+        = m_placement->find(request, m_stoppable, stop_room(*this, entry, mayStop, false));
     return !parts.empty()
-        && claimWithVictims(index, std::move(parts), stop_reason::Urgent, stopBound, false);
+        && claimWithVictims(index, std::move(parts), stop_reason::Urgent, mayStop);
+}
+
+// Stops jobs that can checkpoint and have much more work left than the waiting one.
+bool gang_scheduler::tryYield(job_index index)
+{
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    if (m_running.empty() || !m_yielding.mayFit(request.perTask, request.tasks, request.closeness))
+        return false;
+    const stop_rule mayStop = yieldingTo(index);
+    const stop_room room(*this, entry, mayStop, false);
+    std::vector<placed_part> parts;
+    int probes = 0;
+    for (auto it = m_running.rbegin(); it != m_running.rend() && parts.empty(); ++it) {
+        ++m_examinedJobs;
+        if (++probes > maxYieldProbes || it->first <= m_queue.orderOf(index))
+            break;
+        if (!mayStop(it->second))
+            continue;
+        std::vector<worker_index> workers;
+        for (const placed_part &part : job(it->second).parts)
+            workers.push_back(part.worker);
+        parts = m_placement->findAmong(request, workers, room);
+    }
+    if (parts.empty() && request.tasks > 1)
+        parts = m_placement->find(request, m_yielding, room);
+    return !parts.empty() && claimWithVictims(index, std::move(parts), stop_reason::Move, mayStop);
+}
+
+// Returns whether the job needs more than one accelerator together with others.
+bool gang_scheduler::isLarge(const job_entry &entry) const
+{
+    return entry.spec.tasks > 1
+        || entry.perTask.accelerators() * 2 > std::max<std::int64_t>(2, m_largestWorker);
+}
+
+// Stops on the reserved workers what was let in on condition that it can be stopped.
+bool gang_scheduler::tryReserved(job_index index)
+{
+    const reservation *kept = m_reservations.find(index);
+    if (!kept)
+        return false;
+    const job_entry &entry = job(index);
+    const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+    const stop_rule yields = yieldingTo(index);
+    const stop_rule mayStop = [&](job_index other) {
+        const job_entry &victim = job(other);
+        const bool backfilled = victim.state == run_state::Running && victim.spec.canCheckpoint
+            && !victim.urgent && now() - victim.placedAt >= leastRun(victim)
+            && victim.backfilledFor == index && isOutsideGuarantee(victim);
+        return backfilled || yields(other);
+    };
+    const stop_room room(*this, entry, mayStop, false);
+    std::vector<placed_part> parts = m_placement->findAmong(request, kept->workers, room);
+    return !parts.empty() && claimWithVictims(index, std::move(parts), stop_reason::Move, mayStop);
+}
+
+// Returns when which workers can take how many tasks of the job, if nothing else starts there.
+std::vector<room_forecast> gang_scheduler::forecastFor(job_index index) const
+{
+    const job_entry &entry = job(index);
+    const stop_rule yields = yieldingTo(index);
+    std::vector<room_forecast> forecasts;
+    std::vector<std::pair<time_point, load>> ends;
+    for (worker_index w = 0; std::size_t(w) < cell().workers().size(); ++w) {
+        const job_index holder = m_reservations.holderOf(w);
+        if (!cell().at(w).inService() || (holder != reservation_table::none && holder != index))
+            continue;
+        load room = cell().at(w).free();
+        ends.clear();
+        for (const job_index other : jobsOn(w)) {
+            const job_entry &running = job(other);
+            load amount;
+            for (const placed_part &part : running.parts) {
+                if (part.worker == w)
+                    amount += running.perTask * part.tasks;
+            }
+            if (yields(other)) {
+                room += amount;
+                continue;
+            }
+            const duration left = factsOf(running).remaining;
+            ends.emplace_back(now() + left, amount);
+        }
+        std::sort(ends.begin(), ends.end(),
+                  [](const auto &a, const auto &b) { return a.first < b.first; });
+        load permitted = cell().at(w).capacity;
+        if (!entry.spec.preemptible()) {
+            for (const guarantee_ledger::share &s : ledger().sharesOn(w))
+                permitted -= s.team == entry.team ? load{} : s.guaranteed;
+        }
+        std::int64_t counted = 0;
+        const auto offer = [&](time_point when) {
+            const std::int64_t fits = fitCount(minOf(room, permitted), entry.perTask);
+            if (fits > counted)
+                forecasts.push_back({when, w, fits - counted});
+            counted = std::max(counted, fits);
+        };
+        offer(now());
+        for (const auto &[when, amount] : ends) {
+            room += amount;
+            offer(when);
+        }
+    }
+    return forecasts;
+}
+
+// @param blocked jobs that did not fit, in the order of the queue
+void gang_scheduler::renewReservations(const candidates &blocked)
+{
+    if (now() < m_nextReservation)
+        return;
+    m_nextReservation = now() + reservationInterval;
+    const std::size_t limit
+        = std::max<std::size_t>(1, cell().workers().size() / workersPerReservation);
+    std::set<job_index> keep;
+    for (const auto &[order, index] : blocked) {
+        if (keep.size() >= limit || !isLarge(job(index)))
+            break;
+        keep.insert(index);
+    }
+    for (const job_index index : m_reservations.jobs()) {
+        const bool late = now() > m_reservations.find(index)->expected + reservationPatience;
+        if (keep.count(index) == 0 || late)
+            m_reservations.remove(index);
+    }
+    for (const job_index index : keep) {
+        if (m_reservations.find(index))
+            continue;
+        const job_entry &entry = job(index);
+        const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
+        if (std::optional<reservation> best = planReservation(cell(), request, forecastFor(index)))
+            m_reservations.add(index, std::move(*best));
+    }
+}
+
+void gang_scheduler::dropRunning(job_index index)
+{
+    const auto found = m_runningKey.find(index);
+    if (found == m_runningKey.end())
+        return;
+    m_running.erase({found->second, index});
+    m_runningKey.erase(found);
+}
+
+// Estimates grow with the time that a job has run beyond them.
+void gang_scheduler::renewRunning()
+{
+    for (std::size_t i = 0; i < renewedPerTick && m_renewNext < jobLimit(); ++i, ++m_renewNext) {
+        const auto found = m_runningKey.find(m_renewNext);
+        if (found == m_runningKey.end())
+            continue;
+        m_running.erase({found->second, m_renewNext});
+        found->second = runningKey(job(m_renewNext));
+        m_running.insert({found->second, m_renewNext});
+    }
+    if (m_renewNext >= jobLimit())
+        m_renewNext = 0;
 }
 
 bool gang_scheduler::startOneUrgent()
@@ -536,30 +811,45 @@
     const bool all = std::exchange(m_grown, false);
     const std::set<bucket_key> fresh = std::exchange(m_newWork, {});
     std::set<std::tuple<double, job_index, const job_queue::bucket *>> heads;
+    candidates blocked;
     const auto offer = [&](const job_queue::bucket &bucket) {
         const bucket_key &key = bucket.key;
-        const load least{{0, 0, key.accelerators, 1}};
-        if (key.urgent || !m_free.mayFit(least, 1, key.closeness))
+        if (key.urgent)
             return;
+        const load least{{0, 0, key.accelerators, 1}};
+        const bool mayFit
+            = m_free.mayFit(least, 1, key.closeness) || m_yielding.mayFit(least, 1, key.closeness);
         candidates first;
         m_queue.firstOf(bucket, 1, first);
-        heads.insert({first.front().first, first.front().second, &bucket});
+        if (mayFit)
+            heads.insert({first.front().first, first.front().second, &bucket});
+        else
+            blocked.push_back(first.front());
     };
     for (const auto &[key, bucket] : m_queue.buckets()) {
         if (all || fresh.count(key) > 0)
             offer(bucket);
     }
     candidates jobs;
+    int yieldTries = 0;
     while (!heads.empty()) {
         const job_queue::bucket *bucket = std::get<2>(*heads.begin());
         const bucket_key key = bucket->key;
         heads.erase(heads.begin());
         jobs.clear();
         m_queue.firstOf(*bucket, triesPerBucket, jobs);
+        bool first = true;
         for (const auto &[order, index] : jobs) {
             ++m_examinedJobs;
-            if (!quotaAllows(job(index)) || !(tryFree(index) || tryMixed(index)))
+            if (!quotaAllows(job(index)))
+                continue;
+            const bool started = tryFree(index) || tryMixed(index) || tryReserved(index)
+                || (++yieldTries <= maxYieldTries && tryYield(index));
+            if (!started) {
+                if (std::exchange(first, false))
+                    blocked.emplace_back(order, index);
                 continue;
+            }
             refreshIndexes();
             const auto left = m_queue.buckets().find(key);
             if (left != m_queue.buckets().end())
@@ -567,6 +857,10 @@
             break;
         }
     }
+    if (all) {
+        std::sort(blocked.begin(), blocked.end());
+        renewReservations(blocked);
+    }
 }
 
 void gang_scheduler::schedule()
@@ -585,12 +879,24 @@
 
 void gang_scheduler::onPlaced(job_index index)
 {
+    m_reservations.remove(index);
+    job(index).backfilledFor = reservation_table::none;
+    for (const placed_part &part : job(index).parts) {
+        if (m_reservations.holderOf(part.worker) != reservation_table::none)
+            job(index).backfilledFor = m_reservations.holderOf(part.worker);
+    }
+    if (job(index).spec.canCheckpoint && !job(index).urgent) {
+        const double key = runningKey(job(index));
+        m_running.insert({key, index});
+        m_runningKey[index] = key;
+    }
     updatePenalty(job(index).team);
 }
 
 bool gang_scheduler::onEnded(job_index index, const stopped_event &event)
 {
     job_entry &entry = job(index);
+    dropRunning(index);
     m_usage.erase(index);
     const duration ran = now() - entry.placedAt;
     if (event.how == stop_result::Finished) {
@@ -704,6 +1010,7 @@
     for (const worker_index w : m_health.dueProbes(now))
         block(w, block_reason::Quarantined, false);
     leaveDomains();
+    renewRunning();
     m_grown = true; // a worker may be allowed again for a job that failed there
     schedule();
 }
--- /dev/null
+++ b/goldcrest/reservations.cc
@@ -0,0 +1,93 @@
+#include "goldcrest/reservations.h"
+
+#include <tuple>
+
+namespace goldcrest {
+
+std::optional<reservation> planReservation(const topology &cell, const placement_request &request,
+                                           std::vector<room_forecast> forecasts)
+{
+    std::sort(forecasts.begin(), forecasts.end(),
+              [](const room_forecast &a, const room_forecast &b) {
+                  return std::tie(a.at, a.worker) < std::tie(b.at, b.worker);
+              });
+    // The first group that reaches the number of tasks, in order of time.
+    std::unordered_map<std::int32_t, std::int64_t> tasksOf;
+    std::int32_t chosen = -1;
+    time_point expected;
+    const auto groupOf = [&](worker_index w) -> std::int32_t {
+        switch (request.closeness) {
+        case adjacency::None:
+            return 0;
+        case adjacency::FailureDomain:
+            return cell.at(w).domain;
+        case adjacency::Rack:
+            return cell.at(w).rack;
+        case adjacency::Worker:
+            return w;
+        }
+        return 0;
+    };
+    for (const room_forecast &forecast : forecasts) {
+        const std::int32_t group = groupOf(forecast.worker);
+        if ((tasksOf[group] += forecast.tasks) < request.tasks)
+            continue;
+        chosen = group;
+        expected = forecast.at;
+        break;
+    }
+    if (chosen < 0)
+        return std::nullopt;
+    reservation result;
+    result.expected = expected;
+    std::int64_t left = request.tasks;
+    for (const room_forecast &forecast : forecasts) {
+        if (left <= 0)
+            break;
+        if (groupOf(forecast.worker) != chosen)
+            continue;
+        left -= forecast.tasks;
+        result.workers.push_back(forecast.worker);
+    }
+    std::sort(result.workers.begin(), result.workers.end());
+    result.workers.erase(std::unique(result.workers.begin(), result.workers.end()),
+                         result.workers.end());
+    return result;
+}
+
+void reservation_table::add(job_number job, reservation kept)
+{
+    remove(job);
+    for (const worker_index w : kept.workers) {
+        if (m_holder.size() <= std::size_t(w))
+            m_holder.resize(std::size_t(w) + 1, none);
+        m_holder[std::size_t(w)] = job;
+    }
+    m_byJob[job] = std::move(kept);
+}
+
+void reservation_table::remove(job_number job)
+{
+    const auto found = m_byJob.find(job);
+    if (found == m_byJob.end())
+        return;
+    for (const worker_index w : found->second.workers)
+        m_holder[std::size_t(w)] = none;
+    m_byJob.erase(found);
+}
+
+const reservation *reservation_table::find(job_number job) const
+{
+    const auto found = m_byJob.find(job);
+    return found == m_byJob.end() ? nullptr : &found->second;
+}
+
+std::vector<reservation_table::job_number> reservation_table::jobs() const
+{
+    std::vector<job_number> result;
+    for (const auto &[job, kept] : m_byJob)
+        result.push_back(job);
+    return result;
+}
+
+} // namespace goldcrest
--- a/testing/policy_workload_support.cc
+++ b/testing/policy_workload_support.cc
@@ -124,6 +124,54 @@
     }
 };
 
+// Sum over jobs of the mean time at which each does its work, on the same machine, at the least:
+// most work per unit goes last. Half of a job's own run time passes after that mean.
+double leastMeanBusyTimes(std::vector<fluid_bound::task> tasks,
+                          const std::vector<std::pair<double, double>> &steps)
+{
+    struct open_task
+    {
+        double whole = 0;
+        double left = 0;
+        bool operator<(const open_task &o) const
+        {
+            return std::tie(whole, left) > std::tie(o.whole, o.left);
+        }
+    };
+    std::sort(tasks.begin(), tasks.end(),
+              [](const fluid_bound::task &a, const fluid_bound::task &b) {
+                  return a.arrival < b.arrival;
+              });
+    std::priority_queue<open_task> open;
+    constexpr double never = 1e18;
+    double now = 0;
+    double sum = 0;
+    std::size_t next = 0;
+    std::size_t step = 0;
+    while (next < tasks.size() || !open.empty()) {
+        for (; next < tasks.size() && tasks[next].arrival <= now; ++next)
+            open.push({tasks[next].work, tasks[next].work});
+        while (step + 1 < steps.size() && steps[step + 1].first <= now)
+            ++step;
+        double until = next < tasks.size() ? tasks[next].arrival : never;
+        until = step + 1 < steps.size() ? std::min(until, steps[step + 1].first) : until;
+        if (open.empty()) {
+            now = until;
+            continue;
+        }
+        open_task task = open.top();
+        open.pop();
+        const double to = std::min(until, now + task.left / steps[step].second);
+        sum += (now + to) / 2 * (to - now) * steps[step].second / task.whole;
+        task.left -= (to - now) * steps[step].second;
+        constexpr double negligible = 1e-6;
+        if (task.left > negligible)
+            open.push(task);
+        now = to;
+    }
+    return sum;
+}
+
 class simulation
 {
 public:
@@ -183,6 +231,7 @@
     double inService() const;
     void finish();
     double lowerBound() const;
+    double fluidBound(double ofAccelerators) const;
 
     const deployment &m_where;
     workload m_kind;
@@ -207,6 +256,7 @@
     double m_windowFrom = -1;
     double m_windowTo = -1;
     double m_windowWork = 0;
+    double m_windowCrashed = 0; // done there, but lost with a worker that died
     double m_samples = 0;
     double m_unusable = 0;
     double m_largest = 0;
@@ -560,8 +610,13 @@
         kept = std::max(0.0, job.stopSentAt - job.placedAt);
     const double width = job.accelerators();
     m_run += ran * width;
-    if (how == stop_result::Stopped && requeue)
+    const bool crashed = job.stopSentAt == job.placedAt;
+    if (how == stop_result::Stopped && requeue && !crashed)
         m_lost += (ran - kept) * width;
+    if (how == stop_result::Stopped && crashed && job.placedAt < m_windowTo)
+        m_windowCrashed
+            += std::max(0.0, std::min(m_now, m_windowTo) - std::max(job.placedAt, m_windowFrom))
+            * width;
     const double from = std::max(job.placedAt, m_windowFrom);
     const double to = std::min(job.placedAt + kept, m_windowTo);
     if (to > from)
@@ -685,17 +740,47 @@
 
 double simulation::lowerBound() const
 {
+    // Any weighted sum of the resources bounds the order on a fluid machine: no set of running jobs
+    // uses more than the cell has of each, so the largest of several sums is a bound as well.
+    double bound = 0;
+    for (const double ofAccelerators : {0.0, 0.25, 0.5, 0.75, 1.0})
+        bound = std::max(bound, fluidBound(ofAccelerators));
     double critical = 0;
-    std::vector<fluid_bound::task> tasks;
+    std::size_t count = 0;
     for (const sim_job &job : m_jobs) {
         if (job.rejected || job.mayNotRun)
             continue;
         critical += std::min(job.length, m_end - job.arrival);
-        tasks.push_back({job.arrival, job.length * job.accelerators()});
+        ++count;
+    }
+    return std::max(critical, bound) / double(std::max<std::size_t>(1, count));
+}
+
+// @param ofAccelerators weight of accelerators, the rest is that of cores
+double simulation::fluidBound(double ofAccelerators) const
+{
+    double cores = 0;
+    for (const worker_info &w : m_where.workers)
+        cores += double(w.capacity.cores);
+    const double coreUnit = total() / cores; // the cell has as many core units as accelerators
+    std::vector<fluid_bound::task> tasks;
+    for (const sim_job &job : m_jobs) {
+        if (job.rejected || job.mayNotRun)
+            continue;
+        const double ofCores = double(job.spec.tasks * job.spec.perTask.cores) * coreUnit;
+        tasks.push_back(
+            {job.arrival,
+             job.length * (ofAccelerators * job.accelerators() + (1 - ofAccelerators) * ofCores)});
+    }
+    // If a job does not finish within the run, its completion is cut off and only the first holds.
+    double halves = 0;
+    for (const sim_job &job : m_jobs) {
+        if (!job.rejected && !job.mayNotRun)
+            halves += job.length / 2 - job.arrival;
     }
-    std::vector<std::pair<double, double>> steps = m_capacitySteps;
-    const double count = double(std::max<std::size_t>(1, tasks.size()));
-    return std::max(critical, fluid_bound::sum(std::move(tasks), steps, m_end)) / count;
+    const double busy
+        = m_report.unfinished > 0 ? 0 : leastMeanBusyTimes(tasks, m_capacitySteps) + halves;
+    return std::max(busy, fluid_bound::sum(std::move(tasks), m_capacitySteps, m_end));
 }
 
 void simulation::finish()
@@ -752,7 +837,7 @@
                 : m_windowTo;
             allowed += to > from ? (to - from) * m_capacitySteps[i].second : 0;
         }
-        m_report.domainChangeShare = m_windowWork / allowed;
+        m_report.domainChangeShare = m_windowWork / (allowed - m_windowCrashed);
     }
 }
 
