Move jobs that can checkpoint away from the workers reserved for a gang

Cause: at the end of the fragmented workload, gangs of three whole workers waited while 79 of 88 accelerators were free and a few small jobs that can checkpoint ran in every rack. They were not stopped, since they ran inside their teams' guarantees or had less work left than the gang. A job that fits on free capacity elsewhere is now stopped for the gang and starts again at once; it loses its stop time only.

--- a/goldcrest/capacity_index.h
+++ b/goldcrest/capacity_index.h
@@ -39,6 +39,15 @@
     // Returns an upper bound of the tasks that fit into the domain.
     std::int64_t mayFitIn(domain_index domain, const load &perTask) const;
 
+    // Returns the accelerators on all workers.
+    std::int64_t totalAccelerators() const
+    {
+        std::int64_t total = 0;
+        for (const domain_room &domain : m_domains)
+            total += domain.fitsBySize[1];
+        return total;
+    }
+
     // Workers with at least this many accelerators free, fewest first.
     std::set<worker_key>::const_iterator workersFrom(std::int64_t accelerators) const
     {
--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -144,6 +144,8 @@
     bool isOutsideGuarantee(const job_entry &entry) const;
     stop_rule borrowersFor(const job_entry &claimant, duration stopBound) const;
     stop_rule yieldingTo(job_index index) const;
+    bool isMovable(const job_entry &entry) const;
+    std::int64_t freeOutside(const std::vector<worker_index> &workers) const;
     void leaveDomains();
     duration estimateLeft(const job_entry &entry, duration ran) const;
     queue_facts factsOf(const job_entry &entry) const;
@@ -636,7 +638,25 @@
         || entry.perTask.accelerators() * 2 > std::max<std::int64_t>(2, m_largestWorker);
 }
 
-// Stops on the reserved workers what was let in on condition that it can be stopped.
+// Returns whether the job may be stopped in order to start again at once on another worker. That
+// holds inside its team's guarantee as well: the team can claim the guarantee for it.
+bool gang_scheduler::isMovable(const job_entry &entry) const
+{
+    return entry.state == run_state::Running && entry.spec.canCheckpoint && !entry.urgent
+        && entry.parts.size() == 1 && now() - entry.placedAt >= leastRun(entry)
+        && m_free.mayFit(entry.perTask, entry.spec.tasks, adjacency::Worker);
+}
+
+std::int64_t gang_scheduler::freeOutside(const std::vector<worker_index> &workers) const
+{
+    std::int64_t free = m_free.totalAccelerators();
+    for (const worker_index w : workers)
+        free -= m_free.room(w).accelerators();
+    return free;
+}
+
+// Stops on the reserved workers what was let in on condition that it can be stopped, and moves away
+// what fits elsewhere. A move costs a stop time and no work.
 bool gang_scheduler::tryReserved(job_index index)
 {
     const reservation *kept = m_reservations.find(index);
@@ -645,12 +665,14 @@
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     const stop_rule yields = yieldingTo(index);
+    const std::int64_t free = freeOutside(kept->workers);
     const stop_rule mayStop = [&](job_index other) {
         const job_entry &victim = job(other);
         const bool backfilled = victim.state == run_state::Running && victim.spec.canCheckpoint
             && !victim.urgent && now() - victim.placedAt >= leastRun(victim)
             && victim.backfilledFor == index && isOutsideGuarantee(victim);
-        return backfilled || yields(other);
+        return backfilled || yields(other)
+            || (victim.total().accelerators() <= free && isMovable(victim));
     };
     const stop_room room(*this, entry, mayStop, false);
     std::vector<placed_part> parts = m_placement->findAmong(request, kept->workers, room);
@@ -677,7 +699,7 @@
                 if (part.worker == w)
                     amount += running.perTask * part.tasks;
             }
-            if (yields(other)) {
+            if (yields(other) || isMovable(running)) {
                 room += amount;
                 continue;
             }
