Track which guarantee a job holds, and spare searches that cannot succeed

The ledger's amounts cannot tell two guarantees of one team on one worker apart; each guarantee now has a holder.

Searches are left out where totals rule them out: guarantees while workers announce themselves, claims of teams without unused guarantee, shapes checked against the fleet.

--- a/goldcrest/cell_engine.cc
+++ b/goldcrest/cell_engine.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t maxCheckedShapes = 10000;
 
 // Waiting jobs that are checked again on each tick.
-constexpr std::size_t verifiedPerTick = 64;
+constexpr std::size_t verifiedPerTick = 16;
 
 std::string text(const load &amount)
 {
@@ -324,26 +324,24 @@
     if (known != m_possible.end())
         return known->second;
 
-    std::vector<std::int64_t> perGroup;
+    // Starts where the last job fitted and ends at the first group that is large enough, so that
+    // only a job that fits nowhere looks at every worker.
+    std::unordered_map<std::int32_t, std::int64_t> perGroup;
     std::int64_t best = 0;
-    for (worker_index w = 0; std::size_t(w) < m_cell.workers().size(); ++w) {
+    const std::size_t count = m_cell.workers().size();
+    for (std::size_t i = 0; i < count && best < entry.spec.tasks; ++i) {
+        const worker_index w = worker_index((std::size_t(m_lastRoomy) + i) % count);
         const worker_state &worker = m_cell.at(w);
         load room = worker.capacity;
         if (!movable) {
             for (const guarantee_ledger::share &s : m_ledger.sharesOn(w))
                 room -= s.team == entry.team ? load{} : s.guaranteed;
         }
-        std::size_t group = 0;
-        if (entry.spec.closeness == adjacency::FailureDomain)
-            group = std::size_t(worker.domain);
-        else if (entry.spec.closeness == adjacency::Rack)
-            group = std::size_t(worker.rack);
-        else if (entry.spec.closeness == adjacency::Worker)
-            group = std::size_t(w);
-        if (perGroup.size() <= group)
-            perGroup.resize(group + 1);
-        perGroup[group] += fitCount(room, entry.perTask);
-        best = std::max(best, perGroup[group]);
+        std::int64_t &fits = perGroup[groupOf(m_cell, w, entry.spec.closeness)];
+        fits += fitCount(room, entry.perTask);
+        best = std::max(best, fits);
+        if (best >= entry.spec.tasks && entry.spec.tasks == 1)
+            m_lastRoomy = w;
     }
     std::string why;
     if (best < entry.spec.tasks) {
@@ -692,7 +690,7 @@
     }
     std::int64_t free = 0;
     std::int64_t permitted = 0;
-    std::map<std::size_t, std::int64_t> groups;
+    std::unordered_map<std::int32_t, std::int64_t> groups;
     std::int64_t best = 0;
     for (worker_index w = 0; std::size_t(w) < m_cell.workers().size(); ++w) {
         const worker_state &worker = m_cell.at(w);
@@ -705,14 +703,7 @@
         const std::int64_t may = fitCount(room, entry.perTask);
         free += fits;
         permitted += may;
-        std::size_t group = 0;
-        if (entry.spec.closeness == adjacency::FailureDomain)
-            group = std::size_t(worker.domain);
-        else if (entry.spec.closeness == adjacency::Rack)
-            group = std::size_t(worker.rack);
-        else if (entry.spec.closeness == adjacency::Worker)
-            group = std::size_t(w);
-        best = std::max(best, groups[group] += may);
+        best = std::max(best, groups[groupOf(m_cell, w, entry.spec.closeness)] += may);
     }
     const std::string wanted = std::to_string(entry.spec.tasks) + " tasks of " + text(entry.perTask)
         + " are needed in " + nameOf(entry.spec.closeness);
--- a/goldcrest/cell_engine.h
+++ b/goldcrest/cell_engine.h
@@ -41,6 +41,8 @@
     time_point placedAt;
     time_point stopSentAt;
     double progress = 0;
+    duration estimated{}; // run time as estimated when it was queued
+    duration estimatedLong{}; // the same, cautious
     duration ranKept{}; // run time that `progress` took
     std::int32_t attempts = 0;
     std::int32_t yields = 0; // times it was stopped for a job with less work
@@ -177,6 +179,7 @@
     std::unordered_map<team_id, team_index> m_teamByName;
     std::set<std::pair<time_point, job_index>> m_deadlines;
     std::size_t m_verifyNext = 0;
+    worker_index m_lastRoomy = 0; // where whyImpossible() found room last
     std::map<std::tuple<load, std::int32_t, adjacency, team_index, bool>, std::string> m_possible;
     std::vector<scheduler_action> m_actions;
     time_point m_now;
--- a/goldcrest/fifo_scheduler.cc
+++ b/goldcrest/fifo_scheduler.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Jobs without room that are remembered during one pass over the queue.
+constexpr std::size_t maxFailedKept = 64;
+
 class fifo_scheduler final : public cell_engine
 {
 public:
@@ -49,6 +52,7 @@
 
     std::vector<placed_part> firstFit(const job_entry &entry, room_of room) const;
     bool isHopeless(const job_entry &entry) const;
+    bool isDominated(const job_entry &entry, const std::vector<job_index> &failed) const;
     void startSkipping();
     void claimGuarantees(bool all);
     bool tryStart(job_index index);
@@ -67,6 +71,9 @@
 // What the owner of a guarantee may use there once its borrowers have stopped.
 load fifo_scheduler::guaranteeRoom(worker_index w, const job_entry &entry) const
 {
+    const load unused = ledger().unusedGuarantee(w, entry.team);
+    if (!unused.covers(entry.perTask))
+        return {};
     load room = cell().at(w).free();
     for (const job_index other : jobsOn(w)) {
         if (job(other).use != use_kind::Borrowed && job(other).state != run_state::Stopping)
@@ -78,7 +85,7 @@
                 room += job(other).perTask * part.tasks;
         }
     }
-    return minOf(room, ledger().unusedGuarantee(w, entry.team));
+    return minOf(room, unused);
 }
 
 std::vector<placed_part> fifo_scheduler::firstFit(const job_entry &entry, room_of room) const
@@ -89,7 +96,8 @@
         for (const worker_index w : workers) {
             if (left == 0)
                 break;
-            if (!cell().at(w).inService())
+            const worker_state &worker = cell().at(w);
+            if (!worker.inService())
                 continue;
             const std::int64_t fits = fitCount((this->*room)(w, entry), entry.perTask);
             const std::int32_t taken = std::int32_t(std::min<std::int64_t>(left, fits));
@@ -99,13 +107,19 @@
         }
         return left == 0 ? parts : std::vector<placed_part>{};
     };
+    if (entry.spec.tasks == 1 || entry.spec.closeness == adjacency::Worker) {
+        const load need = entry.total();
+        for (worker_index w = 0; std::size_t(w) < cell().workers().size(); ++w) {
+            if (cell().at(w).inService() && (this->*room)(w, entry).covers(need))
+                return {{w, entry.spec.tasks}};
+        }
+        return {};
+    }
     std::vector<std::vector<worker_index>> groups(1);
     for (const rack_state &rack : cell().racks()) {
         if (entry.spec.closeness == adjacency::Rack)
             groups.push_back(rack.workers);
         for (const worker_index w : rack.workers) {
-            if (entry.spec.closeness == adjacency::Worker)
-                groups.push_back({w});
             if (entry.spec.closeness == adjacency::None)
                 groups.front().push_back(w);
         }
@@ -142,7 +156,7 @@
             return true;
         }
     }
-    return tryClaim(index);
+    return !m_skips && tryClaim(index); // the skipping variant claims after its pass
 }
 
 bool fifo_scheduler::tryClaim(job_index index)
@@ -200,14 +214,32 @@
     return m_freeAccelerators < entry.total().accelerators();
 }
 
+// Returns whether a job that needs no more than this one found no room in the same pass.
+bool fifo_scheduler::isDominated(const job_entry &entry, const std::vector<job_index> &failed) const
+{
+    return std::any_of(failed.begin(), failed.end(), [&](job_index index) {
+        const job_entry &other = job(index);
+        const bool pinned = !entry.spec.preemptible();
+        return entry.perTask.covers(other.perTask) && entry.spec.tasks >= other.spec.tasks
+            && (entry.spec.closeness == other.spec.closeness || other.spec.tasks == 1)
+            && pinned == !other.spec.preemptible() && (!pinned || entry.team == other.team);
+    });
+}
+
 void fifo_scheduler::startSkipping()
 {
     std::vector<job_index> order;
     for (const auto &[serial, index] : m_queue)
         order.push_back(index);
+    std::vector<job_index> failed;
     for (const job_index index : order) {
-        if (quotaAllows(job(index)) && !isHopeless(job(index)) && tryStart(index))
-            m_freeAccelerators -= job(index).total().accelerators();
+        const job_entry &entry = job(index);
+        if (!quotaAllows(entry) || isHopeless(entry) || isDominated(entry, failed))
+            continue;
+        if (tryStart(index))
+            m_freeAccelerators -= entry.total().accelerators();
+        else if (failed.size() < maxFailedKept)
+            failed.push_back(index);
     }
 }
 
--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -10,6 +10,7 @@
 #include "goldcrest/worker_health.h"
 
 #include <cmath>
+#include <deque>
 #include <functional>
 
 namespace goldcrest {
@@ -19,6 +20,9 @@
 // Jobs of different teams that are tried in a bucket before it counts as blocked.
 constexpr std::size_t triesPerBucket = 3;
 
+// The same for urgent jobs.
+constexpr std::size_t urgentTriesPerBucket = 8;
+
 // Jobs of one team that are tried on its own guarantee, per bucket.
 constexpr std::size_t claimTries = 2;
 
@@ -34,6 +38,10 @@
 // Key penalty for each doubling of a team's use above its guarantee.
 constexpr double overusePenalty = 60000;
 
+// All buckets are tried this often even if no capacity grew: a running job may have become one that
+// yields, or a worker may be allowed again for a job that failed there.
+constexpr duration passInterval = 15s;
+
 // A running job yields to a waiting one only after this time, so that stop times stay a small
 // share.
 constexpr duration leastRunTime = 2min;
@@ -47,8 +55,11 @@
 // Running jobs whose estimate is renewed on each tick.
 constexpr std::size_t renewedPerTick = 64;
 
-// A reservation looks at all workers, so it is made at most this often.
+// Planning a reservation looks at many workers, so it is done at most this often, for this many
+// jobs and among this many racks of a failure domain, beside those that the gang itself needs.
 constexpr duration reservationInterval = 20s;
+constexpr int reservationsPerInterval = 2;
+constexpr std::int32_t reservationRacks = 16;
 
 // A reservation that was not met is planned again after this time.
 constexpr duration reservationPatience = 5min;
@@ -59,6 +70,14 @@
 // A job that fails again and again is stopped even if no worker can be told healthy.
 constexpr std::int32_t maxFailures = 8;
 
+bool isSamePlace(const std::vector<placed_part> &a, const std::vector<placed_part> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const placed_part &x, const placed_part &y) {
+                          return x.worker == y.worker && x.tasks == y.tasks;
+                      });
+}
+
 // Whether a running job may be stopped for the one at hand.
 using stop_rule = std::function<bool(job_index)>;
 
@@ -103,6 +122,12 @@
     friend class claim_room;
     friend class stop_room;
 
+    struct unit_holder
+    {
+        job_index job = 0;
+        std::uint64_t serial = 0;
+    };
+
     struct usage_record
     {
         worker_index worker = 0;
@@ -121,6 +146,11 @@
     void runQueue();
     // Returns the place of an unused guarantee of the job's own shape.
     std::vector<placed_part> guaranteedPlace(const job_entry &entry, const room_policy &room) const;
+    load claimableRoom(worker_index worker, const job_entry &entry) const;
+    bool isHeld(std::size_t unit) const;
+    void holdUnit(job_index index);
+    void holdUnitsAnew();
+    bool hasUnusedGuarantee(const job_entry &entry) const;
     bool hasGuaranteedShape(const job_entry &entry) const;
     bool tryFree(job_index index);
     bool tryMixed(job_index index);
@@ -131,6 +161,7 @@
     bool tryReserved(job_index index);
     bool isLarge(const job_entry &entry) const;
     bool mayBackfill(worker_index worker, const job_entry &entry) const;
+    std::vector<worker_index> roomiestWorkers(const job_entry &entry) const;
     std::vector<room_forecast> forecastFor(job_index index) const;
     void renewReservations(const candidates &blocked);
     bool claimWithVictims(job_index index, std::vector<placed_part> parts, stop_reason reason,
@@ -147,6 +178,8 @@
     bool isMovable(const job_entry &entry) const;
     std::int64_t freeOutside(const std::vector<worker_index> &workers) const;
     void leaveDomains();
+    void stopLingering();
+    void estimate(job_entry &entry) const;
     duration estimateLeft(const job_entry &entry, duration ran) const;
     queue_facts factsOf(const job_entry &entry) const;
     static bucket_key bucketOf(const job_entry &entry);
@@ -164,10 +197,14 @@
     std::set<bucket_key> m_newWork; // buckets that got a job since the last decision
     std::set<team_index> m_claimTeams; // teams that may claim since the last decision
     bool m_grown = true; // capacity grew since the last decision
+    bool m_passDue = false;
+    time_point m_nextPass;
     std::set<std::string> m_leaving; // failure domains that are out
+    std::deque<std::pair<time_point, job_key>> m_lingering; // may finish there until this time
     std::unordered_map<job_index, std::vector<usage_record>> m_usage; // of jobs above declaration
     std::set<job_index> m_exceeded; // jobs that were stopped for it
     std::uint64_t m_examinedJobs = 0;
+    std::unordered_map<std::size_t, unit_holder> m_holders; // by position in the ledger's units
     reservation_table m_reservations;
     time_point m_nextReservation;
     std::int64_t m_largestWorker = 1; // accelerators
@@ -258,7 +295,7 @@
             }
         }
         if (m_onlyGuarantee)
-            return minOf(room, m_engine.ledger().unusedGuarantee(w, m_entry.team));
+            return minOf(room, m_engine.claimableRoom(w, m_entry));
         if (!m_entry.spec.preemptible())
             room = minOf(room, m_engine.ledger().headroom(w, m_entry.team));
         return room;
@@ -276,11 +313,10 @@
 // @param ran run time of the current attempt, zero for a waiting job
 duration gang_scheduler::estimateLeft(const job_entry &entry, duration ran) const
 {
-    constexpr double typical = 0.5;
     constexpr double tellingProgress = 0.05;
     const duration total = entry.ranKept + ran;
     if (entry.progress < tellingProgress || entry.ranKept <= 0ms)
-        return m_estimator.remaining(entry.spec, typical, total);
+        return runtime_estimator::remaining(entry.estimated, total);
     // A checkpoint tells the speed.
     const duration whole = duration(std::int64_t(double(entry.ranKept.count()) / entry.progress));
     constexpr int atLeast = 20;
@@ -314,9 +350,18 @@
     return key;
 }
 
+void gang_scheduler::estimate(job_entry &entry) const
+{
+    constexpr double typical = 0.5;
+    constexpr double cautious = 0.8;
+    entry.estimated = m_estimator.estimate(entry.spec, typical);
+    entry.estimatedLong = m_estimator.estimate(entry.spec, cautious);
+}
+
 void gang_scheduler::enqueue(job_index index)
 {
-    const job_entry &entry = job(index);
+    job_entry &entry = job(index);
+    estimate(entry);
     const bucket_key key = bucketOf(entry);
     m_queue.add(index, entry.team, key, m_order->key(factsOf(entry)));
     m_newWork.insert(key);
@@ -354,9 +399,7 @@
         return true;
     if (ledger().unusedGuarantee(worker, entry.team).accelerators() > 0)
         return true;
-    constexpr double cautious = 0.8;
-    const duration left = m_estimator.estimate(entry.spec, cautious);
-    return now() + left <= m_reservations.find(holder)->expected;
+    return now() + entry.estimatedLong <= m_reservations.find(holder)->expected;
 }
 
 void gang_scheduler::refreshIndexes()
@@ -414,6 +457,48 @@
     });
 }
 
+// Returns whether a job of the guaranteed shape runs in the place of the unit. Two units on one
+// worker cannot be told apart by the amounts in the ledger.
+bool gang_scheduler::isHeld(std::size_t unit) const
+{
+    const auto found = m_holders.find(unit);
+    return found != m_holders.end() && job(found->second.job).serial == found->second.serial
+        && isSamePlace(job(found->second.job).parts, ledger().units()[unit].parts);
+}
+
+void gang_scheduler::holdUnit(job_index index)
+{
+    const job_entry &entry = job(index);
+    for (const std::size_t i : ledger().unitsOf(entry.team)) {
+        const guarantee_unit &unit = ledger().units()[i];
+        if (unit.tasks != entry.spec.tasks || unit.perTask != entry.perTask
+            || !isSamePlace(entry.parts, unit.parts) || isHeld(i))
+            continue;
+        m_holders[i] = {index, entry.serial};
+        return;
+    }
+}
+
+void gang_scheduler::holdUnitsAnew()
+{
+    m_holders.clear();
+    for (job_index index = 0; index < jobLimit(); ++index) {
+        if (!job(index).parts.empty())
+            holdUnit(index);
+    }
+}
+
+// Returns what the team may claim on a worker of its guarantee. A job of the team that runs beside
+// the guaranteed place counts as using it, so a team that uses less than it is guaranteed in all
+// may take the capacity beside that place as well.
+load gang_scheduler::claimableRoom(worker_index worker, const job_entry &entry) const
+{
+    const team_state &owner = team(entry.team);
+    const bool entitled = owner.guaranteed.covers(owner.inUse + entry.total());
+    return entitled ? ledger().headroom(worker, entry.team)
+                    : ledger().unusedGuarantee(worker, entry.team);
+}
+
 bool gang_scheduler::hasGuaranteedShape(const job_entry &entry) const
 {
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
@@ -432,12 +517,12 @@
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
         const guarantee_unit &unit = ledger().units()[i];
         if (unit.tasks != entry.spec.tasks || unit.perTask != entry.perTask
-            || unit.closeness < entry.spec.closeness)
+            || unit.closeness < entry.spec.closeness || isHeld(i))
             continue;
         const bool fits = !unit.parts.empty()
             && std::all_of(unit.parts.begin(), unit.parts.end(), [&](const placed_part &part) {
                    const load need = entry.perTask * part.tasks;
-                   return ledger().unusedGuarantee(part.worker, entry.team).covers(need)
+                   return claimableRoom(part.worker, entry).covers(need)
                        && room.room(part.worker).covers(need);
                });
         if (fits)
@@ -453,6 +538,7 @@
     const use_kind use
         = fitsProtected(job(index), parts) ? use_kind::Protected : use_kind::Borrowed;
     place(index, std::move(parts), use);
+    holdUnit(index);
     return true;
 }
 
@@ -577,6 +663,7 @@
         place(index, std::move(parts), use);
     else
         claim(index, std::move(parts), use, victims.jobs, reason);
+    holdUnit(index);
     return true;
 }
 
@@ -679,6 +766,21 @@
     return !parts.empty() && claimWithVictims(index, std::move(parts), stop_reason::Move, mayStop);
 }
 
+// Returns the workers of the racks with the most room, counting what can checkpoint.
+std::vector<worker_index> gang_scheduler::roomiestWorkers(const job_entry &entry) const
+{
+    std::vector<worker_index> workers;
+    for (domain_index d = 0; std::size_t(d) < m_yielding.domainCount(); ++d) {
+        std::int32_t left = reservationRacks + 2 * entry.spec.tasks;
+        const auto &racks = m_yielding.racksOf(d);
+        for (auto it = racks.rbegin(); it != racks.rend() && left-- > 0; ++it) {
+            const std::vector<worker_index> &here = cell().racks()[std::size_t(it->second)].workers;
+            workers.insert(workers.end(), here.begin(), here.end());
+        }
+    }
+    return workers;
+}
+
 // Returns when which workers can take how many tasks of the job, if nothing else starts there.
 std::vector<room_forecast> gang_scheduler::forecastFor(job_index index) const
 {
@@ -686,7 +788,7 @@
     const stop_rule yields = yieldingTo(index);
     std::vector<room_forecast> forecasts;
     std::vector<std::pair<time_point, load>> ends;
-    for (worker_index w = 0; std::size_t(w) < cell().workers().size(); ++w) {
+    for (const worker_index w : roomiestWorkers(entry)) {
         const job_index holder = m_reservations.holderOf(w);
         if (!cell().at(w).inService() || (holder != reservation_table::none && holder != index))
             continue;
@@ -748,8 +850,9 @@
         if (keep.count(index) == 0 || late)
             m_reservations.remove(index);
     }
+    int planned = 0;
     for (const job_index index : keep) {
-        if (m_reservations.find(index))
+        if (m_reservations.find(index) || planned++ == reservationsPerInterval)
             continue;
         const job_entry &entry = job(index);
         const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
@@ -787,7 +890,7 @@
     candidates jobs;
     for (const auto &[key, bucket] : m_queue.buckets()) {
         if (key.urgent)
-            m_queue.firstOf(bucket, std::numeric_limits<std::size_t>::max(), jobs);
+            m_queue.firstOf(bucket, urgentTriesPerBucket, jobs);
     }
     std::sort(jobs.begin(), jobs.end());
     for (const auto &[order, index] : jobs) {
@@ -807,6 +910,18 @@
         refreshIndexes();
 }
 
+bool gang_scheduler::hasUnusedGuarantee(const job_entry &entry) const
+{
+    const load need = entry.total();
+    load unused;
+    for (const worker_index w : ledger().workersOf(entry.team)) {
+        unused += maxOf(claimableRoom(w, entry), {});
+        if (unused.covers(need))
+            return true;
+    }
+    return false;
+}
+
 void gang_scheduler::runClaims()
 {
     while (!m_claimTeams.empty()) {
@@ -819,7 +934,8 @@
         std::sort(jobs.begin(), jobs.end());
         for (const auto &[order, index] : jobs) {
             ++m_examinedJobs;
-            if (!quotaAllows(job(index)) || !(tryFree(index) || tryClaim(index) || tryMixed(index)))
+            if (!quotaAllows(job(index)) || !hasUnusedGuarantee(job(index))
+                || !(tryFree(index) || tryClaim(index) || tryMixed(index)))
                 continue;
             refreshIndexes(); // adds the team again
             m_claimTeams.insert(owner);
@@ -830,7 +946,8 @@
 
 void gang_scheduler::runQueue()
 {
-    const bool all = std::exchange(m_grown, false);
+    const bool mayYield = std::exchange(m_passDue, false);
+    const bool all = std::exchange(m_grown, false) || mayYield;
     const std::set<bucket_key> fresh = std::exchange(m_newWork, {});
     std::set<std::tuple<double, job_index, const job_queue::bucket *>> heads;
     candidates blocked;
@@ -865,8 +982,9 @@
             ++m_examinedJobs;
             if (!quotaAllows(job(index)))
                 continue;
+            const bool looksForYield = first && (mayYield || fresh.count(key) > 0);
             const bool started = tryFree(index) || tryMixed(index) || tryReserved(index)
-                || (++yieldTries <= maxYieldTries && tryYield(index));
+                || (looksForYield && ++yieldTries <= maxYieldTries && tryYield(index));
             if (!started) {
                 if (std::exchange(first, false))
                     blocked.emplace_back(order, index);
@@ -879,7 +997,7 @@
             break;
         }
     }
-    if (all) {
+    if (mayYield) {
         std::sort(blocked.begin(), blocked.end());
         renewReservations(blocked);
     }
@@ -901,6 +1019,8 @@
 
 void gang_scheduler::onPlaced(job_index index)
 {
+    if (job(index).estimated == 0ms) // adopted
+        estimate(job(index));
     m_reservations.remove(index);
     job(index).backfilledFor = reservation_table::none;
     for (const placed_part &part : job(index).parts) {
@@ -959,6 +1079,7 @@
 {
     m_leaving = config.domainsOut;
     m_grown = true;
+    holdUnitsAnew();
     leaveDomains();
 }
 
@@ -976,17 +1097,33 @@
                     const job_entry &entry = job(index);
                     if (entry.state != run_state::Running || !entry.spec.preemptible())
                         continue;
-                    constexpr double typical = 0.5;
-                    const duration left
-                        = m_estimator.remaining(entry.spec, typical, now() - entry.placedAt);
+                    const duration left = factsOf(entry).remaining;
                     if (entry.spec.canCheckpoint || left > finishInsteadOfMove)
                         stop(index, stop_reason::DomainOut);
+                    else
+                        m_lingering.emplace_back(now() + finishInsteadOfMove, entry.spec.key);
                 }
             }
         }
     }
 }
 
+// Stops work that was left to finish in a domain that is out and did not.
+void gang_scheduler::stopLingering()
+{
+    while (!m_lingering.empty() && m_lingering.front().first <= now()) {
+        const std::optional<job_index> index = findJob(m_lingering.front().second);
+        m_lingering.pop_front();
+        if (!index || job(*index).state != run_state::Running)
+            continue;
+        const std::vector<placed_part> &parts = job(*index).parts;
+        if (std::any_of(parts.begin(), parts.end(), [&](const placed_part &part) {
+                return m_leaving.count(cell().at(part.worker).info.failureDomain) > 0;
+            }))
+            stop(*index, stop_reason::DomainOut);
+    }
+}
+
 void gang_scheduler::usageReported(const job_key &key, const worker_id &worker,
                                    const resources &used, time_point now)
 {
@@ -1031,9 +1168,12 @@
     cell_engine::tick(now);
     for (const worker_index w : m_health.dueProbes(now))
         block(w, block_reason::Quarantined, false);
-    leaveDomains();
+    stopLingering();
     renewRunning();
-    m_grown = true; // a worker may be allowed again for a job that failed there
+    if (now >= m_nextPass) {
+        m_passDue = true;
+        m_nextPass = now + passInterval;
+    }
     schedule();
 }
 
--- a/goldcrest/guarantee_ledger.cc
+++ b/goldcrest/guarantee_ledger.cc
@@ -268,18 +268,46 @@
 
 void guarantee_ledger::planMissing()
 {
+    // Spares the search where the total room rules it out, as when workers announce themselves one
+    // by one.
+    load room = totalRoom();
     for (guarantee_unit &unit : m_units) {
-        if (unit.parts.empty())
-            assign(unit, findPlace(unit));
+        if (!unit.parts.empty() || !room.covers(unit.perTask * unit.tasks))
+            continue;
+        assign(unit, findPlace(unit));
+        if (!unit.parts.empty())
+            room -= unit.perTask * unit.tasks;
     }
     indexTeams();
 }
 
+load guarantee_ledger::totalRoom() const
+{
+    load room;
+    for (const worker_state &worker : m_cell.workers()) {
+        if (worker.inService())
+            room += worker.capacity;
+    }
+    for (const guarantee_unit &unit : m_units) {
+        if (!unit.parts.empty())
+            room -= unit.perTask * unit.tasks;
+    }
+    return room;
+}
+
+bool guarantee_ledger::couldFitAnew() const
+{
+    const load room = totalRoom();
+    return std::any_of(m_units.begin(), m_units.end(), [&](const guarantee_unit &unit) {
+        return unit.parts.empty() && room.covers(unit.perTask * unit.tasks);
+    });
+}
+
 std::vector<worker_index> guarantee_ledger::plan()
 {
     const std::vector<guarantee_unit> before = m_units;
     planMissing();
-    if (m_unmet > 0) {
+    if (m_unmet > 0 && couldFitAnew()) {
         const std::vector<guarantee_unit> incremental = m_units;
         const std::size_t unmet = m_unmet;
         for (guarantee_unit &unit : m_units)
--- a/goldcrest/guarantee_ledger.h
+++ b/goldcrest/guarantee_ledger.h
@@ -109,6 +109,8 @@
     void assign(guarantee_unit &unit, std::vector<placed_part> parts);
     void clear(guarantee_unit &unit);
     void planMissing();
+    load totalRoom() const; // of the workers in service, outside guarantees
+    bool couldFitAnew() const;
     void changeGuaranteed(const guarantee_unit &unit, int sign);
     void indexTeams();
 
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -192,15 +192,7 @@
 {
     std::map<std::int32_t, std::vector<worker_index>> groups;
     for (const worker_index w : workers) {
-        const worker_state &worker = m_cell.at(w);
-        std::int32_t group = 0;
-        if (request.closeness == adjacency::FailureDomain)
-            group = worker.domain;
-        else if (request.closeness == adjacency::Rack)
-            group = worker.rack;
-        else if (request.closeness == adjacency::Worker)
-            group = w;
-        groups[group].push_back(w);
+        groups[groupOf(m_cell, w, request.closeness)].push_back(w);
     }
     std::vector<placed_part> best;
     std::int64_t bestSpare = std::numeric_limits<std::int64_t>::max();
--- a/goldcrest/preemption.cc
+++ b/goldcrest/preemption.cc
@@ -16,25 +16,27 @@
     return share;
 }
 
-double usefulness(const std::vector<shortage> &open, const victim_candidate &candidate)
+using shortage_index = std::unordered_map<worker_index, std::size_t>;
+
+double usefulness(const std::vector<shortage> &open, const shortage_index &byWorker,
+                  const victim_candidate &candidate)
 {
     double useful = 0;
     for (const placed_part &part : candidate.parts) {
-        for (const shortage &s : open) {
-            if (s.worker == part.worker && !load{}.covers(s.missing))
-                useful += usefulShare(s.missing, candidate.perTask * part.tasks);
-        }
+        const auto found = byWorker.find(part.worker);
+        if (found != byWorker.end())
+            useful += usefulShare(open[found->second].missing, candidate.perTask * part.tasks);
     }
     return useful;
 }
 
-void subtract(std::vector<shortage> &open, const victim_candidate &candidate, std::int64_t sign)
+void subtract(std::vector<shortage> &open, const shortage_index &byWorker,
+              const victim_candidate &candidate, std::int64_t sign)
 {
     for (const placed_part &part : candidate.parts) {
-        for (shortage &s : open) {
-            if (s.worker == part.worker)
-                s.missing -= candidate.perTask * (sign * part.tasks);
-        }
+        const auto found = byWorker.find(part.worker);
+        if (found != byWorker.end())
+            open[found->second].missing -= candidate.perTask * (sign * part.tasks);
     }
 }
 
@@ -50,6 +52,9 @@
                          const std::vector<victim_candidate> &candidates)
 {
     std::vector<shortage> open = shortages;
+    shortage_index byWorker;
+    for (std::size_t i = 0; i < open.size(); ++i)
+        byWorker[open[i].worker] = i;
     std::vector<bool> taken(candidates.size());
     std::vector<std::size_t> order;
     while (!isCovered(open)) {
@@ -58,7 +63,7 @@
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             if (taken[i])
                 continue;
-            const double useful = usefulness(open, candidates[i]);
+            const double useful = usefulness(open, byWorker, candidates[i]);
             // One unit of cost keeps the rate finite for jobs that are stopping already.
             const double rate = useful / (candidates[i].cost + 1);
             if (rate > bestRate) {
@@ -70,7 +75,7 @@
             return {};
         taken[best] = true;
         order.push_back(best);
-        subtract(open, candidates[best], 1);
+        subtract(open, byWorker, candidates[best], 1);
     }
     victim_set result;
     result.isEnough = true;
@@ -78,10 +83,10 @@
         return candidates[a].cost > candidates[b].cost;
     });
     for (const std::size_t i : order) {
-        subtract(open, candidates[i], -1);
+        subtract(open, byWorker, candidates[i], -1);
         if (isCovered(open))
             continue;
-        subtract(open, candidates[i], 1);
+        subtract(open, byWorker, candidates[i], 1);
         result.jobs.push_back(candidates[i].job);
         result.cost += candidates[i].cost;
     }
--- a/goldcrest/reservations.cc
+++ b/goldcrest/reservations.cc
@@ -15,21 +15,8 @@
     std::unordered_map<std::int32_t, std::int64_t> tasksOf;
     std::int32_t chosen = -1;
     time_point expected;
-    const auto groupOf = [&](worker_index w) -> std::int32_t {
-        switch (request.closeness) {
-        case adjacency::None:
-            return 0;
-        case adjacency::FailureDomain:
-            return cell.at(w).domain;
-        case adjacency::Rack:
-            return cell.at(w).rack;
-        case adjacency::Worker:
-            return w;
-        }
-        return 0;
-    };
     for (const room_forecast &forecast : forecasts) {
-        const std::int32_t group = groupOf(forecast.worker);
+        const std::int32_t group = groupOf(cell, forecast.worker, request.closeness);
         if ((tasksOf[group] += forecast.tasks) < request.tasks)
             continue;
         chosen = group;
@@ -44,7 +31,7 @@
     for (const room_forecast &forecast : forecasts) {
         if (left <= 0)
             break;
-        if (groupOf(forecast.worker) != chosen)
+        if (groupOf(cell, forecast.worker, request.closeness) != chosen)
             continue;
         left -= forecast.tasks;
         result.workers.push_back(forecast.worker);
--- a/goldcrest/runtime_estimator.cc
+++ b/goldcrest/runtime_estimator.cc
@@ -125,9 +125,8 @@
     return fromSeconds(past.runTime.quantile(q));
 }
 
-duration runtime_estimator::remaining(const job_spec &spec, double q, duration ran) const
+duration runtime_estimator::remaining(duration whole, duration ran)
 {
-    const duration whole = estimate(spec, q);
     // A job that outlives its estimate is expected to run on for as long as it has run: run times
     // are heavy-tailed.
     return std::max(whole - ran, ran / 2);
--- a/goldcrest/runtime_estimator.h
+++ b/goldcrest/runtime_estimator.h
@@ -5,7 +5,7 @@
 //
 //   estimator.finished(spec, ranFor);
 //   duration whole = estimator.estimate(spec, 0.5);
-//   duration left = estimator.remaining(spec, 0.5, ranSoFar);
+//   duration left = runtime_estimator::remaining(whole, ranSoFar);
 
 #include "goldcrest/model.h"
 
@@ -44,8 +44,8 @@
     // Returns the run time that a share `q` of the jobs like this one does not exceed.
     duration estimate(const job_spec &spec, double q) const;
 
-    // Returns the time left of a job that has run for `ran`.
-    duration remaining(const job_spec &spec, double q, duration ran) const;
+    // Returns the time left of a job that has run for `ran` of an estimated `whole`.
+    static duration remaining(duration whole, duration ran);
 
     std::size_t historyCount() const { return m_history.size(); }
 
--- a/goldcrest/topology.cc
+++ b/goldcrest/topology.cc
@@ -70,4 +70,19 @@
     m_workers[std::size_t(worker)].used -= use;
 }
 
+std::int32_t groupOf(const topology &cell, worker_index worker, adjacency closeness)
+{
+    switch (closeness) {
+    case adjacency::None:
+        return 0;
+    case adjacency::FailureDomain:
+        return cell.at(worker).domain;
+    case adjacency::Rack:
+        return cell.at(worker).rack;
+    case adjacency::Worker:
+        return worker;
+    }
+    return 0;
+}
+
 } // namespace goldcrest
--- a/goldcrest/topology.h
+++ b/goldcrest/topology.h
@@ -99,4 +99,7 @@
     std::map<std::string, domain_index> m_domainByName;
 };
 
+// Returns the number of the worker's group: two workers are adjacent if theirs are equal.
+std::int32_t groupOf(const topology &cell, worker_index worker, adjacency closeness);
+
 } // namespace goldcrest
