Add a benchmark of the planner's memory, messages and processor time by cell size

docs/CAPACITY.md needs slopes per worker, task and job. Agents and the store are answered in place, so only the planner counts.

--- /dev/null
+++ b/testing/capacity_benchmark.cc
@@ -0,0 +1,331 @@
+// Memory, processor time and messages of a planner for cells of several sizes, to extrapolate to
+// the target size in docs/CAPACITY.md. Agents and the store are answered in place, so only the
+// planner's own cost counts.
+//
+//   build/capacity_benchmark [workers...]
+//
+// Message and byte counts are exact; processor times depend on the machine.
+
+#include "goldcrest/cell_planner.h"
+#include "goldcrest/message_codec.h"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <ctime>
+#include <deque>
+#include <vector>
+
+#include <malloc.h>
+
+using namespace goldcrest;
+
+namespace {
+
+constexpr int targetWorkers = 4900;
+constexpr int targetTasks = 60000;
+constexpr int targetAccelerators = 7200;
+constexpr int targetTeams = 150;
+constexpr int tasksPerJob = 8;
+constexpr std::size_t tcpIpAndFrameBytes
+    = 40 + 12 + 8; // IPv4, TCP with timestamps, WebSocket with mask
+constexpr std::int64_t startUnixMs = 1'700'000'000'000;
+constexpr std::int64_t acceptedAtUnixMs
+    = startUnixMs + 600'000; // long after the planner's start, so no earlier one knew it
+constexpr link_id entryLink = 1'000'000;
+
+std::size_t usedBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+configuration makeConfiguration(revision number)
+{
+    configuration config;
+    config.number = number;
+    config.entries.cells["cell-1"] = {"cell-1", "operations", {"domain-1"}};
+    class_entry batch;
+    batch.name = "batch";
+    config.entries.classes["batch"] = batch;
+    for (int i = 0; i < targetTeams; ++i) {
+        team_entry team;
+        team.name = fmt::format("team-{:03}", i);
+        team.className = "batch";
+        team.maxQueued = 100000;
+        config.entries.teams[team.name] = team;
+    }
+    return config;
+}
+
+worker_info makeWorker(int index)
+{
+    constexpr int workersPerRack = 20;
+    worker_info worker;
+    worker.id = fmt::format("domain-1-w{:04}", index);
+    worker.failureDomain = "domain-1";
+    worker.rack = fmt::format("rack-{:03}", index / workersPerRack);
+    worker.address = fmt::format("10.0.{}.{}:7201", index / 250, index % 250);
+    const int before = index * targetAccelerators / targetWorkers;
+    const int after = (index + 1) * targetAccelerators / targetWorkers;
+    worker.capacity = {64000, 262144, after - before};
+    return worker;
+}
+
+job_spec makeJob(int index, int tasks)
+{
+    job_spec spec;
+    spec.key
+        = {fmt::format("team-{:03}", index % targetTeams), fmt::format("request-{:08}", index)};
+    spec.className = "batch";
+    spec.tasks = tasks;
+    spec.perTask = {1000, 1024, 0};
+    spec.idempotent = true;
+    spec.declaredRunTime = 2h;
+    spec.payload = std::string(200, 'p');
+    return spec;
+}
+
+// A planner with agents and a store that answer at once.
+class planner_bench
+{
+public:
+    explicit planner_bench(int workers)
+        : m_workers(workers)
+        , m_planner(options(), makeGangScheduler("cell-1"), makeUnanimousPolicy(), m_now)
+    { }
+
+    void bringUp()
+    {
+        m_planner.leaseChanged(true, false, m_now);
+        m_planner.configurationOffered(makeConfiguration(1), 0ms, m_now);
+        m_planner.recordsLoaded(std::vector<loaded_record>{}, m_now);
+        m_planner.entryOpened(entryLink, "entry-1", m_now);
+        for (int i = 0; i < m_workers; ++i) {
+            inventory_message inventory;
+            inventory.worker = makeWorker(i);
+            inventory.backendReachable = true;
+            deliver(static_cast<link_id>(i + 1), inventory);
+        }
+        settle(3s);
+    }
+
+    void submit(int first, int count, int tasks)
+    {
+        for (int i = first; i < first + count; ++i) {
+            submit_job_message message;
+            message.spec = makeJob(i, tasks);
+            message.acceptedAtUnixMs = acceptedAtUnixMs;
+            deliver(entryLink, message);
+        }
+        settle(500ms);
+    }
+
+    void heartbeats(int rounds)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            for (int i = 0; i < m_workers; ++i) {
+                heartbeat_message heartbeat;
+                heartbeat.worker = makeWorker(i).id;
+                heartbeat.plannerEpoch = 1;
+                heartbeat.sequence = static_cast<std::uint64_t>(round + 1);
+                heartbeat.partCount = m_parts[static_cast<link_id>(i + 1)];
+                deliver(static_cast<link_id>(i + 1), heartbeat);
+            }
+        }
+    }
+
+    void changeConfiguration(revision number)
+    {
+        m_planner.configurationOffered(makeConfiguration(number), 0ms, m_now);
+        carryOut();
+    }
+
+    std::size_t running() const { return m_planner.engine().capacity().runningJobs; }
+    std::size_t queued() const { return m_planner.engine().capacity().queuedJobs; }
+    std::size_t messages() const { return m_messages; }
+    std::size_t bytes() const { return m_bytes; }
+    std::size_t storeCalls() const { return m_storeCalls; }
+
+private:
+    static planner_options options()
+    {
+        planner_options options;
+        options.cell = "cell-1";
+        options.worker = "domain-1-w0000";
+        options.number = 1;
+        options.startUnixMs = startUnixMs;
+        return options;
+    }
+
+    void deliver(link_id link, const message &content)
+    {
+        count(content);
+        m_planner.received(link, content, m_now);
+        carryOut();
+    }
+
+    void count(const message &content)
+    {
+        ++m_messages;
+        m_bytes += encodeMessage(content).size() + tcpIpAndFrameBytes;
+    }
+
+    // Ticks as often as the process does, so that the planner does not take the time for a pause of
+    // its own.
+    void settle(duration time)
+    {
+        constexpr duration step = 100ms;
+        for (duration passed = 0ms; passed < time; passed += step)
+            advance(step);
+    }
+
+    void advance(duration step)
+    {
+        m_now += step;
+        m_planner.configurationConfirmed(m_revision, 0ms, m_now);
+        m_planner.tick(m_now);
+        carryOut();
+    }
+
+    void carryOut()
+    {
+        for (planner_action &action : m_planner.takeActions())
+            m_pending.push_back(std::move(action));
+        while (!m_pending.empty()) {
+            const planner_action action = std::move(m_pending.front());
+            m_pending.pop_front();
+            std::visit([&](const auto &typed) { answer(typed); }, action);
+            for (planner_action &next : m_planner.takeActions())
+                m_pending.push_back(std::move(next));
+        }
+    }
+
+    void answer(const send_message &sent)
+    {
+        count(sent.content);
+        if (const auto *hold = std::get_if<hold_message>(&sent.content)) {
+            m_own[hold->gang.attempt.job] = hold->gang.plannerEpoch;
+            reply(sent.link, hold_reply_message{hold->gang.attempt, workerOf(sent.link), 1, {}});
+        } else if (const auto *start = std::get_if<start_message>(&sent.content)) {
+            ++m_parts[sent.link];
+            reply(sent.link, task_started_message{start->attempt, workerOf(sent.link), 1, {}});
+        }
+    }
+
+    void reply(link_id link, const message &content)
+    {
+        count(content);
+        m_planner.received(link, content, m_now);
+    }
+
+    void answer(const read_record &read)
+    {
+        ++m_storeCalls;
+        loaded_record loaded;
+        loaded.record.spec.key = read.job;
+        const int index = std::atoi(read.job.requestId.c_str() + std::string("request-").size());
+        loaded.record.spec = makeJob(index, tasksPerJob);
+        loaded.record.cell = "cell-1";
+        loaded.record.acceptedAtUnixMs = acceptedAtUnixMs;
+        loaded.modRevision = ++m_storeRevision;
+        m_planner.recordRead(read.job, std::optional<loaded_record>(loaded), m_now);
+    }
+
+    void answer(const write_record &write)
+    {
+        ++m_storeCalls;
+        m_planner.recordWritten(write.job, {write_status::Applied, ++m_storeRevision}, m_now);
+    }
+
+    void answer(const load_records &) { ++m_storeCalls; }
+    void answer(const step_down &) { std::abort(); }
+
+    static worker_id workerOf(link_id link) { return makeWorker(static_cast<int>(link) - 1).id; }
+
+    int m_workers;
+    time_point m_now{1h};
+    revision m_revision = 1;
+    cell_planner m_planner;
+    std::deque<planner_action> m_pending;
+    std::map<job_key, epoch> m_own;
+    std::map<link_id, std::int32_t> m_parts;
+    store_revision m_storeRevision = 0;
+    std::size_t m_messages = 0;
+    std::size_t m_bytes = 0;
+    std::size_t m_storeCalls = 0;
+};
+
+void measure(int workers)
+{
+    const std::size_t empty = usedBytes();
+    planner_bench bench(workers);
+    const double upStart = processorSeconds();
+    bench.bringUp();
+    const double upTime = processorSeconds() - upStart;
+    const std::size_t withWorkers = usedBytes();
+
+    const int jobs = static_cast<int>(static_cast<std::int64_t>(workers) * targetTasks
+                                      / targetWorkers / tasksPerJob);
+    const std::size_t messagesBefore = bench.messages();
+    const std::size_t bytesBefore = bench.bytes();
+    const std::size_t callsBefore = bench.storeCalls();
+    const double jobsStart = processorSeconds();
+    bench.submit(0, jobs, tasksPerJob);
+    const double jobsTime = processorSeconds() - jobsStart;
+    const std::size_t withJobs = usedBytes();
+    const std::size_t running = bench.running();
+    const std::size_t messages = bench.messages() - messagesBefore;
+    const std::size_t bytes = bench.bytes() - bytesBefore;
+    const std::size_t calls = bench.storeCalls() - callsBefore;
+
+    constexpr int queuedJobs = 1000;
+    bench.submit(jobs, queuedJobs, workers * 100); // larger than the cell; refused at once
+    const std::size_t beforeQueue = usedBytes();
+    bench.submit(jobs + queuedJobs, queuedJobs, 60 * workers);
+    const std::size_t withQueue = usedBytes();
+
+    constexpr int rounds = 10;
+    const double heartbeatStart = processorSeconds();
+    bench.heartbeats(rounds);
+    const double heartbeatTime = processorSeconds() - heartbeatStart;
+
+    constexpr int changes = 10;
+    const double changeStart = processorSeconds();
+    for (int i = 0; i < changes; ++i)
+        bench.changeConfiguration(2 + i);
+    const double changeTime = processorSeconds() - changeStart;
+
+    const double microseconds = 1e6;
+    fmt::print("{:>7} {:>7} {:>7} {:>9.0f} {:>9.0f} {:>9.0f} {:>9.1f} {:>9.1f} {:>8.1f} {:>8.1f} "
+               "{:>9.0f} {:>9.1f} {:>9.1f}\n",
+               workers, running, bench.queued(), static_cast<double>(withWorkers - empty) / workers,
+               static_cast<double>(withJobs - withWorkers) / (running * tasksPerJob),
+               static_cast<double>(withQueue - beforeQueue) / queuedJobs,
+               upTime * microseconds / workers, jobsTime * microseconds / jobs,
+               static_cast<double>(messages) / jobs, static_cast<double>(calls) / jobs,
+               static_cast<double>(bytes) / jobs, heartbeatTime * microseconds / (rounds * workers),
+               changeTime * microseconds / changes);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    fmt::print("planner of one cell; jobs of {} tasks, {} teams\n", tasksPerJob, targetTeams);
+    fmt::print("{:>7} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>9}\n",
+               "workers", "running", "queued", "B/worker", "B/task", "B/queued", "us/worker",
+               "us/job", "msg/job", "calls/jb", "B/job", "us/beat", "us/change");
+    std::vector<int> sizes;
+    for (int i = 1; i < argc; ++i)
+        sizes.push_back(std::atoi(argv[i]));
+    if (sizes.empty())
+        sizes = {11, 111, 445, 1225, 4900};
+    for (const int workers : sizes)
+        measure(workers);
+    return EXIT_SUCCESS;
+}
