Count each request of a connection by itself

A request that arrived in one piece with the end of an earlier one was refused, because the header check started in its middle: a test with pipelined requests in pieces of 7, 61 and 100 bytes got 1 of 6 answers. The check now follows all requests of the connection, and it names the limit that was broken. The time that a client may take to read an answer is a setting, http.writeTimeoutMs. The header limit is at most 64 KiB, since the HTTP parser refuses more than 80 KiB.

--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -24,16 +24,40 @@
 constexpr duration timerCheckInterval = 250ms;
 // The handlers of this project bound the time of a request themselves.
 constexpr duration handlingLimit = 24h;
-constexpr duration writeLimit = 10s;
 // How long a refused client may take to read the refusal.
 constexpr duration drainLimit = 1s;
 // A second request is read ahead while the first is open, which also notices a closed connection.
 constexpr std::size_t maxPipelinedRequests = 2;
-constexpr std::size_t maxFieldCount = 100;
 
 class http_socket;
 struct server_state;
 
+// Follows the requests in a connection's bytes, ahead of RESTinio, which closes a connection that
+// breaks a limit without saying which.
+class request_inspector
+{
+public:
+    request_inspector();
+    request_inspector(const request_inspector &) = delete;
+    request_inspector &operator=(const request_inspector &) = delete;
+
+    // Reads received bytes. Returns the refusal if they break a limit.
+    std::optional<failure> read(std::string_view bytes, const http_limits &limits);
+
+    // Returns whether a request has begun and is not complete.
+    bool isWithinRequest() const { return m_headerBytes > 0; }
+
+private:
+    static const http_parser_settings &callbacks();
+    std::optional<failure> check(const http_limits &limits) const;
+
+    http_parser m_parser{};
+    std::size_t m_headerBytes = 0;
+    std::size_t m_bodyBytes = 0;
+    bool m_headerEnded = false;
+    bool m_complete = false;
+};
+
 // What the limits need to know about one connection.
 struct connection_state
 {
@@ -46,23 +70,10 @@
     // Takes the connection out of the counts.
     void release();
 
-    // Reads the header of the current request within received bytes.
-    void inspect(const char *data, std::size_t size);
-
-    // Returns the refusal of what was inspected, if it breaks a limit.
-    std::optional<failure> brokenLimit(const http_limits &limits) const;
-
-    // Starts counting the next request.
-    void beginRequest();
-
     std::weak_ptr<server_state> server;
     http_socket *socket;
     net::ip::tcp::endpoint remote;
-    std::size_t requestBytes = 0; // received since the last request was handled
-    http_parser parser{}; // of the header
-    std::size_t headerBytes = 0;
-    bool headerEnded = false;
-    bool headerInvalid = false;
+    request_inspector inspector;
     bool parsing = false; // RESTinio is handling received bytes
     bool peerClosed = false;
     bool refused = false;
@@ -86,7 +97,6 @@
     , socket(stream)
     , remote(remoteEndpoint)
 {
-    beginRequest();
     if (const auto counted = server.lock())
         ++counted->perPeer[remote.address()];
 }
@@ -111,51 +121,86 @@
         counted->perPeer.erase(found);
 }
 
-void connection_state::inspect(const char *data, std::size_t size)
+request_inspector::request_inspector()
+{
+    http_parser_init(&m_parser, HTTP_REQUEST);
+    m_parser.data = this;
+}
+
+const http_parser_settings &request_inspector::callbacks()
 {
-    static const http_parser_settings parserSettings = [] {
+    // The parser pauses at the end of each part, so that the bytes of a part can be counted.
+    static const http_parser_settings settings = [] {
         http_parser_settings initial;
         http_parser_settings_init(&initial);
-        initial.on_headers_complete = [](http_parser *ended) {
-            http_parser_pause(ended, 1);
+        initial.on_headers_complete = [](http_parser *parser) {
+            static_cast<request_inspector *>(parser->data)->m_headerEnded = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        initial.on_body = [](http_parser *parser, const char *, std::size_t size) {
+            static_cast<request_inspector *>(parser->data)->m_bodyBytes += size;
+            return 0;
+        };
+        initial.on_message_complete = [](http_parser *parser) {
+            static_cast<request_inspector *>(parser->data)->m_complete = true;
+            http_parser_pause(parser, 1);
             return 0;
         };
         return initial;
     }();
-    requestBytes += size;
-    if (headerEnded || headerInvalid)
-        return;
-    headerBytes += http_parser_execute(&parser, &parserSettings, data, size);
-    headerEnded = HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED;
-    headerInvalid = !headerEnded && HTTP_PARSER_ERRNO(&parser) != HPE_OK;
-}
-
-void connection_state::beginRequest()
-{
-    http_parser_init(&parser, HTTP_REQUEST);
-    requestBytes = 0;
-    headerBytes = 0;
-    headerEnded = false;
-    headerInvalid = false;
+    return settings;
 }
 
-std::optional<failure> connection_state::brokenLimit(const http_limits &limits) const
+std::optional<failure> request_inspector::check(const http_limits &limits) const
 {
-    if (headerInvalid)
-        return makeFailure(code::InvalidValue, "the header is not valid HTTP/1.1", "header");
-    if (headerBytes > limits.maxHeaderBytes)
+    if (m_headerBytes > limits.maxHeaderBytes)
         return makeFailure(code::InvalidValue,
                            fmt::format("the header is above {} bytes", limits.maxHeaderBytes),
                            "header");
-    const bool hasLength = headerEnded && parser.content_length != ULLONG_MAX;
-    if (hasLength && parser.content_length > limits.maxBodyBytes)
+    const bool declared = m_headerEnded && m_parser.content_length != ULLONG_MAX;
+    // The parser counts the declared length down as the body arrives.
+    const std::uint64_t body = m_bodyBytes + (declared ? m_parser.content_length : 0);
+    if (body > limits.maxBodyBytes)
         return makeFailure(code::BodyTooLarge,
-                           fmt::format("the body has {} bytes, above the limit of {}",
-                                       parser.content_length, limits.maxBodyBytes),
+                           fmt::format("the body has {}{} bytes, above the limit of {}",
+                                       declared ? "" : "at least ", body, limits.maxBodyBytes),
                            "body");
     return std::nullopt;
 }
 
+std::optional<failure> request_inspector::read(std::string_view bytes, const http_limits &limits)
+{
+    while (!bytes.empty()) {
+        const bool withinHeader = !m_headerEnded;
+        const std::size_t size
+            = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+        if (withinHeader)
+            m_headerBytes += size;
+        if (auto refusal = check(limits))
+            return refusal;
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        if (error != HPE_OK && error != HPE_PAUSED)
+            return withinHeader
+                ? makeFailure(code::InvalidValue, "the header is not valid HTTP/1.1", "header")
+                : makeFailure(code::InvalidValue, "the body is not encoded as the header says",
+                              "body");
+        if (error == HPE_PAUSED)
+            http_parser_pause(&m_parser, 0);
+        if (m_complete) {
+            m_complete = false;
+            m_headerEnded = false;
+            m_headerBytes = 0;
+            m_bodyBytes = 0;
+        }
+        bytes.remove_prefix(size);
+        // Upgrades are not offered; RESTinio answers the request and closes.
+        if (m_parser.upgrade != 0)
+            break;
+    }
+    return std::nullopt;
+}
+
 // Finds the server of a socket, which RESTinio constructs with nothing but its io_context.
 class server_registry final : public net::execution_context::service
 {
@@ -310,8 +355,8 @@
         const auto server = state->server.lock();
         if (!error && server && state->socket && !state->refused) {
             const net::mutable_buffer received(buffers);
-            state->inspect(static_cast<const char *>(received.data()), size);
-            if (const auto refusal = state->brokenLimit(server->limits))
+            const std::string_view bytes(static_cast<const char *>(received.data()), size);
+            if (const auto refusal = state->inspector.read(bytes, server->limits))
                 state->socket->refuse(*refusal);
         }
         if (!error && state->refused) {
@@ -352,23 +397,21 @@
 
     void refuseBeforeClose()
     {
-        const bool applies
-            = m_state && !m_state->refused && !m_state->peerClosed && m_state->requestBytes > 0;
-        if (!applies)
+        if (!m_state || m_state->refused || m_state->peerClosed)
+            return;
+        // RESTinio is stricter than the inspector in details such as the number of fields.
+        if (m_state->parsing) {
+            refuse(makeFailure(code::InvalidValue, "the request is not valid HTTP/1.1"));
+            return;
+        }
+        if (!m_state->inspector.isWithinRequest())
             return;
         const auto server = m_state->server.lock();
         if (!server)
             return;
-        if (!m_state->parsing)
-            refuse(makeFailure(code::HeaderTimeout,
-                               fmt::format("no complete request within {} ms",
-                                           server->limits.headerTimeout.count())));
-        else
-            refuse(makeFailure(
-                code::BodyTooLarge,
-                fmt::format("the body is above {} bytes or not encoded as the header says",
-                            server->limits.maxBodyBytes),
-                "body"));
+        refuse(makeFailure(
+            code::HeaderTimeout,
+            fmt::format("no complete request within {} ms", server->limits.headerTimeout.count())));
     }
 
     std::shared_ptr<connection_state> m_state;
@@ -554,8 +597,6 @@
     const auto found = server->connections.find(request->remote_endpoint());
     if (found != server->connections.end())
         connection = found->second.lock();
-    if (connection)
-        connection->beginRequest();
     const bool tooMany = server->openRequests >= server->limits.maxOpenRequests;
     const auto answer = std::make_shared<restinio_responder>(server, connection, request);
     if (tooMany) {
@@ -610,14 +651,14 @@
         .address(host)
         .timer_manager(timerCheckInterval)
         .read_next_http_message_timelimit(limits.headerTimeout)
-        .write_http_response_timelimit(writeLimit)
+        .write_http_response_timelimit(limits.writeTimeout)
         .handle_request_timeout(handlingLimit)
         .max_pipelined_requests(maxPipelinedRequests)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                       .max_url_size(limits.maxHeaderBytes)
                                       .max_field_name_size(limits.maxHeaderBytes)
                                       .max_field_value_size(limits.maxHeaderBytes)
-                                      .max_field_count(maxFieldCount)
+                                      .max_field_count(limits.maxHeaderBytes)
                                       .max_body_size(limits.maxBodyBytes))
         .acceptor_post_bind_hook(
             [this](net::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -76,6 +76,7 @@
     std::size_t maxConnectionsPerPeer = 256;
     std::size_t maxOpenRequests = 4096;
     duration headerTimeout = 5s; // from connecting, or from the last answer, to a whole request
+    duration writeTimeout = 10s; // of an answer, or of a piece of it
 };
 
 using http_handler
--- a/goldcrest/settings.cc
+++ b/goldcrest/settings.cc
@@ -35,7 +35,7 @@
         .unit("bytes")
         .about("Largest body of an HTTP request.");
     table.integer("http.maxHeaderBytes", at(&S::http, &http_limits::maxHeaderBytes))
-        .range(512, mebibyte)
+        .range(512, 65'536) // the HTTP parser refuses more than 80 KiB
         .unit("bytes")
         .about("Largest header of an HTTP request, with the request line.");
     table.integer("http.maxConnections", at(&S::http, &http_limits::maxConnections))
@@ -51,6 +51,9 @@
     table.milliseconds("http.headerTimeoutMs", at(&S::http, &http_limits::headerTimeout))
         .range(100, hourMs)
         .about("Time from connecting, or from the last answer, to a whole request.");
+    table.milliseconds("http.writeTimeoutMs", at(&S::http, &http_limits::writeTimeout))
+        .range(100, hourMs)
+        .about("Time in which a client must read an answer, or a piece of a chunked one.");
     table.integer("links.maxFrameBytes", at(&S::links, &link_limits::maxFrameBytes))
         .range(mebibyte, maxFrameBytes)
         .unit("bytes")
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -119,6 +119,30 @@
     LONGS_EQUAL(0, server->openRequests());
 }
 
+// Guards against requests that are refused because an earlier one arrived in the same piece.
+TEST(http_server, takesPipelinedRequestsInAnyPieces)
+{
+    start({});
+    std::string stream;
+    constexpr std::size_t requests = 6;
+    for (std::size_t i = 0; i < requests; ++i)
+        stream += i % 2 == 0 ? get("/first") : post("/second", std::string(50, 'x'));
+    for (const std::size_t piece : {std::size_t{7}, std::size_t{61}, std::size_t{100}}) {
+        raw_connection client(server->listenAddress());
+        for (std::size_t at = 0; at < stream.size(); at += piece) {
+            client.write(std::string_view(stream).substr(at, piece));
+            // Lets the server read this piece alone.
+            for (int i = 0; i < 3; ++i)
+                loop.runUntil([] { return false; }, 1ms);
+        }
+        CHECK(wait([&] {
+            const bool open = client.poll();
+            return !open || count(client.received(), "200 OK") == requests;
+        }));
+        LONGS_EQUAL(requests, count(client.received(), "200 OK"));
+    }
+}
+
 // Guards against a body above the limit that is taken into memory or refused without its number.
 TEST(http_server, refusesALargeBody)
 {
@@ -175,6 +199,31 @@
     CHECK(exchange(client, "", "late").find("200 OK") != std::string::npos);
 }
 
+// Guards against a client that offers an upgrade, as some do by themselves, and gets no answer.
+TEST(http_server, answersARequestThatOffersAnUpgrade)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+                                "Upgrade: h2c\r\n\r\n";
+    CHECK(exchange(client, request, "seen").find("200 OK") != std::string::npos);
+    LONGS_EQUAL(0, server->openRequests());
+}
+
+// Guards against a client that holds a large answer in memory by not reading it.
+TEST(http_server, closesConnectionsThatDoNotReadTheirAnswer)
+{
+    http_limits limits;
+    limits.writeTimeout = 500ms;
+    start(limits);
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    constexpr std::size_t large = 64 * 1024 * 1024; // above the buffers of the loopback
+    pending[0]->respond({200, "text/plain", {}, std::string(large, 'x')});
+    CHECK(wait([&] { return server->openConnections() == 0; }));
+}
+
 // Guards against one host that takes all connections.
 TEST(http_server, limitsConnections)
 {
