Send mutated bytes to the HTTP and link ports

300 connections with a fixed seed each, made from valid requests and frames by a few changed, removed or repeated bytes. Both servers must go on serving, with no connection or request left open.

--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -177,6 +177,27 @@
     CHECK(exchange(client, get("/"), "seen").find("seen") != std::string::npos);
 }
 
+// Guards against bytes that are nearly right, and that stop the process or keep a connection slot.
+TEST(http_server, survivesMutatedRequests)
+{
+    http_limits limits;
+    limits.headerTimeout = 500ms;
+    start(limits);
+    const std::string valid = post("/v1/jobs?waitMs=5", "{}") + get("/v1/status")
+        + "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+    std::minstd_rand random(1);
+    constexpr int connections = 300;
+    for (int i = 0; i < connections; ++i) {
+        raw_connection client(server->listenAddress());
+        client.write(mutate(valid, random));
+        loop.runUntil([] { return false; }, 2ms);
+    }
+    CHECK(wait([&] { return server->openConnections() == 0; }));
+    LONGS_EQUAL(0, server->openRequests());
+    raw_connection client(server->listenAddress());
+    CHECK(exchange(client, get("/"), "seen").find("200 OK") != std::string::npos);
+}
+
 // Guards against stalled clients that hold connections: one that sends nothing, one that stops
 // within the header and one within the body.
 TEST(http_server, closesStalledConnections)
--- a/testing/link_support.cc
+++ b/testing/link_support.cc
@@ -27,6 +27,30 @@
         std::abort();
 }
 
+std::string mutate(std::string bytes, std::minstd_rand &random)
+{
+    constexpr std::size_t maxChanges = 4;
+    const std::size_t changes = 1 + random() % maxChanges;
+    for (std::size_t i = 0; i < changes && !bytes.empty(); ++i) {
+        const std::size_t at = random() % bytes.size();
+        switch (random() % 4) {
+        case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+        case 1:
+            bytes.resize(at);
+            break;
+        case 2:
+            bytes.erase(at, random() % 8);
+            break;
+        default:
+            bytes.insert(at, bytes.substr(at, random() % 64));
+            break;
+        }
+    }
+    return bytes;
+}
+
 raw_connection::raw_connection(std::string_view address)
 {
     const std::size_t colon = address.rfind(':');
--- a/testing/link_support.h
+++ b/testing/link_support.h
@@ -6,6 +6,7 @@
 #include "goldcrest/websocket_link.h"
 
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,9 @@
     int closed = 0;
 };
 
+// Changes, removes or repeats a few bytes at random places.
+std::string mutate(std::string bytes, std::minstd_rand &random);
+
 // A blocking TCP client for bytes that no well-behaved client sends.
 class raw_connection
 {
--- a/testing/websocket_link_test.cc
+++ b/testing/websocket_link_test.cc
@@ -196,6 +196,29 @@
     CHECK(wait([&] { return link->isOpen(); }));
 }
 
+// Guards against bytes that are nearly right, and that stop the process or keep a connection slot.
+TEST(websocket_link, survivesMutatedConnections)
+{
+    websocket_options options;
+    options.limits.helloTimeout = 500ms;
+    test_node planner(loop, "planner", options);
+    const std::string hello = encodeMessage(hello_message{"agent", "raw", "", ""});
+    const std::string valid = upgradeRequest(planner.address()) + maskedFrame(hello)
+        + maskedFrame(encodeMessage(heartbeat_message{}));
+    std::minstd_rand random(1);
+    constexpr int connections = 300;
+    for (int i = 0; i < connections; ++i) {
+        raw_connection client(planner.address());
+        client.write(mutate(valid, random));
+        loop.runUntil([] { return false; }, 2ms);
+    }
+    planner.accepted.clear();
+    CHECK(wait([&] { return planner.network->openLinks() == 0; }));
+    test_node agent(loop, "agent");
+    const auto link = agent.network->dial(planner.address());
+    CHECK(wait([&] { return link->isOpen(); }));
+}
+
 // Guards against a frame above the limit that is taken into memory.
 TEST(websocket_link, closesOnAnOversizedFrame)
 {
