--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -155,6 +155,7 @@
     {
         bool aborted = false;
         bool everStarted = false;
+        epoch plannerEpoch = 0; // highest that named the attempt
     };
 
     void handle(const hold_message &hold, time_point now);
@@ -183,7 +184,7 @@
     void tellBroken(const gang_member &member);
     void renew(gang_member &member, time_point now);
     void sendResult(gang_member &member, time_point now);
-    void sendInventory(time_point now);
+    void sendInventory(time_point now, bool newLink = false);
     void sendHeartbeat(time_point now);
     void requestList(time_point now);
     void remember(const attempt_id &attempt, past_attempt past);
--- a/goldcrest/cell_planner.h
+++ b/goldcrest/cell_planner.h
@@ -45,6 +45,10 @@
 // A new planner waits this long for inventories before it places the first job.
 constexpr duration rebuildSettleTime = 2500ms;
 
+// Idempotent work that an earlier planner may have started without an intent waits longer, so that
+// it is not started twice when its worker's inventory comes a little later.
+constexpr duration uncertainSettleTime = 5s;
+
 // Answers of entries to the outage question count for this long, from when the question was sent;
 // with the hold's lifetime this stays below 5 s.
 constexpr duration outageAnswerLimit = 3s;
@@ -158,6 +162,10 @@
 
     bool isActive() const { return !m_steppedDown; }
     bool mayStart(time_point now) const;
+
+    // Returns whether this is certainly still the cell's planner, and its configuration is current:
+    // by its lease and a fresh confirmation, or by the outage rule.
+    bool isEntitled(time_point now) const;
     epoch number() const { return m_options.number; }
     revision configRevision() const { return m_config.current().number; }
     std::size_t jobCount() const { return m_jobs.size(); }
@@ -191,12 +199,15 @@
     planned_job &addJob(const job_spec &spec, time_point now);
     void addLoaded(const loaded_record &loaded, time_point now);
     void mergeRecord(planned_job &job, const loaded_record &loaded, time_point now);
+    void noteEarlierPlanners(planned_job &job) const;
     void park(planned_job &job, duration delay, time_point now);
     void releaseParked(time_point now);
     bool mayQueue(const planned_job &job, time_point now) const;
     void enqueue(planned_job &job, time_point now);
     void leaveEngine(planned_job &job, const stopped_event &event, time_point now);
     void expireDeadlines(time_point now);
+    bool isHistoryKnown(const planned_job &job) const;
+    bool isExpired(const planned_job &job, time_point now) const;
     bool isProvenNotRun(const planned_job &job) const;
     void endWithoutResult(planned_job &job, const failure &why, time_point now);
     void conclude(planned_job &job, job_outcome outcome, std::optional<failure> why,
@@ -242,15 +253,18 @@
     void readParts(worker_state &worker, const inventory_message &inventory, bool newLink,
                    time_point now);
     void noteSeenPart(worker_state &worker, const running_part &seen, time_point now);
+    void dropRecovering(planned_job &job, time_point now);
     void updateWorker(worker_state &worker, time_point now);
     void checkWorkers(time_point now);
     void loseWorker(worker_state &worker, time_point now);
+    worker_state &workerOf(const worker_id &worker, time_point now);
     bool isBlocked(const worker_id &worker) const;
     void sendTo(const worker_id &worker, message content);
-    void acknowledge(const worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
+    void acknowledge(worker_state &worker, std::uint64_t sequence, bool inventoryWanted,
                      time_point now);
     std::string_view stateNameOf(const worker_state &worker) const;
 
+    void noteOwnPause(time_point now);
     void askEntries(time_point now);
     outage_census takeCensus(time_point now) const;
     void checkEpoch(epoch seen);
@@ -285,6 +299,8 @@
     bool m_steppedDown = false;
     bool m_pumping = false;
     std::uint64_t m_query = 0;
+    duration m_awake = 0ms; // time since the start without pauses of this process
+    std::optional<time_point> m_lastTick;
     time_point m_nextLoad;
     time_point m_nextQuery;
 };
