Let the owner of a guarantee claim it from a borrower that waits itself

Jobs of a guaranteed shape no longer take room of the team's other guarantees while one of their own is unused.

--- a/goldcrest/capacity_index.cc
+++ b/goldcrest/capacity_index.cc
@@ -7,7 +7,7 @@
     domain_room &domain = m_domains[std::size_t(m_cell.racks()[std::size_t(rack)].domain)];
     for (std::size_t size = 1; size <= maxSize; ++size)
         domain.fitsBySize[size] += sign * (room.accelerators() / std::int64_t(size));
-    domain.cores += sign * room.v[load::coresAt];
+    domain.total += room * sign;
     std::int64_t &total = m_rackAccelerators[std::size_t(rack)];
     std::int32_t &workers = m_rackWorkers[std::size_t(rack)];
     if (workers > 0)
@@ -51,10 +51,8 @@
 {
     const domain_room &room = m_domains[std::size_t(domain)];
     const std::size_t size = std::min(maxSize, std::size_t(perTask.accelerators()));
-    if (size > 0)
-        return room.fitsBySize[size];
-    const std::int64_t cores = perTask.v[load::coresAt];
-    return cores > 0 ? room.cores / cores : std::int64_t(load::unlimitedSlots);
+    const std::int64_t fits = fitCount(room.total, perTask);
+    return size > 0 ? std::min(fits, room.fitsBySize[size]) : fits;
 }
 
 bool capacity_index::mayFit(const load &perTask, std::int32_t tasks, adjacency closeness) const
--- a/goldcrest/capacity_index.h
+++ b/goldcrest/capacity_index.h
@@ -33,7 +33,7 @@
         return std::size_t(worker) < m_room.size() ? m_room[std::size_t(worker)] : load{};
     }
 
-    // Returns false if the accelerators alone rule it out.
+    // Returns false if totals rule it out.
     bool mayFit(const load &perTask, std::int32_t tasks, adjacency closeness) const;
 
     // Returns an upper bound of the tasks that fit into the domain.
@@ -70,7 +70,7 @@
     {
         std::set<rack_key> racks;
         std::array<std::int64_t, maxSize + 1> fitsBySize{}; // [s]: tasks of s accelerators
-        std::int64_t cores = 0;
+        load total;
     };
 
     void count(rack_index rack, worker_index worker, const load &room, int sign);
--- a/goldcrest/cell_engine.cc
+++ b/goldcrest/cell_engine.cc
@@ -605,10 +605,16 @@
     occupy(index, std::move(parts), use);
     job(index).state = run_state::Claiming;
     for (const job_index victim : victims) {
+        if (job(victim).state == run_state::Claiming) {
+            abortClaim(victim); // nothing of it runs
+            continue;
+        }
         job(victim).claimants.push_back(index);
         ++job(index).victimsLeft;
         stop(victim, reason);
     }
+    if (job(index).victimsLeft == 0)
+        emitPlace(index);
 }
 
 void cell_engine::abortClaim(job_index index)
--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -143,6 +143,7 @@
     bool startOneUrgent();
     void runUrgent();
     void runClaims();
+    std::vector<worker_index> grownRacks();
     void runQueue();
     // Returns the place of an unused guarantee of the job's own shape.
     std::vector<placed_part> guaranteedPlace(const job_entry &entry, const room_policy &room) const;
@@ -151,8 +152,9 @@
     void holdUnit(job_index index);
     void holdUnitsAnew();
     bool hasUnusedGuarantee(const job_entry &entry) const;
-    bool hasGuaranteedShape(const job_entry &entry) const;
-    bool tryFree(job_index index);
+    bool hasGuaranteedPlace(const job_entry &entry) const;
+    // @param near if given, jobs that fit into one rack are tried on these workers only
+    bool tryFree(job_index index, const std::vector<worker_index> *near = nullptr);
     bool tryMixed(job_index index);
     bool placeOn(job_index index, std::vector<placed_part> parts);
     bool tryClaim(job_index index);
@@ -197,6 +199,7 @@
     std::set<bucket_key> m_newWork; // buckets that got a job since the last decision
     std::set<team_index> m_claimTeams; // teams that may claim since the last decision
     bool m_grown = true; // capacity grew since the last decision
+    std::vector<worker_index> m_grownWorkers;
     bool m_passDue = false;
     time_point m_nextPass;
     std::set<std::string> m_leaving; // failure domains that are out
@@ -284,7 +287,10 @@
     { }
     load room(worker_index w) const override
     {
-        if (!m_engine.mayUse(w, m_entry))
+        // A claim of a guarantee is not refused because the worker is under probe.
+        const bool allowed
+            = m_onlyGuarantee ? m_engine.cell().at(w).inService() : m_engine.mayUse(w, m_entry);
+        if (!allowed)
             return {};
         load room = m_engine.cell().at(w).free();
         for (const job_index other : m_engine.jobsOn(w)) {
@@ -419,15 +425,13 @@
         load yielding = free;
         for (const job_index index : jobsOn(w)) {
             const job_entry &entry = job(index);
-            if (entry.state == run_state::Claiming)
-                continue;
             const bool stops = entry.state == run_state::Stopping;
             for (const placed_part &part : entry.parts) {
                 if (part.worker != w)
                     continue;
                 if (stops || entry.use == use_kind::Borrowed)
                     stoppable += entry.perTask * part.tasks;
-                if (stops || entry.spec.canCheckpoint)
+                if (stops || (entry.state == run_state::Running && entry.spec.canCheckpoint))
                     yielding += entry.perTask * part.tasks;
             }
         }
@@ -436,6 +440,8 @@
         const bool grew
             = !m_free.room(w).covers(maxOf(free, {})) || !m_open.room(w).covers(maxOf(open, {}));
         m_grown = m_grown || grew;
+        if (grew)
+            m_grownWorkers.push_back(w);
         m_free.set(w, free);
         m_open.set(w, open);
         m_stoppable.set(w, stoppable);
@@ -499,11 +505,14 @@
                     : ledger().unusedGuarantee(worker, entry.team);
 }
 
-bool gang_scheduler::hasGuaranteedShape(const job_entry &entry) const
+// Returns whether a guarantee of the job's shape has a place that no job holds. Then the job must
+// not take room from the team's other guarantees.
+bool gang_scheduler::hasGuaranteedPlace(const job_entry &entry) const
 {
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
         const guarantee_unit &unit = ledger().units()[i];
-        if (unit.tasks == entry.spec.tasks && unit.perTask == entry.perTask)
+        if (unit.tasks == entry.spec.tasks && unit.perTask == entry.perTask && !unit.parts.empty()
+            && !isHeld(i))
             return true;
     }
     return false;
@@ -542,15 +551,22 @@
     return true;
 }
 
-bool gang_scheduler::tryFree(job_index index)
+bool gang_scheduler::tryFree(job_index index, const std::vector<worker_index> *near)
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     if (!m_free.mayFit(request.perTask, request.tasks, request.closeness))
         return false;
     const protected_room room(*this, entry);
+    const bool isLocal = entry.spec.tasks == 1 || entry.spec.closeness >= adjacency::Rack;
+    if (near && isLocal) {
+        std::vector<placed_part> parts = m_placement->findAmong(request, *near, room);
+        if (parts.empty() && entry.spec.preemptible())
+            parts = m_placement->findAmong(request, *near, free_room(*this, entry));
+        return placeOn(index, std::move(parts));
+    }
     std::vector<placed_part> parts = guaranteedPlace(entry, room);
-    if (parts.empty() && !hasGuaranteedShape(entry))
+    if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     if (parts.empty())
         parts = m_placement->find(request, m_open, open_room(*this, entry));
@@ -576,8 +592,11 @@
         if (victim.state == run_state::Stopping)
             return stopBound == duration::max()
                 || now() + stopBound >= victim.stopSentAt + victim.spec.stopTime;
-        return victim.state == run_state::Running && victim.use == use_kind::Borrowed
-            && !(victim.urgent && claimant.urgent) && victim.spec.stopTime <= stopBound;
+        if (victim.use != use_kind::Borrowed || (victim.urgent && claimant.urgent))
+            return false;
+        // A borrower that waits for others to stop gives way at once.
+        return victim.state == run_state::Claiming
+            || (victim.state == run_state::Running && victim.spec.stopTime <= stopBound);
     };
 }
 
@@ -674,7 +693,7 @@
     const stop_rule mayStop = borrowersFor(entry, duration::max());
     const stop_room room(*this, entry, mayStop, true);
     std::vector<placed_part> parts = guaranteedPlace(entry, room);
-    if (parts.empty())
+    if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     return !parts.empty()
         && claimWithVictims(index, std::move(parts), stop_reason::Reclaim, mayStop);
@@ -944,22 +963,45 @@
     }
 }
 
+// Returns the workers of the racks where capacity grew since the last decision.
+std::vector<worker_index> gang_scheduler::grownRacks()
+{
+    std::set<rack_index> racks;
+    for (const worker_index w : std::exchange(m_grownWorkers, {}))
+        racks.insert(cell().at(w).rack);
+    std::vector<worker_index> workers;
+    for (const rack_index rack : racks) {
+        const std::vector<worker_index> &here = cell().racks()[std::size_t(rack)].workers;
+        workers.insert(workers.end(), here.begin(), here.end());
+    }
+    return workers;
+}
+
 void gang_scheduler::runQueue()
 {
     const bool mayYield = std::exchange(m_passDue, false);
     const bool all = std::exchange(m_grown, false) || mayYield;
     const std::set<bucket_key> fresh = std::exchange(m_newWork, {});
+    const std::vector<worker_index> near = grownRacks();
     std::set<std::tuple<double, job_index, const job_queue::bucket *>> heads;
     candidates blocked;
     const auto offer = [&](const job_queue::bucket &bucket) {
         const bucket_key &key = bucket.key;
         if (key.urgent)
             return;
-        const load least{{0, 0, key.accelerators, 1}};
-        const bool mayFit
-            = m_free.mayFit(least, 1, key.closeness) || m_yielding.mayFit(least, 1, key.closeness);
         candidates first;
         m_queue.firstOf(bucket, 1, first);
+        const bool thorough = mayYield || fresh.count(key) > 0;
+        const bool isLocal = key.tasks == 1 || key.closeness >= adjacency::Rack;
+        if (!thorough && !isLocal)
+            return; // many workers take part, so it waits for the next full pass
+        // Other jobs of the bucket may need less than the first, by its class of cores and memory.
+        const std::int32_t tasks = leastTasks(key.tasks);
+        load least = job(first.front().second).perTask;
+        for (const std::size_t i : {load::coresAt, load::memoryAt})
+            least.v[i] /= 2;
+        const bool mayFit = m_free.mayFit(least, tasks, key.closeness)
+            || (thorough && m_yielding.mayFit(least, tasks, key.closeness));
         if (mayFit)
             heads.insert({first.front().first, first.front().second, &bucket});
         else
@@ -977,13 +1019,15 @@
         heads.erase(heads.begin());
         jobs.clear();
         m_queue.firstOf(*bucket, triesPerBucket, jobs);
+        const bool onlyNear = !mayYield && fresh.count(key) == 0;
         bool first = true;
         for (const auto &[order, index] : jobs) {
             ++m_examinedJobs;
             if (!quotaAllows(job(index)))
                 continue;
             const bool looksForYield = first && (mayYield || fresh.count(key) > 0);
-            const bool started = tryFree(index) || tryMixed(index) || tryReserved(index)
+            const bool started = tryFree(index, onlyNear ? &near : nullptr)
+                || (!onlyNear && tryMixed(index)) || tryReserved(index)
                 || (looksForYield && ++yieldTries <= maxYieldTries && tryYield(index));
             if (!started) {
                 if (std::exchange(first, false))
@@ -1078,7 +1122,7 @@
 void gang_scheduler::onConfiguration(const configuration &config)
 {
     m_leaving = config.domainsOut;
-    m_grown = true;
+    m_passDue = true;
     holdUnitsAnew();
     leaveDomains();
 }
--- a/goldcrest/job_queue.cc
+++ b/goldcrest/job_queue.cc
@@ -8,6 +8,8 @@
 // per millisecond. See docs/measurements.md for the values tried.
 constexpr double ageing = 1.0;
 
+constexpr std::int32_t exact = 8; // numbers of tasks up to this have a class each
+
 double millis(time_point t)
 {
     return double(t.time_since_epoch().count());
@@ -22,9 +24,16 @@
     return ageing * millis(facts.queuedAt) + work / double(std::max<std::int64_t>(1, facts.weight));
 }
 
+std::int32_t leastTasks(std::int32_t ofClass)
+{
+    if (ofClass <= exact)
+        return ofClass;
+    const std::int32_t edge = exact << ((ofClass - exact - 1) / 2);
+    return (ofClass - exact) % 2 == 1 ? edge + 1 : edge + edge / 2 + 1;
+}
+
 std::int32_t taskClass(std::int32_t tasks)
 {
-    constexpr std::int32_t exact = 8;
     if (tasks <= exact)
         return tasks;
     std::int32_t result = exact;
--- a/goldcrest/job_queue.h
+++ b/goldcrest/job_queue.h
@@ -66,6 +66,9 @@
 // Returns the class of a number of tasks: exact up to 8, then two classes per doubling.
 std::int32_t taskClass(std::int32_t tasks);
 
+// Returns the smallest number of tasks of a class.
+std::int32_t leastTasks(std::int32_t ofClass);
+
 class job_queue
 {
 public:
