--- a/testing/policy_benchmark.cc
+++ b/testing/policy_benchmark.cc
@@ -1,6 +1,7 @@
 // Compares the policy with the baselines and a lower bound, in virtual time. Usage:
 //
 //   policy_benchmark [deployment [workload]]
+//   policy_benchmark cost
 //
 // Figures are means over the seeds; those of a maximum or a count of misses are maxima and sums.
 
@@ -8,12 +9,48 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
+#include <malloc.h>
+#include <new>
 
 using namespace goldcrest;
 
 namespace {
 
+heap_use used;
+
+heap_use heapUse()
+{
+    return used;
+}
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    void *memory = std::malloc(size);
+    if (!memory)
+        throw std::bad_alloc();
+    ++used.allocations;
+    used.allocatedBytes += size;
+    used.liveBytes += std::int64_t(malloc_usable_size(memory));
+    return memory;
+}
+
+void operator delete(void *memory) noexcept
+{
+    used.liveBytes -= memory ? std::int64_t(malloc_usable_size(memory)) : 0;
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    operator delete(memory);
+}
+
+namespace {
+
 constexpr unsigned smallCellSeeds = 5; // one seed of a small cell varies by 10%
 constexpr unsigned largeCellSeeds = 1;
 constexpr std::size_t largeCell = 100; // workers
@@ -122,10 +159,50 @@
     std::fflush(stdout);
 }
 
+void showCost()
+{
+    const std::vector<int> sizes = {11, 111, 445, 1225, 4900};
+    std::vector<cost_report> reports;
+    std::printf("| workers | B/worker | B/task | B/queued job |\n|---|---|---|---|\n");
+    for (const int workers : sizes) {
+        reports.push_back(measureCost(makeGangScheduler, workers, 1, heapUse));
+        const cost_report &r = reports.back();
+        std::printf("| %7d | %8.0f | %6.0f | %12.0f |\n", workers, r.bytesPerWorker, r.bytesPerTask,
+                    r.bytesPerQueuedJob);
+    }
+    const auto show = [&](const char *what, cost_kind kind, double event_cost::*figure) {
+        std::vector<std::pair<double, double>> points;
+        std::printf("| %-24s |", what);
+        for (std::size_t i = 0; i < sizes.size(); ++i) {
+            const double cost = reports[i].events[kind].*figure;
+            points.emplace_back(double(sizes[i]), cost);
+            std::printf(" %10.1f |", cost);
+        }
+        std::printf(" %8.2f |\n", growthExponent(points));
+    };
+    std::printf("\n| per event, workers | 11 | 111 | 445 | 1225 | 4900 | exponent |\n"
+                "|---|---|---|---|---|---|---|\n");
+    const std::pair<const char *, cost_kind> kinds[] = {{"queued", cost_kind::Queued},
+                                                        {"stopped", cost_kind::Stopped},
+                                                        {"cancelled", cost_kind::Cancelled},
+                                                        {"tick", cost_kind::Tick}};
+    for (const auto &[name, kind] : kinds) {
+        const std::string prefix = name;
+        show((prefix + ", looked at").c_str(), kind, &event_cost::examined);
+        show((prefix + ", allocations").c_str(), kind, &event_cost::allocations);
+        show((prefix + ", bytes").c_str(), kind, &event_cost::bytes);
+        show((prefix + ", ns").c_str(), kind, &event_cost::nanoseconds);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    if (argc > 1 && std::strcmp(argv[1], "cost") == 0) {
+        showCost();
+        return 0;
+    }
     for (const char *name : {"regie", "water", "target"}) {
         if (argc > 1 && std::strcmp(argv[1], name) != 0)
             continue;
--- a/testing/policy_workload_support.cc
+++ b/testing/policy_workload_support.cc
@@ -1,6 +1,7 @@
 #include "testing/policy_workload_support.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <functional>
 #include <queue>
@@ -994,6 +995,212 @@
     return result;
 }
 
+namespace {
+
+// Drives an engine through a steady state of queued, stopped and cancelled jobs and ticks.
+class cost_run
+{
+public:
+    cost_run(engine_maker make, int workers, unsigned seed, heap_use (*heap)())
+        : m_cell(scaledCell(workers))
+        , m_random(seed)
+        , m_heap(heap)
+        , m_engine(make("cell"))
+    { }
+
+    cost_report run()
+    {
+        const int teams = m_cell.teams;
+        for (int t = 0; t < teams; ++t)
+            m_config.entries.teams["team" + std::to_string(t)].maxQueued = 1000000;
+        m_engine->applyConfiguration(m_config, at(0));
+        const std::size_t workers = m_cell.workers.size();
+        m_report.bytesPerWorker = grows(workers, [&] {
+            for (const worker_info &worker : m_cell.workers)
+                m_engine->workerUp(worker, at(0));
+        });
+        m_now = 60;
+        std::int64_t accelerators = 0;
+        for (const worker_info &w : m_cell.workers)
+            accelerators += w.capacity.accelerators;
+        m_running.reserve(std::size_t(accelerators) * 2);
+        m_report.bytesPerTask = grows(std::size_t(accelerators), [&] {
+            for (std::int64_t i = 0; i < accelerators; ++i)
+                submit(1);
+        });
+        const std::size_t queued = workers * 5;
+        m_report.bytesPerQueuedJob = grows(queued, [&] {
+            for (std::size_t i = 0; i < queued; ++i)
+                submit(randomSize());
+        });
+        steadyState();
+        return m_report;
+    }
+
+private:
+    template<typename F>
+    double grows(std::size_t count, F act)
+    {
+        const std::int64_t before = m_heap().liveBytes;
+        act();
+        const std::int64_t grown = m_heap().liveBytes - before;
+        return double(grown) / double(count);
+    }
+
+    int randomSize()
+    {
+        std::discrete_distribution<int> sizes(m_cell.gangWeights.begin(), m_cell.gangWeights.end());
+        return m_cell.gangSizes[std::size_t(sizes(m_random))];
+    }
+
+    job_spec specOf(int tasks)
+    {
+        std::uniform_int_distribution<int> team(0, m_cell.teams - 1);
+        std::uniform_int_distribution<int> kind(0, 3);
+        job_spec spec;
+        spec.key = {"team" + std::to_string(team(m_random)), "j" + std::to_string(m_next++)};
+        spec.shape = "s" + std::to_string(tasks);
+        spec.tasks = tasks;
+        spec.perTask = {8000, 16384, 1};
+        spec.closeness
+            = tasks > 1 && tasks <= 4 && kind(m_random) < 2 ? adjacency::Rack : adjacency::None;
+        spec.canCheckpoint = kind(m_random) < 2;
+        spec.idempotent = true;
+        spec.declaredRunTime = 1h * (kind(m_random) + 1);
+        return spec;
+    }
+
+    template<typename F>
+    void measured(cost_kind kind, F act)
+    {
+        const std::uint64_t examined = m_examined ? m_engine->capacity().examined : 0;
+        const heap_use before = m_heap();
+        const auto from = std::chrono::steady_clock::now();
+        act();
+        const auto to = std::chrono::steady_clock::now();
+        const heap_use after = m_heap();
+        event_cost &cost = m_report.events[kind];
+        cost.nanoseconds += double(std::chrono::nanoseconds(to - from).count());
+        cost.allocations += double(after.allocations - before.allocations);
+        cost.bytes += double(after.allocatedBytes - before.allocatedBytes);
+        if (m_examined)
+            cost.examined += double(m_engine->capacity().examined - examined);
+        ++cost.events;
+        follow();
+    }
+
+    void follow()
+    {
+        for (const scheduler_action &action : m_engine->takeActions()) {
+            if (const auto *place = std::get_if<place_action>(&action)) {
+                m_running.push_back(place->job);
+            } else if (const auto *stop = std::get_if<stop_action>(&action)) {
+                const auto found = std::find(m_running.begin(), m_running.end(), stop->job);
+                if (found == m_running.end())
+                    continue;
+                std::swap(*found, m_running.back());
+                m_running.pop_back();
+                m_stopping.push_back(stop->job);
+            }
+        }
+    }
+
+    void submit(int tasks)
+    {
+        const job_spec spec = specOf(tasks);
+        m_engine->jobQueued(spec, {}, at(m_now));
+        follow();
+    }
+
+    void stopped(const job_key &key, stop_result how)
+    {
+        stopped_event event;
+        event.how = how;
+        event.requeue = how == stop_result::Stopped;
+        event.progress = 0.5;
+        measured(cost_kind::Stopped, [&] { m_engine->jobStopped(key, event, at(m_now)); });
+    }
+
+    void steadyState()
+    {
+        m_examined = true;
+        constexpr int steps = 400;
+        constexpr int maxTicks = 20;
+        // The target's cell of 445 workers gets a job a minute.
+        const double interval = 60.0 * 445 / double(m_cell.workers.size());
+        for (int i = 0; i < steps; ++i) {
+            for (int t = 0; t < maxTicks && t < interval; ++t) {
+                m_now += std::min(1.0, interval);
+                measured(cost_kind::Tick, [&] { m_engine->tick(at(m_now)); });
+            }
+            const job_spec spec = specOf(randomSize());
+            measured(cost_kind::Queued, [&] { m_engine->jobQueued(spec, {}, at(m_now)); });
+            while (!m_stopping.empty()) {
+                const job_key key = m_stopping.back();
+                m_stopping.pop_back();
+                stopped(key, stop_result::Stopped);
+            }
+            if (!m_running.empty()) {
+                std::uniform_int_distribution<std::size_t> any(0, m_running.size() - 1);
+                std::swap(m_running[any(m_random)], m_running.back());
+                const job_key key = m_running.back();
+                m_running.pop_back();
+                stopped(key, stop_result::Finished);
+            }
+            const job_spec second = specOf(randomSize());
+            m_engine->jobQueued(second, {}, at(m_now));
+            follow();
+            if (std::find(m_running.begin(), m_running.end(), second.key) == m_running.end())
+                measured(cost_kind::Cancelled,
+                         [&] { m_engine->jobCancelled(second.key, at(m_now)); });
+        }
+        for (auto &[kind, cost] : m_report.events) {
+            const double count = double(cost.events);
+            cost.examined /= count;
+            cost.allocations /= count;
+            cost.bytes /= count;
+            cost.nanoseconds /= count;
+        }
+    }
+
+    deployment m_cell;
+    std::mt19937 m_random;
+    heap_use (*m_heap)();
+    std::unique_ptr<scheduler> m_engine;
+    configuration m_config;
+    cost_report m_report;
+    std::vector<job_key> m_running;
+    std::vector<job_key> m_stopping;
+    bool m_examined = false;
+    double m_now = 0;
+    int m_next = 0;
+};
+
+} // namespace
+
+cost_report measureCost(engine_maker make, int workers, unsigned seed, heap_use (*heap)())
+{
+    return cost_run(make, workers, seed, heap).run();
+}
+
+double growthExponent(const std::vector<std::pair<double, double>> &costBySize)
+{
+    double x = 0;
+    double y = 0;
+    double xx = 0;
+    double xy = 0;
+    const double n = double(costBySize.size());
+    for (const auto &[size, cost] : costBySize) {
+        const double a = std::log(size);
+        const double b = std::log(std::max(cost, 1e-9));
+        x += a;
+        y += b;
+        xx += a * a;
+        xy += a * b;
+    }
+    return (n * xy - x * y) / (n * xx - x * x);
+}
+
 run_report runWorkload(engine_maker make, const deployment &where, workload kind, unsigned seed)
 {
     return simulation(make, where, kind, seed).run();
--- a/testing/policy_workload_support.h
+++ b/testing/policy_workload_support.h
@@ -73,6 +73,40 @@
     std::uint64_t examined = 0;
 };
 
+// Heap use of the process; the benchmark replaces operator new to count it.
+struct heap_use
+{
+    std::uint64_t allocations = 0;
+    std::uint64_t allocatedBytes = 0;
+    std::int64_t liveBytes = 0;
+};
+
+enum class cost_kind { Queued, Stopped, Cancelled, Tick };
+
+struct event_cost
+{
+    double examined = 0; // workers, racks and queued jobs looked at per event
+    double allocations = 0;
+    double bytes = 0;
+    double nanoseconds = 0;
+    std::uint64_t events = 0;
+};
+
+struct cost_report
+{
+    std::map<cost_kind, event_cost> events;
+    double bytesPerWorker = 0;
+    double bytesPerTask = 0;
+    double bytesPerQueuedJob = 0;
+};
+
+// Runs a full cell with a queue of five jobs per worker, with events at the rate of the design
+// target.
+cost_report measureCost(engine_maker make, int workers, unsigned seed, heap_use (*heap)());
+
+// Returns the slope of log(cost) over log(size), by least squares.
+double growthExponent(const std::vector<std::pair<double, double>> &costBySize);
+
 run_report runWorkload(engine_maker make, const deployment &where, workload kind, unsigned seed);
 
 } // namespace goldcrest
