--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -64,6 +64,7 @@
     attempt_id attempt;
     epoch plannerEpoch = 0;
     std::string payload;
+    double resumeFrom = 0; // share of the work kept by a checkpoint, 0 to 1
 };
 
 struct task_started_message
@@ -336,6 +337,7 @@
     std::vector<std::string> unmetGuarantees;
 };
 
+// The position in the variant is the kind number on the wire: append only.
 using message = std::variant<
     hello_message, hold_message, hold_reply_message, start_message, task_started_message,
     abort_message, abort_reply_message, stop_message, throttle_message, task_finished_message,
