Claim the guaranteed place whose borrowers lose least, and index fast borrowers for urgent work

Cause: urgent jobs of the target's burst missed 3 s in 8 cases although borrowers could free the room: the search of the index met only workers whose borrowers stop too slowly.

--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -26,6 +26,9 @@
 // Jobs of one team that are tried on its own guarantee, per bucket.
 constexpr std::size_t claimTries = 2;
 
+// Places of a guarantee that are compared by what their borrowers lose.
+constexpr std::size_t maxPlacesCompared = 8;
+
 // Urgent work starts within 3 s: borrowers that need no longer to stop are preferred.
 constexpr duration urgentStopBound = 3000ms;
 
@@ -89,6 +92,7 @@
         , m_free(cell())
         , m_open(cell())
         , m_stoppable(cell())
+        , m_fastStoppable(cell())
         , m_yielding(cell())
         , m_placement(std::make_unique<best_fit_placement>(cell()))
         , m_order(std::make_unique<aged_work_order>())
@@ -145,8 +149,14 @@
     void runClaims();
     std::vector<worker_index> grownRacks();
     void runQueue();
-    // Returns the place of an unused guarantee of the job's own shape.
-    std::vector<placed_part> guaranteedPlace(const job_entry &entry, const room_policy &room) const;
+    // Returns places of unused guarantees of the job's own shape.
+    std::vector<std::vector<placed_part>>
+    guaranteedPlaces(const job_entry &entry, const room_policy &room, std::size_t count) const;
+    std::vector<placed_part> cheapestGuaranteedPlace(const job_entry &entry,
+                                                     const room_policy &room,
+                                                     const stop_rule &mayStop) const;
+    victim_set victimsFor(const job_entry &entry, const std::vector<placed_part> &parts,
+                          const stop_rule &mayStop) const;
     load claimableRoom(worker_index worker, const job_entry &entry) const;
     bool isHeld(std::size_t unit) const;
     void holdUnit(job_index index);
@@ -189,6 +199,7 @@
     capacity_index m_free; // free capacity
     capacity_index m_open; // the part of it that no guarantee needs
     capacity_index m_stoppable; // free capacity and borrowed use
+    capacity_index m_fastStoppable; // the same, only borrowers that stop in time for urgent work
     capacity_index m_yielding; // free capacity and use of jobs that can checkpoint
     std::unique_ptr<placement_strategy> m_placement;
     std::unique_ptr<queue_order> m_order;
@@ -416,12 +427,14 @@
             m_free.set(w, {});
             m_open.set(w, {});
             m_stoppable.set(w, {});
+            m_fastStoppable.set(w, {});
             m_yielding.set(w, {});
             continue;
         }
         m_largestWorker = std::max(m_largestWorker, worker.capacity.accelerators());
         const load free = worker.free();
         load stoppable = free;
+        load fastStoppable = free;
         load yielding = free;
         for (const job_index index : jobsOn(w)) {
             const job_entry &entry = job(index);
@@ -431,6 +444,8 @@
                     continue;
                 if (stops || entry.use == use_kind::Borrowed)
                     stoppable += entry.perTask * part.tasks;
+                if (entry.use == use_kind::Borrowed && entry.spec.stopTime <= urgentStopBound)
+                    fastStoppable += entry.perTask * part.tasks;
                 if (stops || (entry.state == run_state::Running && entry.spec.canCheckpoint))
                     yielding += entry.perTask * part.tasks;
             }
@@ -445,6 +460,7 @@
         m_free.set(w, free);
         m_open.set(w, open);
         m_stoppable.set(w, stoppable);
+        m_fastStoppable.set(w, fastStoppable);
         m_yielding.set(w, yielding);
         for (const guarantee_ledger::share &s : ledger().sharesOn(w)) {
             if (s.guaranteed != load{})
@@ -520,9 +536,11 @@
 
 // Jobs of a guaranteed shape take the place of one whole guarantee, so that the places of the
 // team's other guarantees stay usable for their shapes.
-std::vector<placed_part> gang_scheduler::guaranteedPlace(const job_entry &entry,
-                                                         const room_policy &room) const
+std::vector<std::vector<placed_part>> gang_scheduler::guaranteedPlaces(const job_entry &entry,
+                                                                       const room_policy &room,
+                                                                       std::size_t count) const
 {
+    std::vector<std::vector<placed_part>> places;
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
         const guarantee_unit &unit = ledger().units()[i];
         if (unit.tasks != entry.spec.tasks || unit.perTask != entry.perTask
@@ -535,9 +553,11 @@
                        && room.room(part.worker).covers(need);
                });
         if (fits)
-            return unit.parts;
+            places.push_back(unit.parts);
+        if (places.size() == count)
+            break;
     }
-    return {};
+    return places;
 }
 
 bool gang_scheduler::placeOn(job_index index, std::vector<placed_part> parts)
@@ -565,7 +585,9 @@
             parts = m_placement->findAmong(request, *near, free_room(*this, entry));
         return placeOn(index, std::move(parts));
     }
-    std::vector<placed_part> parts = guaranteedPlace(entry, room);
+    std::vector<placed_part> parts;
+    for (std::vector<placed_part> &place : guaranteedPlaces(entry, room, 1))
+        parts = std::move(place);
     if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     if (parts.empty())
@@ -647,10 +669,9 @@
     };
 }
 
-bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
-                                      stop_reason reason, const stop_rule &mayStop)
+victim_set gang_scheduler::victimsFor(const job_entry &entry, const std::vector<placed_part> &parts,
+                                      const stop_rule &mayStop) const
 {
-    const job_entry &entry = job(index);
     std::vector<shortage> shortages;
     std::set<job_index> seen;
     std::vector<victim_candidate> found;
@@ -664,11 +685,18 @@
             if (!mayStop(other) || !seen.insert(other).second)
                 continue;
             const double cost
-                = victim.state == run_state::Stopping ? 0 : m_victimCost->of(victim, now());
+                = victim.state != run_state::Running ? 0 : m_victimCost->of(victim, now());
             found.push_back({other, cost, victim.perTask, victim.parts});
         }
     }
-    const victim_set victims = chooseVictims(shortages, found);
+    return chooseVictims(shortages, found);
+}
+
+bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
+                                      stop_reason reason, const stop_rule &mayStop)
+{
+    const job_entry &entry = job(index);
+    const victim_set victims = victimsFor(entry, parts, mayStop);
     if (!victims.isEnough)
         return false;
     const use_kind use = fitsProtected(entry, parts) ? use_kind::Protected : use_kind::Borrowed;
@@ -686,13 +714,30 @@
     return true;
 }
 
+// Returns the guaranteed place whose borrowers lose least.
+std::vector<placed_part> gang_scheduler::cheapestGuaranteedPlace(const job_entry &entry,
+                                                                 const room_policy &room,
+                                                                 const stop_rule &mayStop) const
+{
+    std::vector<placed_part> best;
+    double bestCost = 0;
+    for (std::vector<placed_part> &parts : guaranteedPlaces(entry, room, maxPlacesCompared)) {
+        const victim_set victims = victimsFor(entry, parts, mayStop);
+        if (!victims.isEnough || (!best.empty() && victims.cost >= bestCost))
+            continue;
+        bestCost = victims.cost;
+        best = std::move(parts);
+    }
+    return best;
+}
+
 bool gang_scheduler::tryClaim(job_index index)
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     const stop_rule mayStop = borrowersFor(entry, duration::max());
     const stop_room room(*this, entry, mayStop, true);
-    std::vector<placed_part> parts = guaranteedPlace(entry, room);
+    std::vector<placed_part> parts = cheapestGuaranteedPlace(entry, room, mayStop);
     if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     return !parts.empty()
@@ -704,8 +749,9 @@
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     const stop_rule mayStop = borrowersFor(entry, stopBound);
+    const capacity_index &where = stopBound <= urgentStopBound ? m_fastStoppable : m_stoppable;
     std::vector<placed_part> parts
-        = m_placement->find(request, m_stoppable, stop_room(*this, entry, mayStop, false));
+        = m_placement->find(request, where, stop_room(*this, entry, mayStop, false));
     return !parts.empty()
         && claimWithVictims(index, std::move(parts), stop_reason::Urgent, mayStop);
 }
