--- a/testing/message_size_benchmark.cc
+++ b/testing/message_size_benchmark.cc
@@ -224,6 +224,32 @@
                encodeJobRecord(record).size());
 }
 
+// Calls that reach a store that is down for ten minutes while 20 calls a second are wanted.
+void countOutageCalls()
+{
+    constexpr int callsPerSecond = 20;
+    constexpr int seconds = 600;
+    constexpr int neverOpen = 1'000'000;
+    fmt::print("\ncalls that reach the store during an outage of {} s, {} calls/s wanted\n",
+               seconds, callsPerSecond);
+    for (const int failuresToOpen : {neverOpen, store_client_options{}.failuresToOpen}) {
+        virtual_event_loop loop;
+        store_model model;
+        fake_store store(model, loop);
+        store_client_options options;
+        options.failuresToOpen = failuresToOpen;
+        store_client client(store, loop, options);
+        store.faults().down = true;
+        for (int i = 0; i < seconds * callsPerSecond; ++i) {
+            client.get("config/current", {}, [](const auto &) {});
+            loop.advance(duration(1s) / callsPerSecond);
+        }
+        fmt::print("  {:<24} {} calls, {} of them retries\n",
+                   failuresToOpen == neverOpen ? "without circuit breaker" : "with circuit breaker",
+                   store.counts().total(), client.counts().retries);
+    }
+}
+
 } // namespace
 
 int main()
@@ -234,5 +260,6 @@
     countElectionAndConfirmation();
     countPublications();
     countJobWrites();
+    countOutageCalls();
     return 0;
 }
