Test the depth limit of frames and the end of leases at the stand-in

Without the depth limit the new frame overflows the stack of the JSON parser; the one tested before was refused for its length already.

--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -176,6 +176,22 @@
                      code::LeaseLost));
 }
 
+// Guards against a stand-in whose leases never end, with which a dead planner would stay elected.
+TEST(etcd_store, anUnrenewedLeaseEndsAndItsKeyIsReportedAsDeleted)
+{
+    const auto granted = wait<result<lease_id>>(
+        [&](auto callback) { store->grantLease(500ms, relaxed, callback); }); // rounded up to 1 s
+    bool isDeleted = false;
+    const auto watch = store->watch("leader", 0, [&](const watch_batch &batch) {
+        for (const watch_event &event : batch.events)
+            isDeleted = isDeleted || event.deleted;
+    });
+    CHECK(loop->runUntil([&] { return server->model().watchCount() == 1; }, patience));
+    commit(*store, store_transaction{}.put("leader", "w1", valueOf(granted)));
+    CHECK(loop->runUntil([&] { return isDeleted; }, patience));
+    CHECK_FALSE(valueOf(get("leader")).has_value());
+}
+
 // Guards against changes that a watch misses, reports twice or out of order.
 TEST(etcd_store, watchesReportPastAndNewChangesInOrder)
 {
--- a/testing/message_codec_test.cc
+++ b/testing/message_codec_test.cc
@@ -249,6 +249,8 @@
 TEST(message_codec, hostileShapesAreRefused)
 {
     CHECK(isFailure(decodeMessage(std::string(1'000'000, '\x81')), code::MalformedMessage));
+    // A complete document, so that only its depth is wrong.
+    CHECK(isFailure(decodeMessage(std::string(200'000, '\x81') + '\0'), code::MalformedMessage));
     CHECK(isFailure(decodeMessage(std::string(100, '\xff')), code::MalformedMessage));
     CHECK(isFailure(decodeMessage("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"), code::MalformedMessage));
     CHECK(isFailure(decodeMessage("\x9f\x01\x01\xff"), code::MalformedMessage)); // no length
