--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -26,6 +26,9 @@
 // Jobs of one team that are tried on its own guarantee, per bucket.
 constexpr std::size_t claimTries = 2;
 
+// Places of a guarantee that are compared by what their borrowers lose.
+constexpr std::size_t maxPlacesCompared = 8;
+
 // Urgent work starts within 3 s: borrowers that need no longer to stop are preferred.
 constexpr duration urgentStopBound = 3000ms;
 
@@ -89,6 +92,7 @@
         , m_free(cell())
         , m_open(cell())
         , m_stoppable(cell())
+        , m_fastStoppable(cell())
         , m_yielding(cell())
         , m_placement(std::make_unique<best_fit_placement>(cell()))
         , m_order(std::make_unique<aged_work_order>())
@@ -143,16 +147,24 @@
     bool startOneUrgent();
     void runUrgent();
     void runClaims();
+    std::vector<worker_index> grownRacks();
     void runQueue();
-    // Returns the place of an unused guarantee of the job's own shape.
-    std::vector<placed_part> guaranteedPlace(const job_entry &entry, const room_policy &room) const;
+    // Returns places of unused guarantees of the job's own shape.
+    std::vector<std::vector<placed_part>>
+    guaranteedPlaces(const job_entry &entry, const room_policy &room, std::size_t count) const;
+    std::vector<placed_part> cheapestGuaranteedPlace(const job_entry &entry,
+                                                     const room_policy &room,
+                                                     const stop_rule &mayStop) const;
+    victim_set victimsFor(const job_entry &entry, const std::vector<placed_part> &parts,
+                          const stop_rule &mayStop) const;
     load claimableRoom(worker_index worker, const job_entry &entry) const;
     bool isHeld(std::size_t unit) const;
     void holdUnit(job_index index);
     void holdUnitsAnew();
     bool hasUnusedGuarantee(const job_entry &entry) const;
-    bool hasGuaranteedShape(const job_entry &entry) const;
-    bool tryFree(job_index index);
+    bool hasGuaranteedPlace(const job_entry &entry) const;
+    // @param near if given, jobs that fit into one rack are tried on these workers only
+    bool tryFree(job_index index, const std::vector<worker_index> *near = nullptr);
     bool tryMixed(job_index index);
     bool placeOn(job_index index, std::vector<placed_part> parts);
     bool tryClaim(job_index index);
@@ -187,6 +199,7 @@
     capacity_index m_free; // free capacity
     capacity_index m_open; // the part of it that no guarantee needs
     capacity_index m_stoppable; // free capacity and borrowed use
+    capacity_index m_fastStoppable; // the same, only borrowers that stop in time for urgent work
     capacity_index m_yielding; // free capacity and use of jobs that can checkpoint
     std::unique_ptr<placement_strategy> m_placement;
     std::unique_ptr<queue_order> m_order;
@@ -197,6 +210,7 @@
     std::set<bucket_key> m_newWork; // buckets that got a job since the last decision
     std::set<team_index> m_claimTeams; // teams that may claim since the last decision
     bool m_grown = true; // capacity grew since the last decision
+    std::vector<worker_index> m_grownWorkers;
     bool m_passDue = false;
     time_point m_nextPass;
     std::set<std::string> m_leaving; // failure domains that are out
@@ -284,7 +298,10 @@
     { }
     load room(worker_index w) const override
     {
-        if (!m_engine.mayUse(w, m_entry))
+        // A claim of a guarantee is not refused because the worker is under probe.
+        const bool allowed
+            = m_onlyGuarantee ? m_engine.cell().at(w).inService() : m_engine.mayUse(w, m_entry);
+        if (!allowed)
             return {};
         load room = m_engine.cell().at(w).free();
         for (const job_index other : m_engine.jobsOn(w)) {
@@ -410,24 +427,26 @@
             m_free.set(w, {});
             m_open.set(w, {});
             m_stoppable.set(w, {});
+            m_fastStoppable.set(w, {});
             m_yielding.set(w, {});
             continue;
         }
         m_largestWorker = std::max(m_largestWorker, worker.capacity.accelerators());
         const load free = worker.free();
         load stoppable = free;
+        load fastStoppable = free;
         load yielding = free;
         for (const job_index index : jobsOn(w)) {
             const job_entry &entry = job(index);
-            if (entry.state == run_state::Claiming)
-                continue;
             const bool stops = entry.state == run_state::Stopping;
             for (const placed_part &part : entry.parts) {
                 if (part.worker != w)
                     continue;
                 if (stops || entry.use == use_kind::Borrowed)
                     stoppable += entry.perTask * part.tasks;
-                if (stops || entry.spec.canCheckpoint)
+                if (entry.use == use_kind::Borrowed && entry.spec.stopTime <= urgentStopBound)
+                    fastStoppable += entry.perTask * part.tasks;
+                if (stops || (entry.state == run_state::Running && entry.spec.canCheckpoint))
                     yielding += entry.perTask * part.tasks;
             }
         }
@@ -436,9 +455,12 @@
         const bool grew
             = !m_free.room(w).covers(maxOf(free, {})) || !m_open.room(w).covers(maxOf(open, {}));
         m_grown = m_grown || grew;
+        if (grew)
+            m_grownWorkers.push_back(w);
         m_free.set(w, free);
         m_open.set(w, open);
         m_stoppable.set(w, stoppable);
+        m_fastStoppable.set(w, fastStoppable);
         m_yielding.set(w, yielding);
         for (const guarantee_ledger::share &s : ledger().sharesOn(w)) {
             if (s.guaranteed != load{})
@@ -499,11 +521,14 @@
                     : ledger().unusedGuarantee(worker, entry.team);
 }
 
-bool gang_scheduler::hasGuaranteedShape(const job_entry &entry) const
+// Returns whether a guarantee of the job's shape has a place that no job holds. Then the job must
+// not take room from the team's other guarantees.
+bool gang_scheduler::hasGuaranteedPlace(const job_entry &entry) const
 {
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
         const guarantee_unit &unit = ledger().units()[i];
-        if (unit.tasks == entry.spec.tasks && unit.perTask == entry.perTask)
+        if (unit.tasks == entry.spec.tasks && unit.perTask == entry.perTask && !unit.parts.empty()
+            && !isHeld(i))
             return true;
     }
     return false;
@@ -511,9 +536,11 @@
 
 // Jobs of a guaranteed shape take the place of one whole guarantee, so that the places of the
 // team's other guarantees stay usable for their shapes.
-std::vector<placed_part> gang_scheduler::guaranteedPlace(const job_entry &entry,
-                                                         const room_policy &room) const
+std::vector<std::vector<placed_part>> gang_scheduler::guaranteedPlaces(const job_entry &entry,
+                                                                       const room_policy &room,
+                                                                       std::size_t count) const
 {
+    std::vector<std::vector<placed_part>> places;
     for (const std::size_t i : ledger().unitsOf(entry.team)) {
         const guarantee_unit &unit = ledger().units()[i];
         if (unit.tasks != entry.spec.tasks || unit.perTask != entry.perTask
@@ -526,9 +553,11 @@
                        && room.room(part.worker).covers(need);
                });
         if (fits)
-            return unit.parts;
+            places.push_back(unit.parts);
+        if (places.size() == count)
+            break;
     }
-    return {};
+    return places;
 }
 
 bool gang_scheduler::placeOn(job_index index, std::vector<placed_part> parts)
@@ -542,15 +571,24 @@
     return true;
 }
 
-bool gang_scheduler::tryFree(job_index index)
+bool gang_scheduler::tryFree(job_index index, const std::vector<worker_index> *near)
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     if (!m_free.mayFit(request.perTask, request.tasks, request.closeness))
         return false;
     const protected_room room(*this, entry);
-    std::vector<placed_part> parts = guaranteedPlace(entry, room);
-    if (parts.empty() && !hasGuaranteedShape(entry))
+    const bool isLocal = entry.spec.tasks == 1 || entry.spec.closeness >= adjacency::Rack;
+    if (near && isLocal) {
+        std::vector<placed_part> parts = m_placement->findAmong(request, *near, room);
+        if (parts.empty() && entry.spec.preemptible())
+            parts = m_placement->findAmong(request, *near, free_room(*this, entry));
+        return placeOn(index, std::move(parts));
+    }
+    std::vector<placed_part> parts;
+    for (std::vector<placed_part> &place : guaranteedPlaces(entry, room, 1))
+        parts = std::move(place);
+    if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     if (parts.empty())
         parts = m_placement->find(request, m_open, open_room(*this, entry));
@@ -576,8 +614,11 @@
         if (victim.state == run_state::Stopping)
             return stopBound == duration::max()
                 || now() + stopBound >= victim.stopSentAt + victim.spec.stopTime;
-        return victim.state == run_state::Running && victim.use == use_kind::Borrowed
-            && !(victim.urgent && claimant.urgent) && victim.spec.stopTime <= stopBound;
+        if (victim.use != use_kind::Borrowed || (victim.urgent && claimant.urgent))
+            return false;
+        // A borrower that waits for others to stop gives way at once.
+        return victim.state == run_state::Claiming
+            || (victim.state == run_state::Running && victim.spec.stopTime <= stopBound);
     };
 }
 
@@ -628,10 +669,9 @@
     };
 }
 
-bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
-                                      stop_reason reason, const stop_rule &mayStop)
+victim_set gang_scheduler::victimsFor(const job_entry &entry, const std::vector<placed_part> &parts,
+                                      const stop_rule &mayStop) const
 {
-    const job_entry &entry = job(index);
     std::vector<shortage> shortages;
     std::set<job_index> seen;
     std::vector<victim_candidate> found;
@@ -645,11 +685,18 @@
             if (!mayStop(other) || !seen.insert(other).second)
                 continue;
             const double cost
-                = victim.state == run_state::Stopping ? 0 : m_victimCost->of(victim, now());
+                = victim.state != run_state::Running ? 0 : m_victimCost->of(victim, now());
             found.push_back({other, cost, victim.perTask, victim.parts});
         }
     }
-    const victim_set victims = chooseVictims(shortages, found);
+    return chooseVictims(shortages, found);
+}
+
+bool gang_scheduler::claimWithVictims(job_index index, std::vector<placed_part> parts,
+                                      stop_reason reason, const stop_rule &mayStop)
+{
+    const job_entry &entry = job(index);
+    const victim_set victims = victimsFor(entry, parts, mayStop);
     if (!victims.isEnough)
         return false;
     const use_kind use = fitsProtected(entry, parts) ? use_kind::Protected : use_kind::Borrowed;
@@ -667,14 +714,31 @@
     return true;
 }
 
+// Returns the guaranteed place whose borrowers lose least.
+std::vector<placed_part> gang_scheduler::cheapestGuaranteedPlace(const job_entry &entry,
+                                                                 const room_policy &room,
+                                                                 const stop_rule &mayStop) const
+{
+    std::vector<placed_part> best;
+    double bestCost = 0;
+    for (std::vector<placed_part> &parts : guaranteedPlaces(entry, room, maxPlacesCompared)) {
+        const victim_set victims = victimsFor(entry, parts, mayStop);
+        if (!victims.isEnough || (!best.empty() && victims.cost >= bestCost))
+            continue;
+        bestCost = victims.cost;
+        best = std::move(parts);
+    }
+    return best;
+}
+
 bool gang_scheduler::tryClaim(job_index index)
 {
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     const stop_rule mayStop = borrowersFor(entry, duration::max());
     const stop_room room(*this, entry, mayStop, true);
-    std::vector<placed_part> parts = guaranteedPlace(entry, room);
-    if (parts.empty())
+    std::vector<placed_part> parts = cheapestGuaranteedPlace(entry, room, mayStop);
+    if (parts.empty() && !hasGuaranteedPlace(entry))
         parts = m_placement->findAmong(request, ledger().workersOf(entry.team), room);
     return !parts.empty()
         && claimWithVictims(index, std::move(parts), stop_reason::Reclaim, mayStop);
@@ -685,8 +749,9 @@
     const job_entry &entry = job(index);
     const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
     const stop_rule mayStop = borrowersFor(entry, stopBound);
+    const capacity_index &where = stopBound <= urgentStopBound ? m_fastStoppable : m_stoppable;
     std::vector<placed_part> parts
-        = m_placement->find(request, m_stoppable, stop_room(*this, entry, mayStop, false));
+        = m_placement->find(request, where, stop_room(*this, entry, mayStop, false));
     return !parts.empty()
         && claimWithVictims(index, std::move(parts), stop_reason::Urgent, mayStop);
 }
@@ -944,22 +1009,45 @@
     }
 }
 
+// Returns the workers of the racks where capacity grew since the last decision.
+std::vector<worker_index> gang_scheduler::grownRacks()
+{
+    std::set<rack_index> racks;
+    for (const worker_index w : std::exchange(m_grownWorkers, {}))
+        racks.insert(cell().at(w).rack);
+    std::vector<worker_index> workers;
+    for (const rack_index rack : racks) {
+        const std::vector<worker_index> &here = cell().racks()[std::size_t(rack)].workers;
+        workers.insert(workers.end(), here.begin(), here.end());
+    }
+    return workers;
+}
+
 void gang_scheduler::runQueue()
 {
     const bool mayYield = std::exchange(m_passDue, false);
     const bool all = std::exchange(m_grown, false) || mayYield;
     const std::set<bucket_key> fresh = std::exchange(m_newWork, {});
+    const std::vector<worker_index> near = grownRacks();
     std::set<std::tuple<double, job_index, const job_queue::bucket *>> heads;
     candidates blocked;
     const auto offer = [&](const job_queue::bucket &bucket) {
         const bucket_key &key = bucket.key;
         if (key.urgent)
             return;
-        const load least{{0, 0, key.accelerators, 1}};
-        const bool mayFit
-            = m_free.mayFit(least, 1, key.closeness) || m_yielding.mayFit(least, 1, key.closeness);
         candidates first;
         m_queue.firstOf(bucket, 1, first);
+        const bool thorough = mayYield || fresh.count(key) > 0;
+        const bool isLocal = key.tasks == 1 || key.closeness >= adjacency::Rack;
+        if (!thorough && !isLocal)
+            return; // many workers take part, so it waits for the next full pass
+        // Other jobs of the bucket may need less than the first, by its class of cores and memory.
+        const std::int32_t tasks = leastTasks(key.tasks);
+        load least = job(first.front().second).perTask;
+        for (const std::size_t i : {load::coresAt, load::memoryAt})
+            least.v[i] /= 2;
+        const bool mayFit = m_free.mayFit(least, tasks, key.closeness)
+            || (thorough && m_yielding.mayFit(least, tasks, key.closeness));
         if (mayFit)
             heads.insert({first.front().first, first.front().second, &bucket});
         else
@@ -977,13 +1065,15 @@
         heads.erase(heads.begin());
         jobs.clear();
         m_queue.firstOf(*bucket, triesPerBucket, jobs);
+        const bool onlyNear = !mayYield && fresh.count(key) == 0;
         bool first = true;
         for (const auto &[order, index] : jobs) {
             ++m_examinedJobs;
             if (!quotaAllows(job(index)))
                 continue;
             const bool looksForYield = first && (mayYield || fresh.count(key) > 0);
-            const bool started = tryFree(index) || tryMixed(index) || tryReserved(index)
+            const bool started = tryFree(index, onlyNear ? &near : nullptr)
+                || (!onlyNear && tryMixed(index)) || tryReserved(index)
                 || (looksForYield && ++yieldTries <= maxYieldTries && tryYield(index));
             if (!started) {
                 if (std::exchange(first, false))
@@ -1078,7 +1168,7 @@
 void gang_scheduler::onConfiguration(const configuration &config)
 {
     m_leaving = config.domainsOut;
-    m_grown = true;
+    m_passDue = true;
     holdUnitsAnew();
     leaveDomains();
 }
