Report all metrics of agents and planners

The table of metrics named figures of agents and planners that no process reported. The agent now answers GET /metrics on its backend listen address, with the bearer token check of the entry if a token is set. agent_core and cell_planner keep small counter structs, a decorator measures the processor time of each scheduler event, and the store client reports the time of each call. Figures of a planner are dropped when its role ends.

Two faults showed: the entry reported no store call times, and requests that could not be read, or that reused a request id, were not counted as refused. No metric was removed from the table.

--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -92,8 +92,10 @@
 
 bool agent_core::acceptEpoch(epoch number)
 {
-    if (number < m_highestEpoch && m_options.mechanisms.fenceEpochs)
+    if (number < m_highestEpoch && m_options.mechanisms.fenceEpochs) {
+        ++m_counters.fencedMessages;
         return false;
+    }
     m_highestEpoch = std::max(m_highestEpoch, number);
     return true;
 }
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -114,6 +114,11 @@
     agent_mechanisms mechanisms;
 };
 
+struct agent_counters
+{
+    std::uint64_t fencedMessages = 0; // refused since their epoch was below the highest seen
+};
+
 class agent_core
 {
 public:
@@ -145,6 +150,8 @@
 
     // Returns whether no attempt is held, runs or has a result that is not stored.
     bool isIdle() const { return m_members.empty(); }
+    bool isBackendReachable() const { return m_backendReachable; }
+    const agent_counters &counters() const { return m_counters; }
     epoch highestEpoch() const { return m_highestEpoch; }
     const std::map<attempt_id, gang_member> &members() const { return m_members; }
     const worker_info &worker() const { return m_options.worker; }
@@ -198,6 +205,7 @@
     std::map<std::string, resources> m_reportedUsage; // by task id
     std::vector<agent_action> m_actions;
     epoch m_highestEpoch = 0;
+    agent_counters m_counters;
     bool m_plannerOpen = false;
     bool m_draining = false;
     bool m_listed = false; // the task list was read at least once
--- a/goldcrest/agent_daemon.cc
+++ b/goldcrest/agent_daemon.cc
@@ -7,10 +7,13 @@
 #include "goldcrest/http_client.h"
 #include "goldcrest/http_server.h"
 #include "goldcrest/log_fields.h"
+#include "goldcrest/measured_http.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/message_codec.h"
+#include "goldcrest/metrics.h"
 #include "goldcrest/outage_rule.h"
 #include "goldcrest/planner_daemon.h"
+#include "goldcrest/planner_metrics.h"
 #include "goldcrest/scheduler.h"
 #include "goldcrest/store_client.h"
 #include "goldcrest/websocket_link.h"
@@ -84,6 +87,8 @@
     void carryOut(const forget_task &action);
 
     void handleHttp(const server_request &request, responder &respond);
+    void handleMetrics(const server_request &request, responder &respond);
+    void updateMetrics();
     void handleAnnouncement(const server_request &request, responder &respond);
     void handleDrain(const server_request &request, responder &respond);
     static void answerFailure(responder &respond, const failure &error);
@@ -107,11 +112,13 @@
     agent_settings m_settings;
     agent_daemon_options m_options;
     history_log m_history;
+    metrics_registry m_metrics;
     std::unique_ptr<http_client> m_client;
     etcd_store m_plainStore;
     store_client m_store;
     std::unique_ptr<websocket_network> m_network;
     std::unique_ptr<http_server> m_server;
+    measured_client m_backendClient;
     http_backend m_backend;
     agent_core m_core;
     std::unique_ptr<membership> m_membership;
@@ -151,12 +158,13 @@
     return options;
 }
 
-store_client_options storeOptions(const agent_settings &settings)
+store_client_options storeOptions(const agent_settings &settings, metrics_registry &metrics)
 {
     store_client_options options;
     options.callsPerSecond = settings.storeCallsPerSecond;
     options.burst = settings.storeCallsPerSecond;
     options.seed = std::hash<std::string>()(settings.worker);
+    options.onEnd = [&metrics](duration time) { metrics.observe(metric::StoreCallTime, time); };
     return options;
 }
 
@@ -181,9 +189,10 @@
     , m_history(m_options.historyPath)
     , m_client(makeCurlClient(loop))
     , m_plainStore(*m_client, loop, m_settings.storeUrls)
-    , m_store(m_plainStore, loop, storeOptions(m_settings))
+    , m_store(m_plainStore, loop, storeOptions(m_settings, m_metrics))
     , m_network(makeWebsocketNetwork(loop, linkOptions(m_settings)))
-    , m_backend(*m_client)
+    , m_backendClient(*m_client, loop, m_metrics)
+    , m_backend(m_backendClient)
     , m_core(coreOptions(m_settings))
 {
     m_network->filter().set(m_settings.faults.blocks);
@@ -199,7 +208,8 @@
     result<std::unique_ptr<http_server>> server = makeHttpServer(
         m_loop, m_settings.backendListen, m_settings.http,
         [this](const server_request &request, const std::shared_ptr<responder> &respond) {
-            handleHttp(request, *respond);
+            measured_responder measured(respond, m_loop, m_metrics);
+            handleHttp(request, measured);
         });
     if (const failure *error = failureOf(server))
         return *error;
@@ -368,6 +378,10 @@
 
 void agent_daemon::impl::handleHttp(const server_request &request, responder &respond)
 {
+    if (request.path == "/metrics") {
+        handleMetrics(request, respond);
+        return;
+    }
     const bool isAnnouncement = request.path == "/v1/announce";
     const bool isDrain = request.path == "/v1/drain";
     if (!isAnnouncement && !isDrain)
@@ -380,6 +394,46 @@
         handleDrain(request, respond);
 }
 
+void agent_daemon::impl::handleMetrics(const server_request &request, responder &respond)
+{
+    if (!hasBearerToken(request, m_settings.token)) {
+        answerFailure(respond, makeFailure(code::Unauthorized, "a valid bearer token is required"));
+        return;
+    }
+    if (request.method != "GET") {
+        answerFailure(respond, makeFailure(code::MethodNotAllowed, "only GET is allowed"));
+        return;
+    }
+    updateMetrics();
+    respond.respond(server_response{200, "text/plain; version=0.0.4", {}, m_metrics.text()});
+}
+
+void agent_daemon::impl::updateMetrics()
+{
+    const auto setCount = [this](metric which, std::size_t count, std::string_view label = {}) {
+        m_metrics.set(which, static_cast<double>(count), label);
+    };
+    std::size_t held = 0;
+    std::size_t ended = 0;
+    for (const auto &[attempt, member] : m_core.members()) {
+        held += member.state() == member_state::Held ? 1 : 0;
+        ended += member.state() == member_state::Ended ? 1 : 0;
+    }
+    setCount(metric::AgentParts, held, "held");
+    setCount(metric::AgentParts, m_core.members().size() - held - ended, "running");
+    setCount(metric::AgentParts, ended, "finished");
+    setCount(metric::AgentMessagesFenced, m_core.counters().fencedMessages);
+    setCount(metric::BackendReachable, m_core.isBackendReachable() ? 1 : 0);
+    setCount(metric::HttpOpenRequests, m_server->openRequests());
+    setCount(metric::HttpOpenConnections, m_server->openConnections());
+    m_metrics.setStoreCalls(m_store.counts());
+    m_metrics.setLinks(m_network->traffic(), m_network->openLinks());
+    if (m_planner)
+        setPlannerMetrics(m_metrics, m_planner->core(), m_loop.now());
+    else
+        m_metrics.set(metric::PlannerEpoch, 0);
+}
+
 void agent_daemon::impl::handleAnnouncement(const server_request &request, responder &respond)
 {
     const result<backend_announcement> parsed = parseAnnouncement(request.body);
@@ -520,8 +574,10 @@
     options.cell = m_settings.cell;
     options.worker = m_settings.worker;
     options.number = number;
-    options.engine = m_options.baselineScheduler ? makeFifoScheduler(m_settings.cell)
-                                                 : makeGangScheduler(m_settings.cell);
+    options.engine
+        = measureScheduler(m_options.baselineScheduler ? makeFifoScheduler(m_settings.cell)
+                                                       : makeGangScheduler(m_settings.cell),
+                           m_metrics);
     options.policy = makePolicy(m_settings.outageRule);
     options.onStepDown = [this] { stopPlanning(); };
     m_planner = std::make_unique<planner_daemon>(
@@ -537,6 +593,9 @@
         return;
     log_line(log_level::Info, "planner role ended").atEpoch(m_planner->core().number()).write();
     m_history.write(history_event("epochEnded").number("epoch", m_planner->core().number()));
+    m_metrics.clear("planner");
+    m_metrics.clear(metric::ConfigRevision);
+    m_metrics.clear(metric::ConfigConfirmedAge);
     // Callers may be inside the planner.
     std::shared_ptr<planner_daemon> ended = std::move(m_planner);
     m_loop.post([ended] {});
--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -427,6 +427,15 @@
     return worker.backendReachable ? "in service" : "suspect";
 }
 
+std::map<std::string_view, std::size_t> cell_planner::workersByState() const
+{
+    std::map<std::string_view, std::size_t> counts
+        = {{"in service", 0}, {"draining", 0}, {"out of service", 0}, {"suspect", 0}, {"lost", 0}};
+    for (const auto &[id, worker] : m_workers)
+        ++counts[stateNameOf(*worker)];
+    return counts;
+}
+
 void cell_planner::handle(link_id link, const cell_status_request_message &query, time_point)
 {
     cell_status_message status;
@@ -1188,6 +1197,7 @@
         m_transient.erase(job.spec.key);
         job.startDelay = duration(std::max<std::int64_t>(0, unixNow(now) - job.acceptedAtUnixMs));
         job.parkings = 0;
+        ++m_counters.gangsStarted[job.spec.className];
         m_engine->jobStarted(job.spec.key, now);
         m_updated.insert(job.spec.key);
     }
@@ -1223,6 +1233,8 @@
     const bool never = gang.provenNeverStarted();
     if (!never)
         ++job.startedAttempts;
+    if (!never && job.stopCause && !gang.allSucceeded())
+        ++m_counters.gangsStopped[*job.stopCause];
     const worker_id failedOn = gang.failedMember();
     const bool hasResult = gang.allSucceeded() || !failedOn.empty();
     job.resultAttempt = gang.attempt();
@@ -1667,6 +1679,7 @@
     if (!member)
         return;
     if (reply.refused) {
+        ++m_counters.holdsRefused[reply.refused->number];
         member->refused = reply.refused;
         abortGang(*job, now);
         return;
--- a/goldcrest/cell_planner.h
+++ b/goldcrest/cell_planner.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -121,6 +122,13 @@
     planner_mechanisms mechanisms;
 };
 
+struct planner_counters
+{
+    std::map<std::string, std::uint64_t> gangsStarted; // by class
+    std::map<stop_reason, std::uint64_t> gangsStopped; // that ran
+    std::map<code, std::uint64_t> holdsRefused; // by agents
+};
+
 class cell_planner
 {
 public:
@@ -168,6 +176,12 @@
     bool isEntitled(time_point now) const;
     epoch number() const { return m_options.number; }
     revision configRevision() const { return m_config.current().number; }
+    std::optional<duration> configAge(time_point now) const { return m_config.confirmedAge(now); }
+    const planner_counters &counters() const { return m_counters; }
+    std::size_t parkedJobs() const { return m_parked.size(); }
+
+    // Returns the number of workers in each state; states are named as in cell_status_message.
+    std::map<std::string_view, std::size_t> workersByState() const;
     std::size_t jobCount() const { return m_jobs.size(); }
     const scheduler &engine() const { return *m_engine; }
 
@@ -292,6 +306,7 @@
     std::set<job_key> m_retired; // ended jobs that leave the memory
     std::set<job_key> m_orphans; // unfinished jobs without a payload that leave the memory
     std::vector<planner_action> m_actions;
+    planner_counters m_counters;
     bool m_leaseHolds = false;
     bool m_storeSilent = false;
     bool m_loaded = false;
--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -198,6 +198,7 @@
     void onRecordCreated(const job_pointer &job);
     void onAcceptTimeEnded(const job_pointer &job);
     void refuse(const job_pointer &job, const failure &why, bool notRun);
+    void refuseRequest(const job_key &key, const failure &why, const answer_callback &callback);
     void accepted(const job_pointer &job, bool created);
     void retryLater(const job_pointer &job);
     void offerUnrecorded(const job_pointer &job);
@@ -306,18 +307,16 @@
 void entry_core::impl::submit(std::string_view body, duration wait, answer_callback callback)
 {
     const result<job_request> parsed = parseJobRequest(body, m_config->entries, m_options.limits);
-    if (const failure *error = failureOf(parsed)) {
-        ++m_counters.refused;
-        return callback(errorAnswer({}, *error, true));
-    }
+    if (const failure *error = failureOf(parsed))
+        return refuseRequest({}, *error, callback);
     const job_request &request = valueOf(parsed);
     const job_key &key = request.spec.key;
     if (const job_pointer job = jobOf(key)) {
         if (job->bodyDigest != request.bodyDigest)
-            return callback(errorAnswer(
+            return refuseRequest(
                 key,
                 makeFailure(code::RequestIdReused, "the request id has another body", "requestId"),
-                true));
+                callback);
         ++m_counters.attached;
         return addWaiter(job, waiter_kind::Submit, wait, false, std::move(callback));
     }
@@ -639,6 +638,17 @@
     commitRecord(job);
 }
 
+// Refuses a request for which no job was opened.
+void entry_core::impl::refuseRequest(const job_key &key, const failure &why,
+                                     const answer_callback &callback)
+{
+    ++m_counters.refused;
+    const job_answer answer = errorAnswer(key, why, true);
+    if (m_options.onEvent)
+        m_options.onEvent({entry_event::kind::Refused, answer.view, true, why});
+    callback(answer);
+}
+
 void entry_core::impl::refuse(const job_pointer &job, const failure &why, bool notRun)
 {
     ++m_counters.refused;
--- a/goldcrest/entry_daemon.cc
+++ b/goldcrest/entry_daemon.cc
@@ -15,6 +15,7 @@
 #include "goldcrest/http_server.h"
 #include "goldcrest/job_record.h"
 #include "goldcrest/log_fields.h"
+#include "goldcrest/measured_http.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/metrics.h"
 #include "goldcrest/store_client.h"
@@ -79,38 +80,6 @@
             {"used", resourcesJson(worker.used)}};
 }
 
-// Counts answers by status and measures their time.
-class measured_responder final : public responder
-{
-public:
-    measured_responder(std::shared_ptr<responder> inner, event_loop &loop,
-                       metrics_registry &metrics)
-        : m_inner(std::move(inner))
-        , m_loop(loop)
-        , m_metrics(metrics)
-        , m_start(loop.now())
-    { }
-
-    void respond(server_response response) override
-    {
-        m_metrics.add(metric::HttpRequests, std::to_string(response.status));
-        m_metrics.observe(metric::HttpRequestTime, m_loop.now() - m_start);
-        m_inner->respond(std::move(response));
-    }
-    void sendChunk(const server_response &head, std::string_view piece) override
-    {
-        m_inner->sendChunk(head, piece);
-    }
-    void endChunks() override { m_inner->endChunks(); }
-    bool isOpen() const override { return m_inner->isOpen(); }
-
-private:
-    std::shared_ptr<responder> m_inner;
-    event_loop &m_loop;
-    metrics_registry &m_metrics;
-    time_point m_start;
-};
-
 } // namespace
 
 class entry_daemon::impl final : public planner_links, public entry_pages
@@ -156,7 +125,7 @@
     entry_options coreOptions();
     publisher_options publisherOptions();
     websocket_options linkOptions() const;
-    store_client_options storeOptions() const;
+    store_client_options storeOptions();
 
     void step();
     void offer(const configuration &received);
@@ -244,12 +213,13 @@
     m_network->filter().set(m_settings.faults.blocks);
 }
 
-store_client_options entry_daemon::impl::storeOptions() const
+store_client_options entry_daemon::impl::storeOptions()
 {
     store_client_options options;
     options.callsPerSecond = m_settings.storeCallsPerSecond;
     options.burst = m_settings.storeCallsPerSecond;
     options.seed = std::hash<std::string>{}(m_runName);
+    options.onEnd = [this](duration time) { m_metrics.observe(metric::StoreCallTime, time); };
     return options;
 }
 
@@ -778,15 +748,7 @@
     m_metrics.set(metric::ConfigRevision, static_cast<double>(m_view.current().number));
     if (const std::optional<duration> age = m_view.confirmedAge(m_loop.now()))
         m_metrics.set(metric::ConfigConfirmedAge, std::chrono::duration<double>(*age).count());
-    const store_client_counts &calls = m_store.counts();
-    const auto setCalls = [this](std::string_view result, std::uint64_t count) {
-        m_metrics.set(metric::StoreCalls, static_cast<double>(count), result);
-    };
-    setCalls("sent", calls.attempts);
-    setCalls("repeated", calls.retries);
-    setCalls("over budget", calls.overBudget);
-    setCalls("failed fast", calls.failedFast);
-    setCalls("unresolved", calls.unresolved);
+    m_metrics.setStoreCalls(m_store.counts());
     m_metrics.setLinks(m_network->traffic(), m_network->openLinks());
     return m_metrics.text();
 }
@@ -834,8 +796,9 @@
         m_metrics.add(metric::JobsAccepted, view.className);
         return;
     case entry_event::kind::Refused:
-        m_history.write(history_event("refuse").job(view.key).number(
-            "code", event.error ? static_cast<std::int64_t>(event.error->number) : 0));
+        if (!view.key.requestId.empty()) // else the request could not be read
+            m_history.write(history_event("refuse").job(view.key).number(
+                "code", event.error ? static_cast<std::int64_t>(event.error->number) : 0));
         m_metrics.add(metric::JobsRefused, event.error ? nameOf(event.error->number) : "");
         return;
     case entry_event::kind::Finished:
--- a/goldcrest/entry_http.cc
+++ b/goldcrest/entry_http.cc
@@ -110,15 +110,6 @@
     return segments;
 }
 
-// Compares without a time that depends on the position of the first difference.
-bool equalSecrets(std::string_view a, std::string_view b)
-{
-    unsigned int difference = a.size() == b.size() ? 0U : 1U;
-    for (std::size_t i = 0; i < std::min(a.size(), b.size()); ++i)
-        difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
-    return difference == 0;
-}
-
 std::string entityTag(revision number)
 {
     return "\"" + std::to_string(number) + "\"";
@@ -196,7 +187,6 @@
         route_handler handler;
     };
 
-    bool isAuthorized(const server_request &request) const;
     static bool matches(const route &candidate, const std::vector<std::string> &path,
                         std::vector<std::string> &names);
     static void answer(const call &to, int status, std::string body);
@@ -275,7 +265,7 @@
 void entry_http::impl::handle(const server_request &request,
                               const std::shared_ptr<responder> &respond)
 {
-    if (!isAuthorized(request))
+    if (!hasBearerToken(request, m_options.token))
         return answerError(
             respond, makeFailure(code::Unauthorized, "a valid bearer token is required"), true);
     const std::optional<std::vector<std::string>> path = segmentsOf(request.path);
@@ -297,13 +287,6 @@
     answerError(respond, makeFailure(code::NotFound, "no such path"), true);
 }
 
-bool entry_http::impl::isAuthorized(const server_request &request) const
-{
-    if (m_options.token.empty())
-        return true;
-    return equalSecrets(request.header("authorization").value_or(""), "Bearer " + m_options.token);
-}
-
 bool entry_http::impl::matches(const route &candidate, const std::vector<std::string> &path,
                                std::vector<std::string> &names)
 {
--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -713,6 +713,19 @@
     return std::nullopt;
 }
 
+bool hasBearerToken(const server_request &request, std::string_view token)
+{
+    if (token.empty())
+        return true;
+    const std::string given = request.header("authorization").value_or("");
+    const std::string wanted = "Bearer " + std::string(token);
+    // Compares without a time that depends on the position of the first difference.
+    unsigned int difference = given.size() == wanted.size() ? 0U : 1U;
+    for (std::size_t i = 0; i < std::min(given.size(), wanted.size()); ++i)
+        difference |= static_cast<unsigned char>(given[i]) ^ static_cast<unsigned char>(wanted[i]);
+    return difference == 0;
+}
+
 result<std::string> decodePercent(std::string_view text)
 {
     auto decoded = restinio::utils::try_unescape_percent_encoding<
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -35,6 +35,9 @@
     std::optional<std::string> parameter(std::string_view name) const;
 };
 
+// Returns whether a request carries the bearer token; any request does if `token` is empty.
+bool hasBearerToken(const server_request &request, std::string_view token);
+
 struct server_response
 {
     int status = 200;
--- /dev/null
+++ b/goldcrest/measured_http.h
@@ -0,0 +1,60 @@
+#pragma once
+
+// Decorators that count HTTP exchanges and measure their time.
+//
+//   m_api.handle(request, std::make_shared<measured_responder>(respond, loop, metrics));
+//   measured_client client(*plain, loop, metrics); // for the calls to the backend server
+
+#include "goldcrest/event_loop.h"
+#include "goldcrest/http_client.h"
+#include "goldcrest/http_server.h"
+#include "goldcrest/metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace goldcrest {
+
+// Counts answers by status and measures their time. A chunked answer counts at its end.
+class measured_responder final : public responder
+{
+public:
+    measured_responder(std::shared_ptr<responder> inner, event_loop &loop,
+                       metrics_registry &metrics);
+
+    void respond(server_response response) override;
+    void sendChunk(const server_response &head, std::string_view piece) override;
+    void endChunks() override;
+    void abort() override { m_inner->abort(); }
+    bool isOpen() const override { return m_inner->isOpen(); }
+
+private:
+    void note(int status);
+
+    std::shared_ptr<responder> m_inner;
+    event_loop &m_loop;
+    metrics_registry &m_metrics;
+    time_point m_start;
+    int m_chunkStatus = 0; // of a chunked answer
+};
+
+// Counts the calls to the backend server as answered (2xx), refused (another status) or failed, and
+// measures their time. Streams are passed on unmeasured. `inner`, `loop` and `metrics` must outlive
+// the object and its calls.
+class measured_client final : public http_client
+{
+public:
+    measured_client(http_client &inner, event_loop &loop, metrics_registry &metrics);
+
+    void send(http_request request, std::function<void(result<http_response>)> callback) override;
+    std::unique_ptr<http_stream> stream(http_request request,
+                                        std::function<void(std::string_view)> onData,
+                                        std::function<void(result<done>)> onEnd) override;
+
+private:
+    http_client &m_inner;
+    event_loop &m_loop;
+    metrics_registry &m_metrics;
+};
+
+} // namespace goldcrest
--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -75,14 +75,14 @@
     {metric::BorrowedAccelerators, "borrowed_accelerators", gaugeKind, "", "planner",
      "Accelerators that work of one team uses within the guarantee of another."},
     {metric::LargestPlaceableGang, "largest_placeable_gang", gaugeKind, "", "planner",
-     "Largest gang of single-accelerator tasks that would fit now; fragmentation lowers it."},
+     "Largest gang of single-accelerator tasks that would fit within one rack now."},
     {metric::UnmetGuarantees, "unmet_guarantees", gaugeKind, "", "planner",
      "Guarantees that do not fit on the workers in service."},
     {metric::Workers, "workers", gaugeKind, "state", "planner", "Workers of the cell by state."},
     {metric::GangsStarted, "gangs_started_total", counterKind, "class", "planner",
      "Gangs of which all tasks started."},
     {metric::GangsStopped, "gangs_stopped_total", counterKind, "reason", "planner",
-     "Gangs stopped before their end, by reason."},
+     "Gangs that ran and were stopped before their end, by reason."},
     {metric::HoldsRefused, "holds_refused_total", counterKind, "code", "planner",
      "Holds that an agent refused, by the name of the error."},
     {metric::DecisionTime, "decision_seconds", histogramKind, "", "planner",
@@ -118,6 +118,17 @@
 constexpr std::string_view namePrefix = "goldcrest_";
 constexpr std::string_view otherLabel = "other";
 
+// Returns whether a comma-separated list of programs names one.
+bool names(std::string_view programs, std::string_view program)
+{
+    std::istringstream list{std::string(programs)};
+    for (std::string one; std::getline(list >> std::ws, one, ',');) {
+        if (one == program)
+            return true;
+    }
+    return false;
+}
+
 constexpr bool isTableInOrder()
 {
     std::size_t index = 0;
@@ -278,7 +289,7 @@
     state::at(m_state->numbers[which], rowOf(which), label) = value;
 }
 
-void metrics_registry::observe(metric which, duration time, std::string_view label)
+void metrics_registry::observe(metric which, std::chrono::nanoseconds time, std::string_view label)
 {
     const double seconds = std::chrono::duration<double>(time).count();
     state::at(m_state->histograms[which], rowOf(which), label).add(seconds);
@@ -296,6 +307,32 @@
     set(metric::LinksIdleClosed, static_cast<double>(traffic.idleClosed));
 }
 
+void metrics_registry::setStoreCalls(const store_client_counts &counts)
+{
+    const auto set = [this](std::string_view result, std::uint64_t count) {
+        this->set(metric::StoreCalls, static_cast<double>(count), result);
+    };
+    set("sent", counts.attempts);
+    set("repeated", counts.retries);
+    set("over budget", counts.overBudget);
+    set("failed fast", counts.failedFast);
+    set("unresolved", counts.unresolved);
+}
+
+void metrics_registry::clear(std::string_view program)
+{
+    for (const metric_row &row : metricTable) {
+        if (row.programs == program)
+            clear(row.which);
+    }
+}
+
+void metrics_registry::clear(metric which)
+{
+    m_state->numbers.erase(which);
+    m_state->histograms.erase(which);
+}
+
 double metrics_registry::value(metric which, std::string_view label) const
 {
     if (rowOf(which).kind == metric_kind::Histogram) {
@@ -354,6 +391,16 @@
     return out.str();
 }
 
+std::vector<std::string> metricNames(std::string_view program)
+{
+    std::vector<std::string> found;
+    for (const metric_row &row : metricTable) {
+        if (names(row.programs, program) || row.programs == "all")
+            found.push_back(std::string(namePrefix) + std::string(row.name));
+    }
+    return found;
+}
+
 std::string metricsMarkdown()
 {
     std::ostringstream out;
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -12,12 +12,14 @@
 // A metric has at most one label, whose name is in the table; its value is the last argument.
 
 #include "goldcrest/clock.h"
+#include "goldcrest/store_client.h"
 #include "goldcrest/websocket_link.h"
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace goldcrest {
 
@@ -90,11 +92,19 @@
     void set(metric which, double value, std::string_view label = {});
 
     // Adds a time to a histogram.
-    void observe(metric which, duration time, std::string_view label = {});
+    void observe(metric which, std::chrono::nanoseconds time, std::string_view label = {});
 
     // Sets the metrics of the links.
     void setLinks(const link_traffic &traffic, std::size_t openLinks);
 
+    // Sets the calls to the store by result.
+    void setStoreCalls(const store_client_counts &counts);
+
+    // Drops the values of all metrics that only `program` fills. An agent whose planner role has
+    // ended reports none of the planner's.
+    void clear(std::string_view program);
+    void clear(metric which);
+
     // Returns the value of a counter or gauge, or the number of times in a histogram.
     double value(metric which, std::string_view label = {}) const;
 
@@ -111,6 +121,10 @@
     std::unique_ptr<state> m_state;
 };
 
+// Returns the full names of the metrics that a program fills: "entry", "agent", "planner", each
+// with those of all programs.
+std::vector<std::string> metricNames(std::string_view program);
+
 // The table of all metrics as docs/metrics.md has it. GOLDCREST_WRITE_DOCS=1 build/metrics_test
 // writes the page.
 std::string metricsMarkdown();
--- a/goldcrest/store_client.cc
+++ b/goldcrest/store_client.cc
@@ -70,6 +70,7 @@
     virtual void fail(const failure &error) = 0;
 
     call_priority priority = call_priority::Normal;
+    time_point startedAt{};
     time_point deadline{};
     timer_handle deadlineTimer;
     timer_handle retryTimer;
@@ -323,7 +324,8 @@
 void store_client::state::start(const operation_ptr &next, const call_options &chosen)
 {
     next->priority = chosen.priority;
-    next->deadline = loop.now() + chosen.deadline;
+    next->startedAt = loop.now();
+    next->deadline = next->startedAt + chosen.deadline;
     open.insert(next);
     if (!breaker.mayAllow(loop.now()))
         return failFast(next);
@@ -452,6 +454,8 @@
     ended->deadlineTimer.reset();
     ended->retryTimer.reset();
     open.erase(ended);
+    if (options.onEnd)
+        options.onEnd(loop.now() - ended->startedAt);
 }
 
 void store_client::state::deadlinePassed(const operation_ptr &late)
--- a/goldcrest/store_client.h
+++ b/goldcrest/store_client.h
@@ -24,6 +24,7 @@
 #include "goldcrest/platform_store.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -43,6 +44,7 @@
     duration firstPause = 250ms;
     duration longestPause = 1s; // below the freshness limit, so that a recovery is noticed in time
     std::uint64_t seed = 1; // of the jitter; processes use different ones
+    std::function<void(duration)> onEnd; // gets the time of each call with retries; may be empty
 };
 
 struct store_client_counts
--- a/testing/metrics_test.cc
+++ b/testing/metrics_test.cc
@@ -1,8 +1,12 @@
 #include "goldcrest/metrics.h"
 
+#include "goldcrest/agent_core.h"
+
 #include "testing/doc_page_support.h"
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -69,3 +73,45 @@
 {
     STRCMP_EQUAL("", compareDocPage("docs/metrics.md", metricsMarkdown()).c_str());
 }
+
+// Guards against names that are matched as parts of others, and against metrics of all programs
+// that are not expected of each.
+TEST(metrics, namesThoseOfAProgram)
+{
+    const std::vector<std::string> names = metricNames("agent");
+    const auto has = [&](const char *name) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    CHECK(has("goldcrest_agent_parts"));
+    CHECK(has("goldcrest_http_requests_total"));
+    CHECK(has("goldcrest_open_links"));
+    CHECK(!has("goldcrest_queued_jobs"));
+    CHECK(metricNames("age").size() == metricNames("none").size());
+}
+
+// Guards against figures of a planner that a process reports after its role has ended.
+TEST(metrics, clearsTheMetricsOfOneProgram)
+{
+    metrics_registry metrics;
+    metrics.set(metric::QueuedJobs, 3);
+    metrics.observe(metric::DecisionTime, 1ms);
+    metrics.set(metric::ConfigRevision, 7);
+    metrics.clear("planner");
+    CHECK(!contains(metrics.text(), "goldcrest_queued_jobs"));
+    CHECK(!contains(metrics.text(), "goldcrest_decision_seconds"));
+    CHECK(contains(metrics.text(), "goldcrest_config_revision 7\n"));
+}
+
+// Guards against refused messages of a replaced planner that are not counted.
+TEST(metrics, agentCountsFencedMessages)
+{
+    agent_core core(agent_options{});
+    const time_point now{};
+    core.begin(now);
+    core.plannerOpened(5, now);
+    core.plannerMessage(throttle_message{{}, 5, {}}, now);
+    LONGS_EQUAL(0, core.counters().fencedMessages);
+    core.plannerMessage(throttle_message{{}, 4, {}}, now);
+    core.plannerMessage(stop_message{{}, 4, false}, now);
+    LONGS_EQUAL(2, core.counters().fencedMessages);
+}
--- a/testing/system_support.cc
+++ b/testing/system_support.cc
@@ -161,6 +161,17 @@
     return {};
 }
 
+std::string test_system::backendListenAddress(const std::string &agent) const
+{
+    int port = m_firstPort + workerPorts;
+    for (const worker_place &worker : m_options.workers) {
+        if (agent == "agent-" + worker.name)
+            return address(port + 1);
+        port += portsPerWorker;
+    }
+    return {};
+}
+
 void test_system::writeSettings()
 {
     json entryLinks = json::array();
--- a/testing/system_support.h
+++ b/testing/system_support.h
@@ -143,6 +143,7 @@
     test_client &client() { return m_client; }
     std::string entryUrl(int entry, const std::string &path = {}) const;
     std::string linkAddress(const std::string &process) const;
+    std::string backendListenAddress(const std::string &agent) const;
     std::string storeAddress() const;
     const std::vector<worker_place> &workers() const { return m_options.workers; }
 
