Test single decisions of the policy, and try gangs at once when a worker returns

Cause: the random sequences do not pin down quarantine, rejections, explanations, throttling and moves out of a domain. The test of a gang that waits for its last worker found that it started only with the next full pass, up to 15 s later; a change of a worker's service now causes a full pass.

--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -117,6 +117,7 @@
     void onConfiguration(const configuration &config) override;
     bool onEnded(job_index index, const stopped_event &event) override;
     void onForgotten(job_index index) override;
+    void onService(worker_index) override { m_passDue = true; } // gangs are tried at once
     void onPlaced(job_index index) override;
 
 private:
