--- a/testing/scheduler_invariant_test.cc
+++ b/testing/scheduler_invariant_test.cc
@@ -503,8 +503,7 @@
             for (const std::string &id : claims) {
                 const auto found = m_jobs.find(id);
                 if (m_broken.empty() && (found == m_jobs.end() || found->second.parts.empty()))
-                    broken("team " + name + " did not get its guarantee: " + id
-                           + whyWaiting({name, id}));
+                    broken(id + " did not get its team's guarantee" + whyWaiting({name, id}));
             }
         }
     }
