--- a/testing/process_support.cc
+++ b/testing/process_support.cc
@@ -195,6 +195,12 @@
     return m_children[name].status;
 }
 
+pid_t process_group::idOf(const std::string &name) const
+{
+    const auto found = m_children.find(name);
+    return found == m_children.end() ? 0 : found->second.pid;
+}
+
 std::string process_group::outputPath(const std::string &name) const
 {
     return m_directory + "/" + name + ".out";
--- a/testing/process_support.h
+++ b/testing/process_support.h
@@ -71,6 +71,9 @@
 
     std::string outputPath(const std::string &name) const;
 
+    // Returns the process id, or 0 for an unknown name.
+    pid_t idOf(const std::string &name) const;
+
 private:
     struct child
     {
--- a/testing/system_support.cc
+++ b/testing/system_support.cc
@@ -22,7 +22,7 @@
 constexpr int maxEntries = 5;
 constexpr int workerPorts = 11; // link and announcements of the agent, backend server
 constexpr int portsPerWorker = 3;
-constexpr int portsPerSystem = 60;
+constexpr int defaultWorkers = 4;
 
 constexpr duration pollWait = 2s; // of one long poll
 
@@ -43,6 +43,12 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+int portsFor(const system_options &options)
+{
+    const std::size_t workers = options.workers.empty() ? defaultWorkers : options.workers.size();
+    return workerPorts + portsPerWorker * static_cast<int>(workers);
+}
+
 } // namespace
 
 std::string testCatalogue(const std::vector<worker_place> &workers)
@@ -94,7 +100,7 @@
 test_system::test_system(system_options options)
     : m_options(std::move(options))
     , m_directory(makeTestDirectory(m_options.name))
-    , m_firstPort(findFreePorts(portsPerSystem))
+    , m_firstPort(findFreePorts(portsFor(m_options)))
     , m_processes(m_directory)
 {
     if (m_options.workers.empty())
@@ -148,6 +154,15 @@
     return "http://" + address(entryHttpPort(entry)) + path;
 }
 
+std::string test_system::httpAddress(const std::string &process) const
+{
+    if (startsWith(process, "entry-"))
+        return address(entryHttpPort(std::stoi(process.substr(6))));
+    const std::string link = linkAddress(process);
+    const std::size_t colon = link.rfind(':');
+    return address(std::stoi(link.substr(colon + 1)) + 1); // the agent listens for its backend
+}
+
 std::string test_system::linkAddress(const std::string &process) const
 {
     if (startsWith(process, "entry-"))
@@ -462,6 +477,15 @@
     return postTo(storeAddress(), "/standin/faults", faults);
 }
 
+nlohmann::json test_system::storeCounts()
+{
+    const result<http_response> answer
+        = m_client.call("GET", "http://" + storeAddress() + "/standin/counts");
+    if (failureOf(answer))
+        return json::object();
+    return json::parse(valueOf(answer).body, nullptr, false);
+}
+
 bool test_system::backendFaults(const std::string &worker, const nlohmann::json &faults)
 {
     return postTo(m_commands.at("backend-" + worker)[2], "/standin/faults", faults);
--- a/testing/system_support.h
+++ b/testing/system_support.h
@@ -125,6 +125,7 @@
 
     // Changes the faults of the store, a worker's backend server or the links of an entry.
     bool storeFaults(const nlohmann::json &faults);
+    nlohmann::json storeCounts(); // calls to the store by kind
     bool backendFaults(const std::string &worker, const nlohmann::json &faults);
     bool drainBackend(const std::string &worker, bool draining); // graceful shutdown
     bool cutLinks(int entry, const std::vector<std::string> &blocks);
@@ -144,6 +145,7 @@
     std::string entryUrl(int entry, const std::string &path = {}) const;
     std::string linkAddress(const std::string &process) const;
     std::string storeAddress() const;
+    std::string httpAddress(const std::string &process) const; // of an entry or an agent
     const std::vector<worker_place> &workers() const { return m_options.workers; }
 
     static std::string bodyOf(const test_job &job);
