--- a/testing/capacity_benchmark.cc
+++ b/testing/capacity_benchmark.cc
@@ -109,7 +109,7 @@
             inventory_message inventory;
             inventory.worker = makeWorker(i);
             inventory.backendReachable = true;
-            deliver(static_cast<link_id>(i + 1), inventory);
+            deliver(static_cast<link_id>(i) + 1, inventory);
         }
         settle(3s);
     }
@@ -132,9 +132,9 @@
                 heartbeat_message heartbeat;
                 heartbeat.worker = makeWorker(i).id;
                 heartbeat.plannerEpoch = 1;
-                heartbeat.sequence = static_cast<std::uint64_t>(round + 1);
-                heartbeat.partCount = m_parts[static_cast<link_id>(i + 1)];
-                deliver(static_cast<link_id>(i + 1), heartbeat);
+                heartbeat.sequence = static_cast<std::uint64_t>(round) + 1;
+                heartbeat.partCount = m_parts[static_cast<link_id>(i) + 1];
+                deliver(static_cast<link_id>(i) + 1, heartbeat);
             }
         }
     }
@@ -304,7 +304,7 @@
     fmt::print("{:>7} {:>7} {:>7} {:>9.0f} {:>9.0f} {:>9.0f} {:>9.1f} {:>9.1f} {:>8.1f} {:>8.1f} "
                "{:>9.0f} {:>9.1f} {:>9.1f}\n",
                workers, running, bench.queued(), static_cast<double>(withWorkers - empty) / workers,
-               static_cast<double>(withJobs - withWorkers) / (running * tasksPerJob),
+               static_cast<double>(withJobs - withWorkers) / static_cast<double>(running * tasksPerJob),
                static_cast<double>(withQueue - beforeQueue) / queuedJobs,
                upTime * microseconds / workers, jobsTime * microseconds / jobs,
                static_cast<double>(messages) / jobs, static_cast<double>(calls) / jobs,
--- a/testing/process_cost_benchmark.cc
+++ b/testing/process_cost_benchmark.cc
@@ -94,6 +94,7 @@
             processes.emplace_back("agent-" + worker, worker == planner ? "planner" : "agent");
         }
         std::vector<sample> before;
+        before.reserve(processes.size());
         for (const auto &[process, role] : processes)
             before.push_back(take(process));
         const nlohmann::json callsBefore = m_system.storeCounts();
