--- a/goldcrest/ctl_commands.cc
+++ b/goldcrest/ctl_commands.cc
@@ -827,8 +827,13 @@
     if (rest.size() < expected)
         return usage(environment,
                      std::string(command.words) + " needs " + std::string(command.argument));
-    if (rest.size() > expected)
-        return usage(environment, std::string(command.words) + " does not take " + rest[expected]);
+    if (rest.size() > expected) {
+        // The value of --wait is optional, so that a separate one is taken for an argument.
+        const bool isWaitTime = arguments.has("wait") && parseInteger(rest[expected]).has_value();
+        return usage(environment,
+                     std::string(command.words) + " does not take " + rest[expected]
+                         + (isWaitTime ? "; give the time as --wait=" + rest[expected] : ""));
+    }
     const std::string output = arguments.value("output");
     if (!output.empty() && output != "text" && output != "json")
         return usage(environment, "--output must be text or json, not " + output);
--- a/testing/ctl_commands_test.cc
+++ b/testing/ctl_commands_test.cc
@@ -161,6 +161,8 @@
         CHECK(run(arguments) == ctl_exit::Usage);
         CHECK(contains(err.str() + out.str(), "--help"));
     }
+    CHECK(run({"failure-domain", "out", "a", "--wait", "10"}) == ctl_exit::Usage);
+    CHECK(contains(err.str(), "--wait=10"));
     LONGS_EQUAL(0, client.requests.size());
     CHECK(run({"help", "catalogue", "apply"}) == ctl_exit::Done);
     CHECK(contains(out.str(), "Example:"));
