--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -119,6 +119,30 @@
     LONGS_EQUAL(0, server->openRequests());
 }
 
+// Guards against requests that are refused because an earlier one arrived in the same piece.
+TEST(http_server, takesPipelinedRequestsInAnyPieces)
+{
+    start({});
+    std::string stream;
+    constexpr std::size_t requests = 6;
+    for (std::size_t i = 0; i < requests; ++i)
+        stream += i % 2 == 0 ? get("/first") : post("/second", std::string(50, 'x'));
+    for (const std::size_t piece : {std::size_t{7}, std::size_t{61}, std::size_t{100}}) {
+        raw_connection client(server->listenAddress());
+        for (std::size_t at = 0; at < stream.size(); at += piece) {
+            client.write(std::string_view(stream).substr(at, piece));
+            // Lets the server read this piece alone.
+            for (int i = 0; i < 3; ++i)
+                loop.runUntil([] { return false; }, 1ms);
+        }
+        CHECK(wait([&] {
+            const bool open = client.poll();
+            return !open || count(client.received(), "200 OK") == requests;
+        }));
+        LONGS_EQUAL(requests, count(client.received(), "200 OK"));
+    }
+}
+
 // Guards against a body above the limit that is taken into memory or refused without its number.
 TEST(http_server, refusesALargeBody)
 {
@@ -153,6 +177,27 @@
     CHECK(exchange(client, get("/"), "seen").find("seen") != std::string::npos);
 }
 
+// Guards against bytes that are nearly right, and that stop the process or keep a connection slot.
+TEST(http_server, survivesMutatedRequests)
+{
+    http_limits limits;
+    limits.headerTimeout = 500ms;
+    start(limits);
+    const std::string valid = post("/v1/jobs?waitMs=5", "{}") + get("/v1/status")
+        + "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+    std::minstd_rand random(1);
+    constexpr int connections = 300;
+    for (int i = 0; i < connections; ++i) {
+        raw_connection client(server->listenAddress());
+        client.write(mutate(valid, random));
+        loop.runUntil([] { return false; }, 2ms);
+    }
+    CHECK(wait([&] { return server->openConnections() == 0; }));
+    LONGS_EQUAL(0, server->openRequests());
+    raw_connection client(server->listenAddress());
+    CHECK(exchange(client, get("/"), "seen").find("200 OK") != std::string::npos);
+}
+
 // Guards against stalled clients that hold connections: one that sends nothing, one that stops
 // within the header and one within the body.
 TEST(http_server, closesStalledConnections)
@@ -175,6 +220,31 @@
     CHECK(exchange(client, "", "late").find("200 OK") != std::string::npos);
 }
 
+// Guards against a client that offers an upgrade, as some do by themselves, and gets no answer.
+TEST(http_server, answersARequestThatOffersAnUpgrade)
+{
+    start({});
+    raw_connection client(server->listenAddress());
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+                                "Upgrade: h2c\r\n\r\n";
+    CHECK(exchange(client, request, "seen").find("200 OK") != std::string::npos);
+    LONGS_EQUAL(0, server->openRequests());
+}
+
+// Guards against a client that holds a large answer in memory by not reading it.
+TEST(http_server, closesConnectionsThatDoNotReadTheirAnswer)
+{
+    http_limits limits;
+    limits.writeTimeout = 500ms;
+    start(limits);
+    raw_connection client(server->listenAddress());
+    client.write(get("/wait"));
+    CHECK(wait([&] { return pending.size() == 1; }));
+    constexpr std::size_t large = 64 * 1024 * 1024; // above the buffers of the loopback
+    pending[0]->respond({200, "text/plain", {}, std::string(large, 'x')});
+    CHECK(wait([&] { return server->openConnections() == 0; }));
+}
+
 // Guards against one host that takes all connections.
 TEST(http_server, limitsConnections)
 {
--- a/testing/message_codec_test.cc
+++ b/testing/message_codec_test.cc
@@ -36,6 +36,10 @@
         value = value < 0 ? -(value + 1) : value;
         return *this;
     }
+    random_filler &clipped(std::string_view name, std::string &value)
+    {
+        return (*this)(name, value);
+    }
     random_filler &bytes(std::string_view name, std::string &value)
     {
         (*this)(name, value);
@@ -245,6 +249,8 @@
 TEST(message_codec, hostileShapesAreRefused)
 {
     CHECK(isFailure(decodeMessage(std::string(1'000'000, '\x81')), code::MalformedMessage));
+    // A complete document, so that only its depth is wrong.
+    CHECK(isFailure(decodeMessage(std::string(200'000, '\x81') + '\0'), code::MalformedMessage));
     CHECK(isFailure(decodeMessage(std::string(100, '\xff')), code::MalformedMessage));
     CHECK(isFailure(decodeMessage("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"), code::MalformedMessage));
     CHECK(isFailure(decodeMessage("\x9f\x01\x01\xff"), code::MalformedMessage)); // no length
@@ -289,6 +295,9 @@
     heartbeat_message heartbeat;
     heartbeat.usage = {usage};
     CHECK(failureOf(decodeMessage(encodeMessage(heartbeat))) == nullptr);
+    hold_reply_message reply;
+    reply.refused = makeFailure(code::HoldRefused, std::string(1'000'000, 'x'));
+    CHECK(failureOf(decodeMessage(encodeMessage(reply))) == nullptr);
     heartbeat_ack_message ack;
     ack.confirmedAge = duration::max();
     const result<message> received = decodeMessage(encodeMessage(ack));
--- a/testing/system_support.h
+++ b/testing/system_support.h
@@ -125,6 +125,7 @@
 
     // Changes the faults of the store, a worker's backend server or the links of an entry.
     bool storeFaults(const nlohmann::json &faults);
+    nlohmann::json storeCounts(); // calls to the store by kind
     bool backendFaults(const std::string &worker, const nlohmann::json &faults);
     bool drainBackend(const std::string &worker, bool draining); // graceful shutdown
     bool cutLinks(int entry, const std::vector<std::string> &blocks);
@@ -144,6 +145,7 @@
     std::string entryUrl(int entry, const std::string &path = {}) const;
     std::string linkAddress(const std::string &process) const;
     std::string storeAddress() const;
+    std::string httpAddress(const std::string &process) const; // of an entry or an agent
     const std::vector<worker_place> &workers() const { return m_options.workers; }
 
     static std::string bodyOf(const test_job &job);
@@ -165,6 +167,7 @@
     process_group m_processes;
     test_client m_client;
     run_history m_notes;
+    bool m_checked = false; // without a violation
     std::vector<std::string> m_started; // in the order of the first start
     std::map<std::string, std::vector<std::string>> m_commands;
 };
