--- a/testing/capacity_benchmark.cc
+++ b/testing/capacity_benchmark.cc
@@ -301,15 +301,15 @@
     const double changeTime = processorSeconds() - changeStart;
 
     const double microseconds = 1e6;
-    fmt::print("{:>7} {:>7} {:>7} {:>9.0f} {:>9.0f} {:>9.0f} {:>9.1f} {:>9.1f} {:>8.1f} {:>8.1f} "
-               "{:>9.0f} {:>9.1f} {:>9.1f}\n",
-               workers, running, bench.queued(), static_cast<double>(withWorkers - empty) / workers,
-               static_cast<double>(withJobs - withWorkers) / static_cast<double>(running * tasksPerJob),
-               static_cast<double>(withQueue - beforeQueue) / queuedJobs,
-               upTime * microseconds / workers, jobsTime * microseconds / jobs,
-               static_cast<double>(messages) / jobs, static_cast<double>(calls) / jobs,
-               static_cast<double>(bytes) / jobs, heartbeatTime * microseconds / (rounds * workers),
-               changeTime * microseconds / changes);
+    fmt::print(
+        "{:>7} {:>7} {:>7} {:>9.0f} {:>9.0f} {:>9.0f} {:>9.1f} {:>9.1f} {:>8.1f} {:>8.1f} "
+        "{:>9.0f} {:>9.1f} {:>9.1f}\n",
+        workers, running, bench.queued(), static_cast<double>(withWorkers - empty) / workers,
+        static_cast<double>(withJobs - withWorkers) / static_cast<double>(running * tasksPerJob),
+        static_cast<double>(withQueue - beforeQueue) / queuedJobs, upTime * microseconds / workers,
+        jobsTime * microseconds / jobs, static_cast<double>(messages) / jobs,
+        static_cast<double>(calls) / jobs, static_cast<double>(bytes) / jobs,
+        heartbeatTime * microseconds / (rounds * workers), changeTime * microseconds / changes);
 }
 
 } // namespace
--- a/testing/scheduler_invariant_test.cc
+++ b/testing/scheduler_invariant_test.cc
@@ -45,8 +45,10 @@
 class random_run
 {
 public:
-    random_run(engine_maker make, unsigned seed)
+    // @param lends whether the cell is lent to one team before the others claim their guarantees
+    random_run(engine_maker make, unsigned seed, bool lends)
         : m_random(seed)
+        , m_lends(lends)
         , m_engine(make("cell"))
     { }
 
@@ -351,7 +353,11 @@
     {
         if (m_jobs.empty())
             return;
-        const auto chosen = any(m_jobs);
+        cancelJob(any(m_jobs));
+    }
+
+    void cancelJob(std::map<std::string, model_job>::iterator chosen)
+    {
         note("cancel " + chosen->first);
         const job_key key = chosen->second.spec.key;
         chosen->second.cancelled = true;
@@ -470,10 +476,33 @@
 
     // --- final phases ---
 
+    // The first team gives up its work, and the last one fills the cell with small jobs that
+    // borrow.
+    void lendEverything()
+    {
+        const team_id owner = m_config.entries.teams.begin()->first;
+        for (const std::string &id :
+             where([&](const model_job &j) { return j.spec.key.team == owner; }))
+            cancelJob(m_jobs.find(id));
+        while (m_broken.empty() && acknowledgeStop()) { }
+        constexpr int borrowers = 40;
+        for (int i = 0; i < borrowers && m_broken.empty(); ++i) {
+            job_spec spec;
+            spec.key
+                = {m_config.entries.teams.rbegin()->first, "lent" + std::to_string(++m_lastJob)};
+            spec.className = "forecasts";
+            spec.perTask = {4000, 8192, 1};
+            spec.canCheckpoint = true;
+            submitSpec(spec);
+        }
+    }
+
     // Every team without work of its own claims all its guarantees that have a place, by jobs that
     // cannot be stopped. Nothing ends but the jobs that the engine stops.
     void claimEverything()
     {
+        if (m_lends)
+            lendEverything();
         const std::vector<std::string> unmet = m_engine->capacity().unmetGuarantees;
         for (const auto &[name, team] : m_config.entries.teams) {
             const team_id owner = name;
@@ -543,6 +572,7 @@
     }
 
     std::mt19937 m_random;
+    bool m_lends;
     std::unique_ptr<scheduler> m_engine;
     configuration m_config;
     std::map<worker_id, model_worker> m_workers;
@@ -560,7 +590,7 @@
     return text ? std::atoi(text) : otherwise;
 }
 
-void runSeeds(engine_maker make, const char *test)
+void runSeeds(engine_maker make, const char *test, bool lends = false)
 {
     const int single = environmentNumber("GOLDCREST_SEED", 0);
     const int first = single > 0 ? single : firstSeed;
@@ -568,7 +598,7 @@
     int failing = 0;
     std::string report;
     for (int seed = first; seed < first + count; ++seed) {
-        random_run run(make, unsigned(seed));
+        random_run run(make, unsigned(seed), lends);
         const std::string broken = run.run();
         if (broken.empty())
             continue;
@@ -605,3 +635,17 @@
 {
     runSeeds(makeGangScheduler, "gangKeepsThemAfterEveryEvent");
 }
+
+// Guards the promise that a guarantee can be reclaimed while another team has borrowed the whole
+// cell.
+TEST(scheduler_invariant, gangReclaimsWhatIsLent)
+{
+    runSeeds(makeGangScheduler, "gangReclaimsWhatIsLent", true);
+}
+
+// Guards the same in the baseline, whose first fit takes guaranteed room without regard to the
+// shape.
+TEST(scheduler_invariant, fifoReclaimsWhatIsLent)
+{
+    runSeeds(makeFifoScheduler, "fifoReclaimsWhatIsLent", true);
+}
