Keep the progress of stopped jobs in their records, and correct recovery after a planner change

A non-idempotent job that was stopped with a checkpoint was started from the beginning by a later planner, which knew neither the progress nor the earlier run; job_record has the progress now. A member of a recovered gang counts as seen only once its tasks are known, an inventory older than the discovery of a gang does not decide about it, parts found before their job was submitted are kept, and a hold that was refused is not aborted, since the number may be another planner's.

--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -534,6 +534,9 @@
         return;
     job.lastAttempt = std::max(job.lastAttempt, record.attempt);
     job.failedAttempts = std::max(job.failedAttempts, record.failedAttempts);
+    job.progress = std::max(job.progress, record.progress);
+    if (record.progress > 0)
+        job.startedAttempts = std::max(job.startedAttempts, 1);
     const bool earlierPlanner = record.intentEpoch != m_options.number;
     noteEarlierPlanners(job);
     if (record.outcome && !job.outcome) {
@@ -553,7 +556,7 @@
         job.intentWorkers = record.intentWorkers;
         if (!job.gang)
             job.place = job_place::Ended;
-        answerOrWait(job, now);
+        retire(job, now);
         return;
     }
     if (record.attempt > 0 && earlierPlanner && !job.gang && !record.outcome)
@@ -809,6 +812,7 @@
         record.intentWorkers = job.intentWorkers;
     }
     record.failedAttempts = job.failedAttempts;
+    record.progress = job.progress;
     record.phase = job.outcome  ? job_phase::Finished
         : job.intentAttempt > 0 ? job_phase::Starting
                                 : job_phase::Accepted;
@@ -907,9 +911,11 @@
 {
     const std::vector<running_part> parts = std::move(m_unknownParts[key]);
     m_unknownParts.erase(key);
-    if (find(key) || parts.empty())
+    if (parts.empty())
         return;
-    if (found) {
+    if (find(key)) {
+        // Its entry submitted it in the meantime.
+    } else if (found) {
         addLoaded(*found, now);
     } else {
         // Accepted during a store outage and started by an earlier planner. The entry that waits
@@ -1127,7 +1133,7 @@
     m_recovering.erase(job.spec.key);
     if (!gang.anyStartSent()) {
         for (const auto &[worker, member] : gang.members()) {
-            if (member.holdAsked)
+            if (member.holdAsked && !member.refused)
                 sendTo(worker, abort_message{gang.attempt(), m_options.number});
         }
         finishGang(job, now);
@@ -1383,8 +1389,12 @@
     for (const worker_id &worker : record.intentWorkers) {
         worker_state &state = workerOf(worker, now);
         state.gangs.insert(job.spec.key);
-        if (state.inventoryRead && state.link != 0)
-            acknowledge(state, 0, true, now);
+        if (!state.inventoryRead || !m_options.mechanisms.inventoryFirst)
+            continue;
+        // The inventory that was read may be older than the record; the next one decides.
+        state.inventoryRead = false;
+        updateWorker(state, now);
+        acknowledge(state, 0, true, now);
     }
 }
 
@@ -1404,7 +1414,7 @@
         const auto state = m_workers.find(worker);
         const bool read
             = state != m_workers.end() && state->second->inventoryRead && !state->second->lost;
-        decided = decided && (member.started || read);
+        decided = decided && ((member.started && member.rangeKnown) || read);
     }
     std::int32_t tasks = 0;
     for (const auto &[worker, member] : gang.members())
@@ -1568,7 +1578,8 @@
         && job->gang->attempt().number < attempt.number;
     if (superseded)
         dropRecovering(*job, now);
-    if (!job->gang && !ended && !stale && !job->cancelled) {
+    const bool found = !job->gang && !ended && !stale && !job->cancelled;
+    if (found) {
         if (job->place == job_place::Queued)
             m_engine->jobCancelled(attempt.job, now);
         job->gang.emplace(attempt, seen.gang.plannerEpoch, job->spec, std::vector<gang_part>{});
@@ -1587,8 +1598,16 @@
         return;
     }
     job->gang->noteSeen(seen);
-    for (const worker_id &member : job->gang->workers())
-        workerOf(member, now).gangs.insert(attempt.job);
+    for (const worker_id &id : job->gang->workers()) {
+        worker_state &other = workerOf(id, now);
+        other.gangs.insert(attempt.job);
+        // What was read of the other members may be older than this gang.
+        if (found && id != worker.info.id && other.inventoryRead) {
+            other.inventoryRead = false;
+            updateWorker(other, now);
+            acknowledge(other, 0, true, now);
+        }
+    }
     reviewGang(*job, now);
 }
 
--- a/goldcrest/job_record.cc
+++ b/goldcrest/job_record.cc
@@ -21,7 +21,8 @@
             .count("intentEpoch", value.intentEpoch)("intentWorkers", value.intentWorkers)
             .count("failedAttempts", value.failedAttempts)("outcome", value.outcome)(
                 "why", value.why)("results", value.results)
-            .count("resultParts", value.resultParts);
+            .count("resultParts", value.resultParts)
+            .fraction("progress", value.progress);
     }
 };
 
--- a/goldcrest/job_record.h
+++ b/goldcrest/job_record.h
@@ -34,6 +34,7 @@
     std::optional<failure> why;
     std::vector<task_result> results; // empty if the results are in parts
     std::int32_t resultParts = 0; // number of result part keys
+    double progress = 0; // share of the work that checkpoints of earlier attempts keep, 0 to 1
 };
 
 // Results of more than this are stored in parts of at most this many bytes, before encoding.
