Test the hard cases of the agent one by one

Epoch fencing, hold lifetime, aborted attempts, proof of never started, capacity, gang lease, drain, restart, assembly of results and the three outage rules have a test each.

--- /dev/null
+++ b/testing/agent_core_test.cc
@@ -0,0 +1,215 @@
+#include "goldcrest/agent_core.h"
+#include "goldcrest/gang_coordinator.h"
+#include "goldcrest/outage_rule.h"
+
+#include "goldcrest/digest.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace goldcrest;
+
+namespace {
+
+constexpr epoch firstEpoch = 10;
+constexpr epoch secondEpoch = 20;
+constexpr time_point start{1000ms};
+
+gang_info gangOf(std::int32_t number, epoch plannerEpoch, std::int32_t members = 1)
+{
+    gang_info gang;
+    gang.attempt = {{"team", "job"}, number};
+    gang.plannerEpoch = plannerEpoch;
+    gang.tasks = members;
+    gang.members = members;
+    gang.leader = "w1";
+    gang.leaderAddress = "w1:1";
+    gang.own = {"w1", 0, 1};
+    if (members > 1)
+        gang.parts = {{"w1", 0, 1}, {"w2", 1, 1}};
+    gang.spec.perTask = {1000, 1000, 1};
+    return gang;
+}
+
+template<typename wanted>
+std::vector<wanted> messagesIn(const std::vector<agent_action> &actions)
+{
+    std::vector<wanted> found;
+    for (const agent_action &action : actions) {
+        const auto *sent = std::get_if<send_to_planner>(&action);
+        if (sent && std::holds_alternative<wanted>(sent->content))
+            found.push_back(std::get<wanted>(sent->content));
+    }
+    return found;
+}
+
+template<typename wanted>
+std::size_t countOf(const std::vector<agent_action> &actions)
+{
+    std::size_t count = 0;
+    for (const agent_action &action : actions)
+        count += std::holds_alternative<wanted>(action) ? 1 : 0;
+    return count;
+}
+
+agent_core makeAgent()
+{
+    agent_options options;
+    options.worker.id = "w1";
+    options.worker.capacity = {4000, 4000, 2};
+    options.worker.slots = 2;
+    agent_core agent(options);
+    agent.begin(start);
+    agent.backendListed(std::vector<listed_task>{}, start);
+    agent.plannerOpened(firstEpoch, start);
+    agent.takeActions();
+    return agent;
+}
+
+void hold(agent_core &agent, const gang_info &gang, time_point now)
+{
+    agent.plannerMessage(hold_message{gang, 1500ms, 1}, now);
+}
+
+void begin(agent_core &agent, const gang_info &gang, time_point now)
+{
+    agent.plannerMessage(start_message{gang.attempt, gang.plannerEpoch, "payload", 0}, now);
+}
+
+} // namespace
+
+TEST_GROUP(agent_core){};
+
+// Guards against a replaced planner that starts work after its successor was seen.
+TEST(agent_core, refusesLowerEpochs)
+{
+    agent_core agent = makeAgent();
+    hold(agent, gangOf(1, firstEpoch), start);
+    agent.plannerOpened(secondEpoch, start);
+    begin(agent, gangOf(1, firstEpoch), start + 10ms);
+    hold(agent, gangOf(2, firstEpoch), start + 20ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(0, countOf<start_task>(actions));
+    CHECK(messagesIn<task_started_message>(actions).at(0).refused->number == code::StaleEpoch);
+    CHECK(messagesIn<hold_reply_message>(actions).back().refused->number == code::StaleEpoch);
+}
+
+// Guards against a start that was delayed in the network beyond the bound of promise 3.
+TEST(agent_core, refusesAStartAfterTheHoldsLifetime)
+{
+    agent_core agent = makeAgent();
+    hold(agent, gangOf(1, firstEpoch), start);
+    begin(agent, gangOf(1, firstEpoch), start + 1500ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(0, countOf<start_task>(actions));
+    CHECK(messagesIn<task_started_message>(actions).at(0).refused->number == code::HoldExpired);
+}
+
+// Guards against a repeated hold and start that arrive after the abort of their attempt.
+TEST(agent_core, neverStartsAnAbortedAttempt)
+{
+    agent_core agent = makeAgent();
+    const gang_info gang = gangOf(1, firstEpoch);
+    hold(agent, gang, start);
+    agent.plannerMessage(abort_message{gang.attempt, firstEpoch}, start);
+    hold(agent, gang, start + 10ms);
+    begin(agent, gang, start + 20ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(0, countOf<start_task>(actions));
+    CHECK(!messagesIn<abort_reply_message>(actions).at(0).everStarted);
+}
+
+// Guards against a false proof: a restarted agent can't know whether an earlier run of it started
+// the attempt.
+TEST(agent_core, givesNoProofForAnAttemptThatItDoesNotRemember)
+{
+    agent_core agent = makeAgent();
+    agent.plannerMessage(abort_message{{{"team", "job"}, 7}, firstEpoch}, start);
+    CHECK(messagesIn<abort_reply_message>(agent.takeActions()).at(0).everStarted);
+}
+
+// Guards against holds beyond the worker's capacity, since backend servers start whatever they get.
+TEST(agent_core, holdsNoMoreThanItsCapacity)
+{
+    agent_core agent = makeAgent();
+    for (std::int32_t number = 1; number <= 3; ++number)
+        hold(agent, gangOf(number, firstEpoch), start);
+    const auto replies = messagesIn<hold_reply_message>(agent.takeActions());
+    CHECK(!replies.at(1).refused);
+    CHECK(replies.at(2).refused->number == code::HoldRefused);
+}
+
+// Guards against a member that goes on while another member of its gang is silent.
+TEST(agent_core, stopsAGangThatIsNotWholeForOneGangLease)
+{
+    agent_core agent = makeAgent();
+    const gang_info gang = gangOf(1, firstEpoch, 2);
+    hold(agent, gang, start);
+    begin(agent, gang, start);
+    agent.backendStarted(taskIdOf(gang, 0), done{}, start);
+    agent.tick(start + gangLease - 1ms);
+    LONGS_EQUAL(0, countOf<stop_task>(agent.takeActions()));
+    agent.tick(start + gangLease);
+    LONGS_EQUAL(1, countOf<stop_task>(agent.takeActions()));
+}
+
+// Guards against new work on a backend server in graceful shutdown, also after its hold.
+TEST(agent_core, refusesStartsWhileDraining)
+{
+    agent_core agent = makeAgent();
+    hold(agent, gangOf(1, firstEpoch), start);
+    agent.drainChanged(true, start);
+    begin(agent, gangOf(1, firstEpoch), start + 10ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(0, countOf<start_task>(actions));
+    LONGS_EQUAL(1, messagesIn<drain_notice_message>(actions).size());
+}
+
+// Guards against an inventory that lacks the tasks which an earlier run of the agent started.
+TEST(agent_core, reportsFoundTasksAfterARestart)
+{
+    agent_core agent({});
+    agent.begin(start);
+    agent.plannerOpened(firstEpoch, start);
+    LONGS_EQUAL(0, messagesIn<inventory_message>(agent.takeActions()).size());
+    const gang_info gang = gangOf(3, firstEpoch);
+    backend_task task;
+    task.id = taskIdOf(gang, 0);
+    agent.backendListed(std::vector<listed_task>{{task, gang}}, start + 10ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(1, messagesIn<inventory_message>(actions).at(0).parts.size());
+    LONGS_EQUAL(0, countOf<start_task>(actions) + countOf<forget_task>(actions));
+}
+
+TEST_GROUP(output_assembly){};
+
+// Guards against an answer that is put together from pieces in the wrong order or twice.
+TEST(output_assembly, takesPiecesInAnyOrderAndTwice)
+{
+    const std::string whole = "abcdefgh";
+    const std::string digest = digestOf(whole);
+    output_assembly output;
+    output.add({0, true, "efgh", 8, 4, digest});
+    output.add({0, true, "efgh", 8, 4, digest});
+    CHECK(!output.isComplete());
+    output.add({0, true, "abcd", 8, 0, digest});
+    CHECK(output.isComplete());
+    CHECK(output.whole().output == whole);
+}
+
+TEST_GROUP(outage_policy){};
+
+// Guards against a rule that goes on although an entry may have accepted a change.
+TEST(outage_policy, continuesOnlyIfNoEntryHeardFromTheStore)
+{
+    const outage_census silent{3, 3, 0, 0};
+    const outage_census oneMissing{3, 2, 0, 0};
+    const outage_census oneHeard{3, 3, 1, 0};
+    CHECK(makeUnanimousPolicy()->mayContinue(silent));
+    CHECK(!makeUnanimousPolicy()->mayContinue(oneMissing));
+    CHECK(!makeUnanimousPolicy()->mayContinue(oneHeard));
+    CHECK(makeMajorityPolicy()->mayContinue(oneMissing));
+    CHECK(!makeStoppingPolicy()->mayContinue(silent));
+}
