Refuse a shape as "fits nowhere" only when the fleet is known whole

A planner that was just elected reports only the workers whose agents have found it, so the entry refused jobs that fit. It now merges the reports of all planners and judges after 15 s of them.

--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -157,6 +157,7 @@
     void plannerUp(const std::string &cell, epoch plannerEpoch);
     void received(const std::string &cell, const job_update_message &update);
     void received(const explain_reply_message &reply);
+    void received(const cell_status_message &status);
     void drain(duration limit);
     bool isIdle() const;
 
@@ -168,6 +169,13 @@
         timer_handle timer;
     };
 
+    // Workers of a cell as its planners reported them.
+    struct reported_fleet
+    {
+        time_point firstReport;
+        std::map<worker_id, std::pair<worker_status, time_point>> workers; // with the last report
+    };
+
     // Wraps a store callback so that it does nothing once this object is gone.
     template<typename F>
     auto guarded(F callback)
@@ -238,7 +246,8 @@
     entry_options m_options;
     std::shared_ptr<const configuration> m_config = std::make_shared<configuration>();
     std::map<std::string, std::int64_t> m_queuedInCell;
-    cell_workers m_workers;
+    std::map<std::string, reported_fleet> m_fleets;
+    cell_workers m_workers; // of the fleets that are known whole
     entry_counters m_counters;
     std::unordered_map<job_key, job_pointer, job_key_hash> m_jobs;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -1163,6 +1172,29 @@
     callback(answer);
 }
 
+void entry_core::impl::received(const cell_status_message &status)
+{
+    m_queuedInCell[status.cell] = status.queuedJobs;
+    if (status.workers.empty())
+        return;
+    const time_point now = m_loop.now();
+    reported_fleet &fleet = m_fleets[status.cell];
+    if (fleet.workers.empty())
+        fleet.firstReport = now;
+    for (const worker_status &worker : status.workers)
+        fleet.workers[worker.worker] = {worker, now};
+    for (auto worker = fleet.workers.begin(); worker != fleet.workers.end();) {
+        const bool forgotten = now - worker->second.second > unreportedWorkerRetention;
+        worker = forgotten ? fleet.workers.erase(worker) : std::next(worker);
+    }
+    if (now - fleet.firstReport < fleetSettleTime)
+        return;
+    std::vector<worker_status> &known = m_workers[status.cell];
+    known.clear();
+    for (const auto &[id, worker] : fleet.workers)
+        known.push_back(worker.first);
+}
+
 void entry_core::impl::drain(duration limit)
 {
     m_draining = true;
@@ -1244,9 +1276,7 @@
 
 void entry_core::received(const cell_status_message &status)
 {
-    m_impl->m_queuedInCell[status.cell] = status.queuedJobs;
-    if (!status.workers.empty())
-        m_impl->m_workers[status.cell] = status.workers;
+    m_impl->received(status);
 }
 
 void entry_core::drain(duration limit)
--- a/goldcrest/entry_core.h
+++ b/goldcrest/entry_core.h
@@ -118,6 +118,10 @@
     std::uint64_t acceptedUnrecorded = 0;
 };
 
+// Longer than a worker that is not lost can take to find a new planner.
+constexpr duration fleetSettleTime = 15s;
+constexpr duration unreportedWorkerRetention = 10min;
+
 class entry_core
 {
 public:
@@ -161,6 +165,10 @@
 
     std::size_t openJobs() const;
     const entry_counters &counters() const;
+
+    // Workers of the cells whose fleet is known whole. A planner that was just elected reports the
+    // workers whose agents have found it so far, so a cell counts only once its planners have
+    // reported for fleetSettleTime, and a worker that is no longer reported is kept for a while.
     const cell_workers &knownWorkers() const;
 
 private:
--- a/goldcrest/entry_daemon.cc
+++ b/goldcrest/entry_daemon.cc
@@ -37,6 +37,7 @@
 constexpr duration stepInterval = 250ms;
 constexpr duration watchRetryDelay = 1s;
 constexpr duration capacityInterval = 60s; // a status of 445 workers has about 45 KB
+constexpr duration unknownFleetInterval = 5s; // until the fleet is known whole
 constexpr duration statusLimit = 700ms;
 constexpr duration drainPoll = 50ms;
 constexpr duration drainMargin = 2s; // lets the last answers leave
@@ -333,7 +334,8 @@
             readLeader(cell);
     }
     for (auto &[cell, planner] : m_planners) {
-        if (now - planner.statusAskedAt >= capacityInterval)
+        const bool known = m_core.knownWorkers().count(cell) > 0;
+        if (now - planner.statusAskedAt >= (known ? capacityInterval : unknownFleetInterval))
             askStatus(planner);
     }
 }
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -483,6 +483,30 @@
     CHECK(lastError() == code::QueueFull);
 }
 
+// Guards against a refusal as "fits nowhere" because a planner that was just elected does not know
+// its workers yet, and against no refusal at all.
+TEST(entryCore, refusesAShapeOnlyWhenTheFleetIsKnownWhole)
+{
+    const std::string more = R"(,"tasks":8)";
+    cell_status_message status;
+    status.cell = "main";
+    status.workers.resize(1);
+    status.workers[0].worker = "w1";
+    status.workers[0].capacity = {4000, 1024, 0};
+    core.received(status);
+    submit(bodyOf("r1", false, more));
+    CHECK(!last().error);
+    loop.advance(fleetSettleTime);
+    core.received(status);
+    submit(bodyOf("r2", false, more));
+    CHECK(lastError() == code::ShapeFitsNowhere);
+    // A second worker, and then a new planner that does not know the first one yet.
+    status.workers[0].worker = "w2";
+    core.received(status);
+    submit(bodyOf("r3", false, more));
+    CHECK(!last().error);
+}
+
 // Guards against a shutdown that cuts callers off or takes new work.
 TEST(entryCore, drainRefusesNewJobsAndAnswersOpenOnes)
 {
--- a/testing/process_path_test.cc
+++ b/testing/process_path_test.cc
@@ -146,6 +146,14 @@
     checkError(system->submit(1, job), code::UnknownShape);
     job.shape = "whole-fleet";
     job.tasks = 1000;
+    // The entry refuses it only once it knows the whole fleet, as a check of guarantees shows.
+    json greedy = json::parse(testCatalogue(system->workers()));
+    greedy["teams"]["vision"]["guarantees"] = {{{"shape", "whole-fleet"}, {"cell", "main"}}};
+    CHECK(waitFor([&] {
+        const test_answer checked
+            = system->call(1, "POST", "/v1/catalogue/validate", greedy.dump());
+        return !checked.body.value("valid", true);
+    }));
     checkError(system->submit(1, job), code::ShapeFitsNowhere);
     system->submit(1, jobOf("reused", true));
     checkError(system->submit(2, jobOf("reused", false)), code::RequestIdReused);
