--- a/goldcrest/capacity_index.h
+++ b/goldcrest/capacity_index.h
@@ -33,12 +33,21 @@
         return std::size_t(worker) < m_room.size() ? m_room[std::size_t(worker)] : load{};
     }
 
-    // Returns false if the accelerators alone rule it out.
+    // Returns false if totals rule it out.
     bool mayFit(const load &perTask, std::int32_t tasks, adjacency closeness) const;
 
     // Returns an upper bound of the tasks that fit into the domain.
     std::int64_t mayFitIn(domain_index domain, const load &perTask) const;
 
+    // Returns the accelerators on all workers.
+    std::int64_t totalAccelerators() const
+    {
+        std::int64_t total = 0;
+        for (const domain_room &domain : m_domains)
+            total += domain.fitsBySize[1];
+        return total;
+    }
+
     // Workers with at least this many accelerators free, fewest first.
     std::set<worker_key>::const_iterator workersFrom(std::int64_t accelerators) const
     {
@@ -61,7 +70,7 @@
     {
         std::set<rack_key> racks;
         std::array<std::int64_t, maxSize + 1> fitsBySize{}; // [s]: tasks of s accelerators
-        std::int64_t cores = 0;
+        load total;
     };
 
     void count(rack_index rack, worker_index worker, const load &room, int sign);
