Say on the metrics page which addresses answer

The page did not say that agents answer too, where, and that a token is needed. Tested: metrics_test (7 tests, with the check of the page) passed.

--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -405,7 +405,11 @@
 {
     std::ostringstream out;
     out << "# Metrics\n\n"
-           "`GET /metrics` answers in the Prometheus text format. All names start with `"
+           "`GET /metrics` answers in the Prometheus text format, at `httpListen` of an entry and "
+           "at\n"
+           "`backendListen` of an agent, with the bearer token if one is set. The agent of a "
+           "cell's\n"
+           "planner reports the planner's metrics too. All names start with `"
         << namePrefix
         << "`. Histograms have four\nbuckets a decade from 1 ms to 10^5 s. A label has at most "
         << metrics_registry::maxLabelValues
