--- a/testing/store_model_support.cc
+++ b/standins/store_model.cc
@@ -1,4 +1,4 @@
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 
 #include <algorithm>
 #include <utility>
--- a/testing/store_server_support.cc
+++ b/standins/store_server.cc
@@ -1,4 +1,4 @@
-#include "testing/store_server_support.h"
+#include "standins/store_server.h"
 
 #include "goldcrest/base64.h"
 
--- a/testing/store_server_support.h
+++ b/standins/store_server.h
@@ -10,7 +10,7 @@
 
 #include "goldcrest/asio_event_loop.h"
 #include "goldcrest/http_server.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 
 #include <map>
 #include <memory>
--- a/testing/store_standin.cc
+++ b/standins/store_standin.cc
@@ -2,7 +2,7 @@
 //
 //   goldcrest-store-standin --listen 127.0.0.1:7400
 
-#include "testing/store_server_support.h"
+#include "standins/store_server.h"
 
 #include <cxxopts.hpp>
 
--- a/testing/config_publisher_test.cc
+++ b/testing/config_publisher_test.cc
@@ -3,7 +3,7 @@
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/guarantee_check.h"
 #include "goldcrest/job_record.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <optional>
--- a/testing/config_store_test.cc
+++ b/testing/config_store_test.cc
@@ -2,7 +2,7 @@
 #include "goldcrest/config_store.h"
 #include "goldcrest/job_record.h"
 #include "goldcrest/store_client.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <optional>
--- a/testing/empty.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// Keeps the support library buildable while it has no other source.
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -1,7 +1,7 @@
 #include "goldcrest/entry_core.h"
 
 #include "goldcrest/digest.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <map>
--- a/testing/entry_http_test.cc
+++ b/testing/entry_http_test.cc
@@ -2,7 +2,7 @@
 
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/digest.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <nlohmann/json.hpp>
--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -3,7 +3,7 @@
 #include "goldcrest/etcd_store.h"
 #include "goldcrest/http_client.h"
 #include "goldcrest/store_client.h"
-#include "testing/store_server_support.h"
+#include "standins/store_server.h"
 
 #include <nlohmann/json.hpp>
 
--- a/testing/message_size_benchmark.cc
+++ b/testing/message_size_benchmark.cc
@@ -8,7 +8,7 @@
 #include "goldcrest/membership.h"
 #include "goldcrest/message_codec.h"
 #include "goldcrest/store_client.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <fmt/format.h>
--- a/testing/store_client_test.cc
+++ b/testing/store_client_test.cc
@@ -1,5 +1,5 @@
 #include "goldcrest/store_client.h"
-#include "testing/store_model_support.h"
+#include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <algorithm>
