Keep one copy of a job's payload in the planner instead of two

Cause: the last written record was kept whole beside the job, with the payload and the results that the job has itself, and the sent record stayed after its answer.

--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -532,7 +532,7 @@
 {
     const job_record &record = loaded.record;
     const bool first = !job.base;
-    job.base = record;
+    job.setBase(record);
     job.baseRevision = loaded.modRevision;
     job.recorded = true;
     if (!job.hasPayload) {
@@ -958,7 +958,7 @@
     switch (answer.status) {
     case write_status::Applied:
         job->storeFailures = 0;
-        job->base = job->sentRecord;
+        job->setBase(std::exchange(job->sentRecord, {}));
         job->baseRevision = answer.modRevision;
         if (waits)
             afterIntent(*job, true, now);
--- a/goldcrest/cell_planner_state.h
+++ b/goldcrest/cell_planner_state.h
@@ -41,7 +41,7 @@
     duration startDelay = 0ms;
 
     // The record in the store.
-    std::optional<job_record> base; // as last read or written
+    std::optional<job_record> base; // as last read or written, without the spec and the results
     std::optional<store_revision> baseRevision; // empty: must be read before a write
     std::int32_t intentAttempt = 0;
     epoch intentEpoch = 0;
@@ -50,6 +50,15 @@
     bool dirty = false;
     std::optional<job_outcome> sentOutcome; // in the open write
     job_record sentRecord;
+
+    // Payload and results can be large and are in this object already, so `base` has no copy of
+    // them.
+    void setBase(job_record record)
+    {
+        record.spec = {};
+        record.results.clear();
+        base = std::move(record);
+    }
     std::int32_t sentIntent = 0; // attempt of the intent in the open write
     time_point retryAt;
     time_point createAfter; // of a record that the entry has not created
--- a/testing/message_size_benchmark.cc
+++ b/testing/message_size_benchmark.cc
@@ -3,6 +3,7 @@
 //
 //   build/message_size_benchmark
 
+#include "goldcrest/catalogue_codec.h"
 #include "goldcrest/config_store.h"
 #include "goldcrest/job_record.h"
 #include "goldcrest/membership.h"
@@ -96,6 +97,32 @@
                encodeMessage(hold).size());
 }
 
+// A catalogue of the design target's 150 teams, with a guarantee for each of two shapes of their
+// own.
+void printConfigurationSize()
+{
+    constexpr int teams = 150;
+    configuration config;
+    for (int i = 0; i < teams; ++i) {
+        team_entry team;
+        team.name = fmt::format("team-{:03}", i);
+        team.owner = "owner@example.org";
+        team.className = "planning";
+        for (const char *size : {"small", "large"}) {
+            shape_entry shape;
+            shape.name = fmt::format("{}-{}", team.name, size);
+            shape.owner = team.owner;
+            shape.className = team.className;
+            team.guarantees.push_back({shape.name, 1, fmt::format("cell-{:02}", i % 11)});
+            config.entries.shapes[shape.name] = shape;
+        }
+        config.entries.teams[team.name] = team;
+    }
+    const std::size_t bytes = formatConfiguration(config).size();
+    fmt::print("\nconfiguration document of {} teams and {} shapes: {} bytes\n", teams, 2 * teams,
+               bytes);
+}
+
 // One process with its client, so that calls can be counted by process.
 struct process
 {
@@ -256,6 +283,7 @@
 {
     printHeartbeats();
     printOtherMessages();
+    printConfigurationSize();
     fmt::print("\ncalls to the store\n");
     countElectionAndConfirmation();
     countPublications();
