--- a/testing/process_fault_test.cc
+++ b/testing/process_fault_test.cc
@@ -437,15 +437,17 @@
     return problems;
 }
 
+void check(const std::vector<named_scenario> &scenarios)
+{
+    std::string text;
+    for (const std::string &problem : runAll(scenarios))
+        text += problem + "\n";
+    STRCMP_EQUAL("", text.c_str());
+}
+
 } // namespace
 
-TEST_GROUP(processFault){void check(const std::vector<named_scenario> &scenarios){std::string text;
-for (const std::string &problem : runAll(scenarios))
-    text += problem + "\n";
-STRCMP_EQUAL("", text.c_str());
-}
-}
-;
+TEST_GROUP(processFault){};
 
 // Guards against lost, doubled or partial work, and against false answers, when a process dies at
 // any step of a job.
