--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -153,9 +153,23 @@
     toPlanner(reply);
 }
 
+// Whether this process knows that it never started the attempt. A late copy of a start can arrive
+// after the tasks have ended, or after this process was restarted.
+bool agent_core::isProvenUnstarted(const attempt_id &attempt) const
+{
+    const auto found = m_members.find(attempt);
+    if (found != m_members.end())
+        return !found->second.startSent;
+    const past_attempt *earlier = past(attempt);
+    return earlier && !earlier->everStarted;
+}
+
 std::optional<failure> agent_core::refusalOfStart(const start_message &start, time_point now)
 {
-    if (!acceptEpoch(start.plannerEpoch))
+    const bool isCurrent = acceptEpoch(start.plannerEpoch);
+    if (!isProvenUnstarted(start.attempt))
+        return makeFailure(code::OutcomeUnknown, "the attempt may have started here before");
+    if (!isCurrent)
         return makeFailure(code::StaleEpoch, "a planner with a higher epoch was seen");
     const auto found = m_members.find(start.attempt);
     if (found == m_members.end() || found->second.state() != member_state::Held) {
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -178,6 +178,7 @@
 
     bool acceptEpoch(epoch number);
     std::optional<failure> refusalOfHold(const hold_message &hold, time_point now);
+    bool isProvenUnstarted(const attempt_id &attempt) const;
     std::optional<failure> refusalOfStart(const start_message &start, time_point now);
     void startTasks(gang_member &member, const start_message &start, time_point now);
     void stopMember(gang_member &member, bool checkpoint, duration within, time_point now);
--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -663,14 +663,15 @@
     }
 }
 
-// Whether this planner knows what earlier ones did: it has read the record, or the job was accepted
-// after its own election.
+// Whether this planner knows what happened to the job before: it has read the record, or the job
+// was accepted after its own election and has not ended since. A late copy of a submission can name
+// a job that ended here and left the memory.
 bool cell_planner::isHistoryKnown(const planned_job &job) const
 {
     const std::int64_t begin = m_options.startUnixMs + wallClockMargin.count();
     if (job.runUncertain && m_awake < uncertainSettleTime)
         return false;
-    return job.baseRevision || job.base || job.acceptedAtUnixMs >= begin;
+    return job.baseRevision || job.base || (!job.mustRead && job.acceptedAtUnixMs >= begin);
 }
 
 // Whether the job missed its deadline without a start.
@@ -1719,10 +1720,11 @@
         return;
     if (!started.refused) {
         member->started = true;
-    } else {
+    } else if (!member->started && !member->finished) {
         member->refused = started.refused;
-        // Any other refusal comes before the agent calls its backend server.
-        if (started.refused->number != code::BackendUnavailable)
+        // Any other refusal is proof: it comes before the agent calls its backend server.
+        const code number = started.refused->number;
+        if (number != code::BackendUnavailable && number != code::OutcomeUnknown)
             member->neverStarted = true;
     }
     reviewGang(*job, now);
--- a/testing/cell_model_support.cc
+++ b/testing/cell_model_support.cc
@@ -28,7 +28,7 @@
 // Gang lease, task lease and stop time (docs/design.md, 5), and the granularity of pulses and
 // ticks.
 constexpr duration partialGangBound = 25s + 3s;
-constexpr std::size_t traceLines = 120;
+constexpr std::size_t traceLines = 2000;
 constexpr std::int64_t unixStart = 1'700'000'000'000;
 
 std::string outputOf(const job_key &job, std::int32_t task, std::size_t size)
@@ -507,11 +507,17 @@
 
 void cell_model::impl::changeConfiguration(const std::function<void(configuration &)> &change)
 {
-    if (!m_storeUp)
+    // Operators change the configuration through an entry, which hears from the store by that.
+    const auto publisher
+        = std::find_if(m_entries.begin(), m_entries.end(),
+                       [this](const auto &entry) { return m_now >= entry->cutUntil; });
+    if (!m_storeUp || publisher == m_entries.end())
         return;
     change(m_config);
     ++m_config.number;
     ++m_storeRevision;
+    (*publisher)->heardAt = m_now;
+    (*publisher)->config = m_config;
 }
 
 void cell_model::impl::operatorChange()
@@ -540,6 +546,8 @@
 {
     if (!active()) {
         m_storeUp = true;
+        for (auto &entry : m_entries)
+            entry->cutUntil = std::min(entry->cutUntil, m_now);
         changeConfiguration([this](configuration &config) {
             config.domainsOut.clear();
             config.drainedWorkers.clear();
