--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -724,8 +724,9 @@
     if (job.answered || !job.outcome)
         return;
     // A later planner would start a job again that it finds unfinished, so "not run" waits for its
-    // record, except after the deadline, which binds every planner.
-    const bool deadline = job.why && job.why->number == code::DeadlinePassed;
+    // record, except after the deadline, which binds every planner that finds no intent.
+    const bool deadline
+        = job.why && job.why->number == code::DeadlinePassed && job.intentAttempt == 0;
     const bool fits = resultBytes(job.results) <= maxUpdateBytes;
     const bool mayAnswerEarly = fits && (*job.outcome != job_outcome::NotRun || deadline);
     if (!job.durable && !(m_storeSilent && mayAnswerEarly))
@@ -1248,7 +1249,12 @@
     job.resultWorkers = reporters;
     const bool unknownBefore = job.outcome && *job.outcome == job_outcome::Unknown;
 
-    if (gang.allSucceeded() && (!job.outcome || unknownBefore)) {
+    if (job.mustRead && !job.baseRevision) {
+        // Found in an inventory after it had ended here; its record says how. The agents keep their
+        // results until they are told that it is stored.
+        leaveEngine(job, {stop_result::Stopped, {}, 0, false}, now);
+        park(job, parkDelay, now);
+    } else if (gang.allSucceeded() && (!job.outcome || unknownBefore)) {
         leaveEngine(job, {stop_result::Finished, {}, 1, false}, now);
         job.results = gang.collectResults();
         conclude(job, job_outcome::Completed, std::nullopt, now);
@@ -1559,6 +1565,9 @@
 
 void cell_planner::noteSeenPart(worker_state &worker, const running_part &seen, time_point now)
 {
+    // The engine may just have placed this job on the worker that reported; without the gang of
+    // that placement the job would be taken from the engine while the action is still to come.
+    pump(now);
     const attempt_id &attempt = seen.gang.attempt;
     const auto release = [&] {
         if (seen.finished)
