--- a/goldcrest/planner_daemon.cc
+++ b/goldcrest/planner_daemon.cc
@@ -10,6 +10,12 @@
 namespace {
 
 constexpr duration tickInterval = 200ms;
+
+// A gap between two ticks from which on the process counts as paused, and the time after it in
+// which messages of before the pause are still read.
+constexpr duration shortestPause = 1s;
+constexpr duration backlogTime = 500ms;
+
 constexpr duration retentionRenewal = 1h;
 constexpr duration handoverPoll = 50ms;
 constexpr duration handoverLimit = 5s;
@@ -67,6 +73,7 @@
 {
     event_loop &loop = m_environment.loop;
     m_environment.history.write(history_event("epoch").number("epoch", m_number));
+    m_tickedAt = loop.now();
     m_tick = loop.every(tickInterval, [this] { tick(); });
     m_retentionTimer = loop.every(retentionRenewal, [this] { renewRetention(); });
     loop.post([this, alive = m_alive] {
@@ -117,17 +124,40 @@
         if (const failure *error = failureOf(parsed))
             log_line(log_level::Warning, "pushed configuration refused").error(*error).write();
         else if (valueOf(parsed).number == push->number)
-            m_core.configurationOffered(valueOf(parsed), push->confirmedAge, now);
+            m_core.configurationOffered(valueOf(parsed),
+                                        push->confirmedAge + deliveryDelayBound(now), now);
     } else {
-        m_core.configurationConfirmed(push->number, push->confirmedAge, now);
+        m_core.configurationConfirmed(push->number, push->confirmedAge + deliveryDelayBound(now),
+                                      now);
     }
     m_core.acknowledgeConfiguration(id);
     run();
 }
 
+// After a pause of this process the sockets hold messages that are as old as the pause.
+void planner_daemon::notePause(time_point now)
+{
+    const duration since = now - m_tickedAt;
+    m_tickedAt = now;
+    if (since < shortestPause)
+        return;
+    m_pauseLength = since;
+    m_resumedAt = now;
+}
+
+// Returns how long a message that is read now may have waited for this process.
+duration planner_daemon::deliveryDelayBound(time_point now) const
+{
+    const duration sinceTick = now - m_tickedAt;
+    if (sinceTick >= shortestPause)
+        return sinceTick;
+    return now - m_resumedAt < backlogTime ? m_pauseLength : 0ms;
+}
+
 void planner_daemon::tick()
 {
     const time_point now = m_environment.loop.now();
+    notePause(now);
     updateLease();
     const std::optional<duration> age = m_view.confirmedAge(now);
     if (age)
--- a/goldcrest/planner_daemon.h
+++ b/goldcrest/planner_daemon.h
@@ -66,6 +66,8 @@
 
     void tick();
     void updateLease();
+    void notePause(time_point now);
+    duration deliveryDelayBound(time_point now) const;
     void onConfiguration();
     void run();
     void carryOut(const send_message &action);
@@ -92,6 +94,9 @@
     std::map<link_id, std::shared_ptr<peer_link>> m_links;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     timer_handle m_tick;
+    time_point m_tickedAt;
+    time_point m_resumedAt; // end of the last pause of this process
+    duration m_pauseLength = 0ms;
     timer_handle m_retentionTimer;
     timer_handle m_handover;
     time_point m_handoverLimit;
--- a/testing/agent_core_test.cc
+++ b/testing/agent_core_test.cc
@@ -121,6 +121,20 @@
     CHECK(!messagesIn<abort_reply_message>(actions).at(0).everStarted);
 }
 
+// Guards against a refusal that a planner takes as proof that nothing started: a late copy of a
+// start that an earlier run of this process carried out.
+TEST(agent_core, refusesAStartThatItDoesNotRememberWithoutProof)
+{
+    agent_core agent = makeAgent();
+    agent.plannerOpened(secondEpoch, start);
+    agent.takeActions();
+    begin(agent, gangOf(1, firstEpoch), start + 10ms);
+    const std::vector<agent_action> actions = agent.takeActions();
+    LONGS_EQUAL(0, countOf<start_task>(actions));
+    const auto answer = messagesIn<task_started_message>(actions).at(0);
+    CHECK(answer.refused->number == code::OutcomeUnknown);
+}
+
 // Guards against a false proof: a restarted agent can't know whether an earlier run of it started
 // the attempt.
 TEST(agent_core, givesNoProofForAnAttemptThatItDoesNotRemember)
--- a/testing/cell_model_test.cc
+++ b/testing/cell_model_test.cc
@@ -98,4 +98,17 @@
     const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
     const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", quietSeedsInCi);
     LONGS_EQUAL(0, countFailing(options, first, count));
+    constexpr std::uint64_t partiallyStartedSeed = 1376; // its planner dies between two starts
+    LONGS_EQUAL(0, countFailing(options, partiallyStartedSeed, 1));
+}
+
+// Guards against faults that these seeds showed once: a late copy of a start or of a submission
+// taken for news (586, 1644, 2170, 3478, 3552, 4383, 6312, 6556, 8710), a "not run" that no record
+// backed (4222), an ended job that ended again (5423), a placement lost between engine and planner
+// (2384), and errors of the model itself (1658, 4425, 9414, 4358).
+TEST(cell_model, keepsItsPromisesOnSeedsThatFailedOnce)
+{
+    for (const std::uint64_t seed : {586, 1644, 1658, 2170, 2384, 3478, 3552, 4222, 4358, 4383,
+                                     4425, 5423, 6312, 6556, 8710, 9414})
+        LONGS_EQUAL(0, countFailing({}, seed, 1));
 }
--- a/testing/fake_scheduler_support.cc
+++ b/testing/fake_scheduler_support.cc
@@ -29,8 +29,9 @@
 {
     worker &entry = m_workers[info.id];
     if (entry.info.id.empty()) {
-        entry.free = info.capacity;
-        entry.slots = info.slots;
+        // A job may have been adopted on the worker before it is up.
+        entry.free += info.capacity;
+        entry.slots += info.slots;
     }
     entry.info = info;
     entry.takesWork = true;
