Do not say "not run" of a reused request id

The id belongs to the first job, which may run, so a caller could take the answer for that job's outcome.

--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -114,8 +114,9 @@
 {
     job_answer answer;
     answer.view.key = key;
+    // A reused request id belongs to another job, which may run, so nothing is said of it.
+    answer.notRun = notRun && error.number != code::RequestIdReused;
     answer.error = std::move(error);
-    answer.notRun = notRun;
     return answer;
 }
 
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -197,6 +197,7 @@
     submit(bodyOf("r1", false));
     submit(bodyOf("r1", true));
     CHECK(lastError() == code::RequestIdReused);
+    CHECK(!last().notRun); // the first job of this id may run
     entry_core other(store, loop, planners, optionsOf("e2"));
     other.setConfiguration(smallConfiguration());
     other.submit(bodyOf("r1", true), 0ms, keep());
--- a/testing/process_path_test.cc
+++ b/testing/process_path_test.cc
@@ -175,6 +175,7 @@
     CHECK(waitFor([&] { return !stalled.front()->poll(); }));
     CHECK(system->processes().isRunning("entry-1"));
     CHECK(system->processes().isRunning("agent-w1"));
+    checkPromises();
 }
 
 // Guards against a lost update when two operators edit the same revision at two entries.
