Split the planner's source by topic

Entries, jobs, records, gangs and agents have a file each now; constants that one file uses moved with it, shared ones to the internal header.

--- a/goldcrest/cell_planner_state.h
+++ b/goldcrest/cell_planner_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Internal to cell_planner.cc: what the planner keeps per job, worker and entry.
+// Internal to the cell_planner*.cc files: what the planner keeps per job, worker and entry, and the
+// constants and helpers that several of the files use.
 
 #include "goldcrest/cell_planner.h"
 
@@ -8,6 +9,34 @@
 
 namespace goldcrest {
 
+// First delay and largest delay before a job whose attempt could not start is queued again.
+constexpr duration parkDelay = 200ms;
+constexpr duration maxParkDelay = 5s;
+
+// Delay between two tries to read or write a record while the store does not answer.
+constexpr duration storeRetryDelay = 1s;
+constexpr duration maxStoreRetryDelay = 8s;
+
+inline duration backoff(duration first, duration most, std::int32_t tries)
+{
+    constexpr std::int32_t maxDoublings = 6;
+    const std::int32_t doublings = std::min(tries, maxDoublings);
+    return std::min(most, first * (1 << doublings));
+}
+
+inline failure cancelFailure()
+{
+    return makeFailure(code::Cancelled, "the caller cancelled the job");
+}
+
+inline std::size_t resultBytes(const std::vector<task_result> &results)
+{
+    std::size_t bytes = 0;
+    for (const task_result &each : results)
+        bytes += each.output.size();
+    return bytes;
+}
+
 // Where a job is, as the planner sees it.
 enum class job_place {
     Parked, // waits for its release time before the engine gets it
