Align tables by characters instead of bytes, in one place

Cause: worker list and the burn report had the same loop twice, and counted bytes, so that names such as Rivière-du-Loup shifted their line. text_table_test failed to align such a row before.

--- a/goldcrest/burn_report.cc
+++ b/goldcrest/burn_report.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/burn_report.h"
 
+#include "goldcrest/text_table.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -331,7 +333,7 @@
 
 std::string renderBurnText(const burn_report &report, std::int64_t nowUnixMs)
 {
-    std::vector<std::vector<std::string>> lines{
+    std::vector<table_row> lines{
         {"CLASS", "OBJECTIVE", "TARGET", "STATE", "5 MIN", "1 H", "6 H", "3 D", "JOBS 3 D"}};
     for (const burn_row &row : report.rows(nowUnixMs)) {
         std::vector<std::string> line{row.className, std::string(nameOf(row.kind)),
@@ -342,23 +344,8 @@
         line.push_back(std::to_string(row.windows.back().total()));
         lines.push_back(std::move(line));
     }
-    std::vector<std::size_t> widths(lines[0].size());
-    for (const auto &line : lines) {
-        for (std::size_t i = 0; i < line.size(); ++i)
-            widths[i] = std::max(widths[i], line[i].size());
-    }
-    std::ostringstream out;
-    out << "Burn rates; 1 uses the error budget up over the period of the objective.\n";
-    for (const auto &line : lines) {
-        std::string text;
-        for (std::size_t i = 0; i < line.size(); ++i) {
-            text += line[i];
-            text.append(widths[i] - line[i].size() + 2, ' ');
-        }
-        text.erase(text.find_last_not_of(' ') + 1);
-        out << text << '\n';
-    }
-    return out.str();
+    return "Burn rates; 1 uses the error budget up over the period of the objective.\n"
+        + formatTable(lines);
 }
 
 } // namespace goldcrest
--- a/goldcrest/ctl_commands.cc
+++ b/goldcrest/ctl_commands.cc
@@ -4,6 +4,7 @@
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/catalogue_diff.h"
 #include "goldcrest/ctl_table.h"
+#include "goldcrest/text_table.h"
 
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -24,7 +25,7 @@
 namespace {
 
 using json = nlohmann::ordered_json;
-using table = std::vector<std::vector<std::string>>;
+using table = std::vector<table_row>;
 
 constexpr std::string_view defaultEntry = "127.0.0.1:8080";
 constexpr std::string_view revisionComment = "// Based on revision ";
@@ -66,25 +67,6 @@
     return number;
 }
 
-void printTable(std::ostream &out, const table &rows)
-{
-    std::vector<std::size_t> widths;
-    for (const auto &row : rows) {
-        widths.resize(std::max(widths.size(), row.size()));
-        for (std::size_t i = 0; i < row.size(); ++i)
-            widths[i] = std::max(widths[i], row[i].size());
-    }
-    for (const auto &row : rows) {
-        std::string line;
-        for (std::size_t i = 0; i < row.size(); ++i) {
-            line += row[i];
-            line.append(widths[i] - row[i].size() + 2, ' ');
-        }
-        line.erase(line.find_last_not_of(' ') + 1);
-        out << line << '\n';
-    }
-}
-
 // Returns a member as text; empty if it is absent or null.
 std::string textOf(const json &value, const char *name)
 {
@@ -466,7 +448,7 @@
     for (const json &cell : revision.value("cells", json::array()))
         rows.push_back({textOf(cell, "cell"), textOf(cell, "state"), textOf(cell, "reason")});
     if (!inForce)
-        printTable(m_environment.out, rows);
+        m_environment.out << formatTable(rows);
 }
 
 // Workers
@@ -507,7 +489,7 @@
                         coresText(used) + "/" + coresText(capacity),
                         textOf(used, "accelerators") + "/" + textOf(capacity, "accelerators")});
     }
-    printTable(m_environment.out, rows);
+    m_environment.out << formatTable(rows);
     return ctl_exit::Done;
 }
 
@@ -526,7 +508,7 @@
                         textOf(worker, "tasks"), coresText(used), textOf(used, "memory") + " MiB",
                         textOf(used, "accelerators")});
     }
-    printTable(m_environment.out, rows);
+    m_environment.out << formatTable(rows);
     return ctl_exit::Done;
 }
 
@@ -558,7 +540,7 @@
         add("would help", textOf(waits, "wouldHelp"));
         add("position", textOf(waits, "position"));
     }
-    printTable(m_environment.out, rows);
+    m_environment.out << formatTable(rows);
     for (const json &one : job.value("results", json::array())) {
         m_environment.out << "task " << textOf(one, "task")
                           << (one.value("succeeded", false) ? " succeeded" : " failed") << ", "
@@ -626,7 +608,7 @@
         rows.push_back({textOf(job, "requestId"), textOf(job, "state"), textOf(job, "outcome"),
                         textOf(job, "class"), textOf(job, "shape"), textOf(job, "cell"),
                         textOf(job, "attempt"), unixTimeText(job, "acceptedAtUnixMs")});
-    printTable(m_environment.out, rows);
+    m_environment.out << formatTable(rows);
     return ctl_exit::Done;
 }
 
@@ -692,7 +674,7 @@
                         textOf(cell, "queuedJobs"), textOf(cell, "runningJobs"),
                         textOf(cell, "freeAccelerators"), textOf(cell, "borrowedAccelerators"),
                         listOf(cell, "unmetGuarantees")});
-    printTable(out, rows);
+    out << formatTable(rows);
     return ctl_exit::Done;
 }
 
