--- a/goldcrest/burn_html.cc
+++ b/goldcrest/burn_html.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/burn_report.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -136,7 +138,7 @@
         const double boundSeconds = std::chrono::duration<double>(row.objective.bound).count();
         out << "<tr><td>" << escapeHtml(row.className) << "</td><td>" << nameOf(row.kind)
             << "</td><td>" << number(row.objective.target) << "</td><td>"
-            << (bounded ? number(boundSeconds) + " s" : "") << "</td>";
+            << (bounded ? fmt::format("{} s", boundSeconds) : "") << "</td>";
         for (std::size_t i = 0; i < row.windows.size(); ++i)
             out << "<td>" << (row.windows[i].total() > 0 ? number(row.rates[i]) : "-") << "</td>";
         out << "<td>" << row.windows.back().total() << "</td><td class=\"" << state << "\">"
