--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build ccache clang-format clang-tidy git
-  librestinio-dev libwebsocketpp-dev libasio-dev libboost-dev libcxxopts-dev libgoogle-glog-dev
+  librestinio-dev libfmt-dev libwebsocketpp-dev libasio-dev libboost-dev libcxxopts-dev libgoogle-glog-dev
   cpputest libcpputest-dev nlohmann-json3-dev libcurl4-openssl-dev libssl-dev libmsgsl-dev
 )
 missing=()
