Use one piece of code where the same logic stood twice

- The backend stand-in has no percent decoder and no names of task states of its own any more; it calls decodePercent() and nameOf(task_state).
- Asking for and cancelling a job that the entry does not follow read its record in the same way twice; trackFromRecord() does it for both.
- The planner's files included membership.h without a use.
Tested: agent_core, cell_model, entry_core, ctl_process and process_path tests; formatter and linter.

--- a/goldcrest/cell_planner.cc
+++ b/goldcrest/cell_planner.cc
@@ -1,7 +1,6 @@
 #include "goldcrest/cell_planner.h"
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/cell_planner_agents.cc
+++ b/goldcrest/cell_planner_agents.cc
@@ -1,7 +1,6 @@
 // The planner's messages with agents, and recovery of what an earlier planner left.
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/cell_planner_entries.cc
+++ b/goldcrest/cell_planner_entries.cc
@@ -1,7 +1,6 @@
 // The planner's messages with entries: submissions, cancellations, explanations and status.
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/cell_planner_gangs.cc
+++ b/goldcrest/cell_planner_gangs.cc
@@ -1,7 +1,6 @@
 // Actions of the decision engine, and the life of a gang: hold, intent, start, stop and end.
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/cell_planner_jobs.cc
+++ b/goldcrest/cell_planner_jobs.cc
@@ -1,7 +1,6 @@
 // Life of a job in the planner, from its submission to its outcome and the answers to entries.
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/cell_planner_records.cc
+++ b/goldcrest/cell_planner_records.cc
@@ -1,7 +1,6 @@
 // Reading and writing of job records by the planner.
 
 #include "goldcrest/cell_planner_state.h"
-#include "goldcrest/membership.h"
 
 #include <utility>
 
--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -231,6 +231,8 @@
                     std::function<void(result<std::optional<job_record>>)> then);
     void track(const job_record &record, waiter_kind kind, duration wait, bool cancelIt,
                answer_callback callback);
+    void trackFromRecord(const job_key &key, waiter_kind kind, duration wait, bool cancel,
+                         answer_callback callback);
     void refresh(const job_pointer &job);
     void onRecordRead(const job_pointer &job, const job_record &record);
     void readResults(const job_record &record,
@@ -1069,10 +1071,18 @@
         }
         return addWaiter(job, kind, wait, false, std::move(callback));
     }
+    trackFromRecord(key, kind, kind == waiter_kind::Final ? wait : shortStateWait, false,
+                    std::move(callback));
+}
+
+// Reads the record of a job that this entry does not follow, and goes on as track() does.
+void entry_core::impl::trackFromRecord(const job_key &key, waiter_kind kind, duration wait,
+                                       bool cancel, answer_callback callback)
+{
     ++m_waiting;
     readRecord(
         key,
-        [this, key, kind, wait,
+        [this, key, kind, wait, cancel,
          callback = std::move(callback)](const result<std::optional<job_record>> &read) {
             --m_waiting;
             if (const failure *error = failureOf(read))
@@ -1080,8 +1090,7 @@
             if (!valueOf(read))
                 return callback(errorAnswer(
                     key, makeFailure(code::UnknownRequest, "no record of this request id"), false));
-            track(*valueOf(read), kind, kind == waiter_kind::Final ? wait : shortStateWait, false,
-                  callback);
+            track(*valueOf(read), kind, wait, cancel, callback);
         });
 }
 
@@ -1098,19 +1107,7 @@
             sendCancel(job);
         return;
     }
-    ++m_waiting;
-    readRecord(
-        key,
-        [this, key, wait,
-         callback = std::move(callback)](const result<std::optional<job_record>> &read) {
-            --m_waiting;
-            if (const failure *error = failureOf(read))
-                return callback(errorAnswer(key, *error, false));
-            if (!valueOf(read))
-                return callback(errorAnswer(
-                    key, makeFailure(code::UnknownRequest, "no record of this request id"), false));
-            track(*valueOf(read), waiter_kind::Final, wait, true, callback);
-        });
+    trackFromRecord(key, waiter_kind::Final, wait, true, std::move(callback));
 }
 
 void entry_core::impl::list(const team_id &team, std::size_t limit,
--- a/goldcrest/http_backend.cc
+++ b/goldcrest/http_backend.cc
@@ -24,26 +24,11 @@
             {"accelerators", value.accelerators}};
 }
 
-std::string_view nameOfState(task_state state)
-{
-    switch (state) {
-    case task_state::Running:
-        return "running";
-    case task_state::Succeeded:
-        return "succeeded";
-    case task_state::Failed:
-        return "failed";
-    case task_state::Stopped:
-        return "stopped";
-    }
-    return "failed";
-}
-
 std::optional<task_state> stateOf(std::string_view name)
 {
     for (const task_state state :
          {task_state::Running, task_state::Succeeded, task_state::Failed, task_state::Stopped}) {
-        if (nameOfState(state) == name)
+        if (nameOf(state) == name)
             return state;
     }
     return std::nullopt;
@@ -181,6 +166,21 @@
 
 } // namespace
 
+std::string_view nameOf(task_state state)
+{
+    switch (state) {
+    case task_state::Running:
+        return "running";
+    case task_state::Succeeded:
+        return "succeeded";
+    case task_state::Failed:
+        return "failed";
+    case task_state::Stopped:
+        return "stopped";
+    }
+    return "failed";
+}
+
 result<backend_announcement> parseAnnouncement(std::string_view body)
 {
     const result<json> parsed = parseText(body);
@@ -252,7 +252,7 @@
     for (const backend_task &task : tasks) {
         list.push_back({{"id", task.id},
                         {"metadata", encodeBase64(task.metadata)},
-                        {"state", nameOfState(task.state)},
+                        {"state", nameOf(task.state)},
                         {"ranForMs", task.ranFor.count()},
                         {"progress", task.progress},
                         {"checkpointed", task.checkpointed},
--- a/goldcrest/http_backend.h
+++ b/goldcrest/http_backend.h
@@ -35,6 +35,9 @@
 // Errors: MalformedJson, MissingField, InvalidValue.
 result<bool> parseDrain(std::string_view body);
 
+// Returns the state's name in the interface, such as "running".
+std::string_view nameOf(task_state state);
+
 // JSON forms of the task calls; the stand-in reads and writes the same.
 std::string formatTaskStart(const task_start &task);
 result<task_start> parseTaskStart(std::string_view body);
--- a/standins/backend_standin.cc
+++ b/standins/backend_standin.cc
@@ -90,21 +90,6 @@
     return plan;
 }
 
-std::string_view nameOf(task_state state)
-{
-    switch (state) {
-    case task_state::Running:
-        return "running";
-    case task_state::Succeeded:
-        return "succeeded";
-    case task_state::Failed:
-        return "failed";
-    case task_state::Stopped:
-        return "stopped";
-    }
-    return "unknown";
-}
-
 class backend_standin
 {
 public:
@@ -156,7 +141,9 @@
     {
         const std::size_t slash = rest.find('/');
         const std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
-        const auto found = m_tasks.find(decodePercent(rest.substr(0, slash)));
+        // The server gives the path undecoded; task ids contain '/' and other reserved characters.
+        const result<std::string> id = decodePercent(rest.substr(0, slash));
+        const auto found = failureOf(id) ? m_tasks.end() : m_tasks.find(valueOf(id));
         if (found == m_tasks.end())
             return {404, "application/json", {}, "{}"};
         standin_task &task = found->second;
@@ -171,22 +158,6 @@
         return {200, "application/json", {}, "{}"};
     }
 
-    // The server gives the path undecoded; task ids contain '/' and other reserved characters.
-    static std::string decodePercent(const std::string &text)
-    {
-        constexpr int hexBase = 16;
-        std::string decoded;
-        for (std::size_t i = 0; i < text.size(); ++i) {
-            if (text[i] == '%' && i + 2 < text.size()) {
-                decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, hexBase));
-                i += 2;
-            } else {
-                decoded += text[i];
-            }
-        }
-        return decoded;
-    }
-
     server_response startTask(const std::string &body)
     {
         const result<task_start> parsed = parseTaskStart(body);
