Keep runs that a look lists before their start is answered

A report takes a look's view, and a look may overtake the answer to a start. The planner then no longer ordered the start, since it had seen the run, and the agent stopped it as a start that might come late.

A run that a view lists now counts as started, whatever its answer's state. Both tests failed before.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -471,11 +471,11 @@
         const auto set = paceSet.find(running.run);
         const int initial = runs.count(running.run) > 0 ? fullSpeed : unknownPace;
         paces[running.run] = set == paceSet.end() ? initial : set->second;
-        // A start whose answer was lost has arrived.
+        // A start whose answer was lost, or was overtaken by this view, has arrived.
         const auto known = runs.find(running.run);
-        if (known != runs.end() && !known->second.isStopping && !known->second.inFlight) {
+        if (known != runs.end() && !known->second.isStopping) {
             known->second.isStarted = true;
-            known->second.mayComeLate = false;
+            known->second.mayComeLate = known->second.inFlight;
         }
     }
     paceSet = std::move(paces);
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -222,6 +222,39 @@
     LONGS_EQUAL(0, host.stops.size());
 }
 
+// Guards against a stop of work that runs: a look overtakes the answer to a start, and the planner
+// no longer orders what it has seen running.
+TEST(run_agent, listedRunIsNotStoppedWhileItsStartIsUnanswered)
+{
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    loop.advance(1ms);
+    answerLook({{someRun, {}, 0, 0}});
+    agent.onOrders(orders(5, 2));
+    host.starts[0].answer(start_reply{});
+    loop.advance(500ms);
+    LONGS_EQUAL(0, host.stops.size());
+    LONGS_EQUAL(1, host.starts.size());
+}
+
+// The same with an answer that is lost: the run is there, and a repeated start is not needed.
+TEST(run_agent, listedRunIsNotStartedAgainWhenItsAnswerIsLost)
+{
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    loop.advance(1ms);
+    answerLook({{someRun, {}, 0, 0}});
+    agent.onOrders(orders(5, 2));
+    host.starts[0].answer(makeFailure(code::BackendUnavailable, "no answer"));
+    loop.advance(500ms);
+    answerLook({{someRun, {}, 0, 0}});
+    LONGS_EQUAL(0, host.stops.size());
+    LONGS_EQUAL(1, host.starts.size());
+    CHECK(reports.back().unresolved.empty());
+}
+
 // A pace is set once for each change, and only for runs that are there.
 TEST(run_agent, setsPacesOfListedRuns)
 {
