Keep cancels and finished jobs when the watch's history is lost

The store had dropped its history, and the planner listed its keys again. A listing is in the order of keys, in which a cancel precedes its job, so the cancel of a job that was new in the listing was ignored. The log has "cancel accepted" 0.12 s before "job queued".

Jobs of a listing are now taken before cancels, in the same code after an election and after a lost history; each job is decoded once.

Reading that path showed another hole: a job whose time of retention is over was forgotten before its records were removed. If the removal failed, the next listing brought it back as a new job, which would have run again. It is now forgotten once the removal has succeeded.

Ruled out: a front that acknowledges before the store does, and a successor that does not read cancels.

--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -48,7 +48,10 @@
     void watchIntake(store_revision from);
     void onIntake(const watch_batch &batch);
     void readIntakeAgain();
-    void takeIntake(const store_entry &entry);
+    void takeListing(const std::vector<store_entry> &entries,
+                     const std::map<std::string, job_progress> &records);
+    void takeJob(const store_entry &entry, const std::map<std::string, job_progress> &records);
+    void takeCancel(const store_entry &entry);
     void schedulePlan();
     void plan();
     void commit();
@@ -57,6 +60,7 @@
     bool wasWritten(const commit_reply &reply, const std::vector<stored_change> &changes) const;
     void noteWritten(const std::vector<stored_change> &changes, store_revision at);
     void removeExpired();
+    void onRemoved(const result<commit_reply> &outcome, const std::vector<std::string> &removed);
     void askAdvisor();
     void sendOrders();
     void sendOrdersTo(const worker_id &worker);
@@ -308,25 +312,7 @@
 void planner_service::state::onLoaded(const std::map<std::string, job_progress> &records,
                                       const std::vector<store_entry> &entries)
 {
-    const std::string jobPrefix = graphJobKey({});
-    for (const store_entry &entry : entries) {
-        if (!startsWith(entry.key, jobPrefix))
-            continue;
-        const result<graph_job> job = decodeGraphJob(entry.value);
-        if (const failure *error = failureOf(job)) {
-            log_line(log_level::Error, "job unreadable")
-                .error(*error)
-                .field("key", entry.key)
-                .write();
-            continue;
-        }
-        const auto record = records.find(valueOf(job).id);
-        planner->addJob(valueOf(job),
-                        record == records.end() ? std::nullopt : std::optional(record->second),
-                        wall(), loop.now());
-    }
-    for (const store_entry &entry : entries)
-        takeIntake(entry);
+    takeListing(entries, records);
     planner->setView(view);
     isActive = true;
     // Jobs that were stored after the election and before the listing appear twice.
@@ -355,9 +341,14 @@
         log_line(log_level::Warning, "job watch broken").limit("job watch").write();
         return retry(loadRetryPause, &state::readIntakeAgain);
     }
+    // Events come in the order of their writes, and a job is stored before its cancel.
     for (const watch_event &event : batch.events) {
-        if (!event.deleted)
-            takeIntake(event.entry);
+        if (event.deleted)
+            continue;
+        if (startsWith(event.entry.key, graphJobKey({})))
+            takeJob(event.entry, {});
+        else if (startsWith(event.entry.key, graphCancelKey({})))
+            takeCancel(event.entry);
     }
     schedulePlan();
 }
@@ -379,27 +370,44 @@
                        guarded([this, from](const result<std::vector<store_entry>> &listed) {
                            if (failureOf(listed))
                                return retry(loadRetryPause, &state::readIntakeAgain);
-                           for (const store_entry &entry : valueOf(listed))
-                               takeIntake(entry);
+                           takeListing(valueOf(listed), {});
                            watchIntake(from);
                            schedulePlan();
                        }));
         }));
 }
 
-void planner_service::state::takeIntake(const store_entry &entry)
+// A listing is in the order of keys, in which a cancel precedes its job, so jobs are taken first.
+void planner_service::state::takeListing(const std::vector<store_entry> &entries,
+                                         const std::map<std::string, job_progress> &records)
+{
+    for (const store_entry &entry : entries) {
+        if (startsWith(entry.key, graphJobKey({})))
+            takeJob(entry, records);
+    }
+    for (const store_entry &entry : entries) {
+        if (startsWith(entry.key, graphCancelKey({})))
+            takeCancel(entry);
+    }
+}
+
+void planner_service::state::takeJob(const store_entry &entry,
+                                     const std::map<std::string, job_progress> &records)
 {
-    const std::string cancelPrefix = graphCancelKey({});
-    if (startsWith(entry.key, cancelPrefix))
-        return planner->cancelJob(entry.key.substr(cancelPrefix.size()), wall());
-    if (!startsWith(entry.key, graphJobKey({})))
-        return;
     const result<graph_job> job = decodeGraphJob(entry.value);
     if (const failure *error = failureOf(job)) {
         log_line(log_level::Error, "job unreadable").error(*error).field("key", entry.key).write();
         return;
     }
-    planner->addJob(valueOf(job), std::nullopt, wall(), loop.now());
+    const auto record = records.find(valueOf(job).id);
+    planner->addJob(valueOf(job),
+                    record == records.end() ? std::nullopt : std::optional(record->second), wall(),
+                    loop.now());
+}
+
+void planner_service::state::takeCancel(const store_entry &entry)
+{
+    planner->cancelJob(entry.key.substr(graphCancelKey({}).size()), wall());
 }
 
 // ---- planning ------------------------------------------------------------------------------
@@ -521,30 +529,44 @@
     sendOrders();
 }
 
+// A job stays known until its records are gone: a listing that still has it would run it again.
 void planner_service::state::removeExpired()
 {
     if (!isActive)
         return;
-    const std::vector<std::string> expired = planner->takeExpired(wall());
-    for (std::size_t first = 0; first < expired.size(); first += expiredPerCommit) {
-        store_transaction removal;
-        removal.requireCreateRevision(leaderKey(options.cell), role->currentEpoch());
-        for (std::size_t i = first; i < std::min(expired.size(), first + expiredPerCommit); ++i) {
-            removal.remove(graphJobKey(expired[i]));
-            removal.remove(graphCancelKey(expired[i]));
-            removal.remove(graphProgressKey(expired[i]));
-            revisions.erase(graphProgressKey(expired[i]));
-        }
-        // A removal that fails is made up by the next planner, which finds the records expired.
-        store.commit(std::move(removal), {call_priority::Background, 2s},
-                     [](const result<commit_reply> &outcome) {
-                         if (const failure *error = failureOf(outcome))
-                             log_line(log_level::Warning, "expired records not removed")
-                                 .error(*error)
-                                 .limit("expiry")
-                                 .write();
-                     });
+    std::vector<std::string> expired = planner->expiredJobs(wall(), expiredPerCommit);
+    if (expired.empty())
+        return;
+    store_transaction removal;
+    removal.requireCreateRevision(leaderKey(options.cell), role->currentEpoch());
+    for (const std::string &id : expired) {
+        removal.remove(graphJobKey(id));
+        removal.remove(graphCancelKey(id));
+        removal.remove(graphProgressKey(id));
+    }
+    store.commit(std::move(removal), {call_priority::Background, 2s},
+                 guarded([this, expired = std::move(expired)](const result<commit_reply> &outcome) {
+                     onRemoved(outcome, expired);
+                 }));
+}
+
+void planner_service::state::onRemoved(const result<commit_reply> &outcome,
+                                       const std::vector<std::string> &removed)
+{
+    const failure *error = failureOf(outcome);
+    if (error || !valueOf(outcome).applied) {
+        log_line line(log_level::Warning, "expired records not removed");
+        if (error)
+            line.error(*error);
+        line.limit("expiry").write();
+        return;
     }
+    planner->forgetJobs(removed);
+    for (const std::string &id : removed)
+        revisions.erase(graphProgressKey(id));
+    // There may be more than one transaction takes.
+    if (removed.size() == expiredPerCommit)
+        removeExpired();
 }
 
 void planner_service::state::writeDecisions()
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -229,21 +229,24 @@
     });
 }
 
-std::vector<std::string> run_planner::takeExpired(unix_ms wall)
+std::vector<std::string> run_planner::expiredJobs(unix_ms wall, std::size_t most) const
 {
     std::vector<std::string> expired;
-    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
-        const tracked_job &job = it->second;
-        bool hasActive = false;
-        it->second.forEachActive(
-            [&](const task_key &, const step_spec &, tracked_task &) { hasActive = true; });
-        const bool isOver = job.isFinished() && !hasActive && job.storedVersion() >= job.version()
-            && wall - job.finishedAt() > m_options.retention.count();
-        if (isOver)
-            expired.push_back(it->first);
-        it = isOver ? m_jobs.erase(it) : std::next(it);
+    for (const auto &[id, job] : m_jobs) {
+        if (expired.size() == most)
+            break;
+        const bool isStored = job.storedVersion() >= job.version();
+        const bool isOver = wall - job.finishedAt() > m_options.retention.count();
+        if (job.isFinished() && isStored && isOver && !job.hasActive())
+            expired.push_back(id);
     }
     return expired;
 }
 
+void run_planner::forgetJobs(const std::vector<std::string> &ids)
+{
+    for (const std::string &id : ids)
+        m_jobs.erase(id);
+}
+
 } // namespace goldcrest
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -119,8 +119,11 @@
     std::optional<graph_job_state> stateOf(const std::string &id) const;
     std::int64_t waitingIn(const std::string &queue) const;
 
-    // Returns finished jobs whose time of retention is over, and forgets them.
-    std::vector<std::string> takeExpired(unix_ms wall);
+    // Returns finished jobs whose time of retention is over, at most `most`.
+    std::vector<std::string> expiredJobs(unix_ms wall, std::size_t most) const;
+
+    // Forgets jobs whose records were removed.
+    void forgetJobs(const std::vector<std::string> &ids);
 
     std::vector<run_decision> takeDecisions();
 
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -61,6 +61,15 @@
     }
 }
 
+bool tracked_job::hasActive() const
+{
+    return std::any_of(
+        m_occurrences.begin(), m_occurrences.end(), [](const tracked_occurrence &occurrence) {
+            return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                               [](const tracked_step &step) { return step.hasActive(); });
+        });
+}
+
 bool tracked_job::isFinished() const
 {
     return m_state != graph_job_state::Queued && m_state != graph_job_state::Running;
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -125,6 +125,8 @@
     // Ends the job as cancelled unless it has ended. Runs that are active get stopWanted.
     void cancel(unix_ms wall);
 
+    bool hasActive() const;
+
     // Calls `use(key, step spec, task)` for each active run.
     template<typename Use>
     void forEachActive(Use use)
--- a/standins/store_model.cc
+++ b/standins/store_model.cc
@@ -417,6 +417,8 @@
     const std::uint64_t id = ++m_lastId;
     (*m_watches)[id] = opened;
     const auto deliver = [this, opened](const watch_batch &batch) {
+        if (m_faults.muteWatches && !batch.broken)
+            return;
         run(m_faults.delay, [opened, batch] {
             if (!opened->ended)
                 opened->callback(batch);
--- a/standins/store_model.h
+++ b/standins/store_model.h
@@ -97,6 +97,7 @@
     int loseAnswers = 0; // this many next writes take effect without an answer
     int loseRequests = 0; // this many next writes take no effect and get no answer
     bool refuseWrites = false;
+    bool muteWatches = false; // open watches hear nothing
 };
 
 // Calls by kind. A waiting watch counts as one call.
--- /dev/null
+++ b/testing/planner_service_test.cc
@@ -0,0 +1,133 @@
+#include "goldcrest/planner_service.h"
+
+#include "standins/store_model.h"
+#include "testing/quiet_log.h"
+#include "testing/virtual_event_loop.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace goldcrest;
+
+TEST_GROUP(planner_service)
+{
+    virtual_event_loop loop;
+    store_model model;
+    fake_store store{model, loop};
+    std::unique_ptr<planner_service> service;
+
+    void setup() override
+    {
+        silenceLog();
+        planner_service_options options;
+        options.worker = "w1";
+        options.address = "w1:7000";
+        service = std::make_unique<planner_service>(
+            loop, store, options, [this] { return loop.now().time_since_epoch().count(); });
+    }
+
+    void teardown() override
+    {
+        service.reset();
+    }
+
+    void elect()
+    {
+        service->onVacant();
+        CHECK(loop.advanceUntil([this] { return service->isActive(); }, 2s));
+        loop.advance(100ms);
+    }
+
+    void storeJob(const std::string &id)
+    {
+        graph_job job;
+        job.id = id;
+        job.queue = "q";
+        job.steps.emplace_back();
+        store_transaction creation;
+        creation.put(graphJobKey(id), encodeGraphJob(job));
+        CHECK(!failureOf(model.commit(creation)));
+    }
+
+    void storeCancel(const std::string &id)
+    {
+        store_transaction order;
+        order.put(graphCancelKey(id), id);
+        CHECK(!failureOf(model.commit(order)));
+    }
+
+    void checkState(const std::string &id, graph_job_state expected)
+    {
+        const std::optional<graph_job_state> state = service->planner()->stateOf(id);
+        CHECK(state.has_value());
+        LONGS_EQUAL(static_cast<int>(expected), static_cast<int>(*state));
+    }
+};
+
+// A listing is in the order of keys, so the cancel of a job comes before the job.
+TEST(planner_service, cancelInALostPartOfTheHistoryIsKept)
+{
+    elect();
+    store.faults().muteWatches = true;
+    storeJob("a");
+    storeCancel("a");
+    model.compact(model.current() + 1);
+    store.faults().muteWatches = false;
+    store.breakWatches();
+    loop.advance(1s);
+    checkState("a", graph_job_state::Cancelled);
+}
+
+TEST(planner_service, cancelBeforeTheElectionIsKept)
+{
+    storeJob("a");
+    storeCancel("a");
+    elect();
+    loop.advance(1s);
+    checkState("a", graph_job_state::Cancelled);
+}
+
+TEST(planner_service, jobInALostPartOfTheHistoryIsFound)
+{
+    elect();
+    store.faults().muteWatches = true;
+    storeJob("a");
+    model.compact(model.current() + 1);
+    store.faults().muteWatches = false;
+    store.breakWatches();
+    loop.advance(1s);
+    checkState("a", graph_job_state::Queued);
+}
+
+// A job whose record stays in the store must stay known, or the next listing would run it again.
+TEST(planner_service, jobIsKnownUntilItsRecordIsRemoved)
+{
+    storeJob("a");
+    job_progress record;
+    record.state = graph_job_state::Completed;
+    store_transaction creation;
+    creation.put(graphProgressKey("a"), encodeJobProgress(record));
+    CHECK(!failureOf(model.commit(creation)));
+    elect();
+    // Records are removed each 5 s; a planner keeps its role over an outage this short.
+    loop.advance(run_planner_options{}.retention - 600ms);
+    store.faults().refuseWrites = true;
+    loop.advance(1s);
+    CHECK(service->isActive());
+    checkState("a", graph_job_state::Completed);
+}
+
+TEST(planner_service, recordsOfExpiredJobsAreRemoved)
+{
+    storeJob("a");
+    storeCancel("a");
+    elect();
+    loop.advance(run_planner_options{}.retention + 10s);
+    CHECK(model.range(graphJobKey("a"), {}).empty());
+    CHECK(model.range(graphCancelKey("a"), {}).empty());
+    CHECK(model.range(graphProgressKey("a"), {}).empty());
+    CHECK(!service->planner()->stateOf("a").has_value());
+}
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -387,9 +387,12 @@
     LONGS_EQUAL(2, planner.waitingIn("q1"));
     LONGS_EQUAL(0, planner.waitingIn("q0"));
     planner.cancelJob("a", wall);
-    CHECK(planner.takeExpired(wall + 1'000'000).empty());
+    CHECK(planner.expiredJobs(wall + 1'000'000, 10).empty());
     store();
-    CHECK(planner.takeExpired(wall + 100'000).empty());
-    LONGS_EQUAL(1, planner.takeExpired(wall + 200'000).size());
+    CHECK(planner.expiredJobs(wall + 100'000, 10).empty());
+    const std::vector<std::string> expired = planner.expiredJobs(wall + 200'000, 10);
+    LONGS_EQUAL(1, expired.size());
+    CHECK(planner.stateOf("a").has_value());
+    planner.forgetJobs(expired);
     CHECK(!planner.stateOf("a").has_value());
 }
