Store checkpoints of running tasks each second

A checkpoint reached the job's record only with the next end or start, so after a loss of all machines the work began anew. Checkpoints that were reported since are now stored together, at most once a second.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -56,6 +56,9 @@
     // A worker that fails what it starts, or on which tasks stand still, gets no starts for this
     // long; such faults last 5 to 7 s on the users' machines.
     duration avoidTime = 8s;
+    // Checkpoints are stored this often, so that the work before them survives the loss of all
+    // processes. The platform's backend servers save once a second.
+    duration checkpointInterval = 1s;
     // Finished jobs are kept this long for callers that ask for their state.
     duration retention = 150s;
 };
@@ -177,6 +180,7 @@
     // Planning.
     void endLapsedWorkers(unix_ms wall, time_point now);
     void stopStalledRuns(time_point now);
+    void storeCheckpoints(time_point now);
     std::vector<unit> collectUnits(time_point now);
     std::vector<worker_room> makeRooms(const std::string &service, time_point now);
     bool isUsable(const pool_worker &worker, time_point now) const;
@@ -220,6 +224,8 @@
     std::map<std::string, tracked_job> m_jobs;
     std::set<std::string> m_unfinished;
     std::set<std::string> m_changed; // jobs with a version that is not stored
+    std::set<std::string> m_checkpointed; // jobs with checkpoints that are in no version
+    time_point m_checkpointsStoredAt{};
     std::map<std::string, std::set<worker_id>> m_failedOn; // workers on which tasks of a job failed
     std::set<worker_id> m_news;
     std::vector<run_decision> m_decisions;
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -29,6 +29,7 @@
     for (const std::string &id : m_unfinished)
         m_jobs.at(id).openDue(wall);
     stopStalledRuns(now);
+    storeCheckpoints(now);
     if (!m_view.catalogue || now - m_view.confirmedAt > m_options.freshView)
         return;
     m_unitNumbers.clear();
@@ -87,6 +88,21 @@
     }
 }
 
+// Makes checkpoints part of their jobs' records, all of them at once to save writes.
+void run_planner::storeCheckpoints(time_point now)
+{
+    if (m_checkpointed.empty() || now - m_checkpointsStoredAt < m_options.checkpointInterval)
+        return;
+    m_checkpointsStoredAt = now;
+    for (const std::string &id : std::exchange(m_checkpointed, {})) {
+        const auto job = m_jobs.find(id);
+        if (job == m_jobs.end() || job->second.isFinished())
+            continue;
+        job->second.storeCheckpoints();
+        noteChanged(job->second);
+    }
+}
+
 // Jobs of priority 0 that are within their team's guarantee, in order of acceptance.
 std::map<std::string, bool> run_planner::guaranteedJobs() const
 {
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -200,8 +200,10 @@
             task->percent = running.percent;
             task->percentChangedAt = now;
         }
-        if (!running.saved.empty() && running.saved != task->record.saved)
+        if (!running.saved.empty() && running.saved != task->record.saved) {
             job->second.noteCheckpoint(valueOf(key), running.saved);
+            m_checkpointed.insert(job->first);
+        }
     }
     updatePace(worker, now);
 }
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -120,8 +120,12 @@
     bool endRun(const task_key &task, std::int32_t run, run_end how, const std::string &saved,
                 unix_ms wall);
 
+    // Takes a checkpoint of a running task. It is part of the next version.
     void noteCheckpoint(const task_key &task, const std::string &saved);
 
+    // Raises version(), so that the checkpoints taken so far are stored.
+    void storeCheckpoints() { ++m_version; }
+
     // Ends the job as cancelled unless it has ended. Runs that are active get stopWanted.
     void cancel(unix_ms wall);
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -136,6 +136,31 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Completed);
 }
 
+// Guards work against the loss of all processes: a checkpoint is only of use if it is stored.
+TEST(run_planner, storesCheckpointsOfRunningTasks)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    const std::string checkpoints[] = {"first", "second"};
+    for (const std::string &saved : checkpoints) {
+        worker_report_message report = reportOf("w1");
+        report.running.push_back({{"a.0.0.0", 1}, saved, 20, 0});
+        planner.onReport(report, wall, now);
+        now += run_planner_options{}.checkpointInterval;
+        confirm();
+        planner.plan(wall, now);
+        const std::vector<stored_change> changes = planner.takeChanges(100);
+        LONGS_EQUAL(1, changes.size());
+        const task_record &task = changes[0].progress.occurrences[0].steps[0].tasks[0];
+        STRCMP_EQUAL(saved.c_str(), task.saved.c_str());
+        planner.onStored(changes);
+    }
+    planner.plan(wall, now + 1s);
+    CHECK(planner.takeChanges(100).empty());
+}
+
 // Guards LIMIT: what may run counts, also what is being stopped.
 TEST(run_planner, neverExceedsTheRoomOfAWorker)
 {
