Tell the planner of accepted jobs and cancels

While the store drops its history, watches are deaf for a second or more.

Fronts now send what they have stored to the planner on the link that they have; the watch stays as the certain way. A job that was stored before is not sent, since it may have ended and its record may be gone.

--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -27,12 +27,13 @@
     void readState(const std::string &id, std::function<void(result<graph_job_state>)> callback);
     void readAcceptance(const std::string &id,
                         std::function<void(result<graph_job_state>)> callback);
+    void tellPlanner(const graph_intake_message &stored);
     void storeCancel(const std::string &id, std::function<void(result<done>)> callback);
 
     event_loop &loop;
     platform_store &store;
     graph_front_options options;
-    std::function<bool(const graph_query_message &)> ask;
+    std::function<bool(const message &)> send;
     operator_view view;
     bool isDraining = false;
     std::uint64_t lastQuery = 0;
@@ -59,11 +60,11 @@
 
 graph_front::graph_front(event_loop &loop, platform_store &store,
                          const graph_front_options &options,
-                         std::function<bool(const graph_query_message &)> ask)
+                         std::function<bool(const message &)> send)
     : m_state(std::make_shared<state>(loop, store))
 {
     m_state->options = options;
-    m_state->ask = std::move(ask);
+    m_state->send = std::move(send);
 }
 
 graph_front::~graph_front()
@@ -123,8 +124,9 @@
 {
     state &self = *m_state;
     const std::string key = graphJobKey(job.id);
+    graph_intake_message stored{job.id, encodeGraphJob(job)};
     store_transaction creation;
-    creation.requireAbsent(key).put(key, encodeGraphJob(job));
+    creation.requireAbsent(key).put(key, stored.accepted);
     const auto describe = [key = job_key{job.team, job.id}, queue = job.queue,
                            configuration = self.view.catalogue ? self.view.catalogue->at : 0,
                            age = self.loop.now() - self.view.confirmedAt](log_line line) {
@@ -134,18 +136,29 @@
             .field("configuration_age_ms", age.count())
             .write();
     };
-    self.store.commit(
-        std::move(creation), {call_priority::Normal, self.options.submitDeadline},
-        [describe, callback = std::move(callback)](const result<commit_reply> &outcome) {
-            if (const failure *error = failureOf(outcome)) {
-                describe(log_line(log_level::Warning, "job not stored").error(*error));
-                return callback(writeFailure(*error));
-            }
-            describe(log_line(log_level::Info, "job accepted")
-                         .atRevision(valueOf(outcome).at)
-                         .field("repeated", valueOf(outcome).applied ? 0 : 1));
-            callback(done{});
-        });
+    self.store.commit(std::move(creation), {call_priority::Normal, self.options.submitDeadline},
+                      [self = m_state, describe, stored = std::move(stored),
+                       callback = std::move(callback)](const result<commit_reply> &outcome) {
+                          if (const failure *error = failureOf(outcome)) {
+                              describe(
+                                  log_line(log_level::Warning, "job not stored").error(*error));
+                              return callback(writeFailure(*error));
+                          }
+                          // One that was stored before may have ended, and its record may be gone.
+                          if (valueOf(outcome).applied)
+                              self->tellPlanner(stored);
+                          describe(log_line(log_level::Info, "job accepted")
+                                       .atRevision(valueOf(outcome).at)
+                                       .field("repeated", valueOf(outcome).applied ? 0 : 1));
+                          callback(done{});
+                      });
+}
+
+// The planner's watch tells it too, but may be deaf for seconds.
+void graph_front::state::tellPlanner(const graph_intake_message &stored)
+{
+    if (!send(stored))
+        log_line(log_level::Info, "no planner to tell").field("request", stored.job).write();
 }
 
 // ---- state ---------------------------------------------------------------------------------
@@ -154,7 +167,7 @@
     graph_query_message query, std::function<void(std::optional<graph_reply_message>)> callback)
 {
     query.query = ++lastQuery;
-    if (!ask(query))
+    if (!send(query))
         return callback(std::nullopt);
     question &open = questions[query.query];
     open.callback = std::move(callback);
@@ -264,9 +277,11 @@
     store_transaction order;
     order.requireAbsent(key).put(key, id);
     store.commit(std::move(order), {call_priority::Urgent, options.submitDeadline},
-                 [id, callback = std::move(callback)](const result<commit_reply> &outcome) {
+                 [self = shared_from_this(), id,
+                  callback = std::move(callback)](const result<commit_reply> &outcome) {
                      if (const failure *error = failureOf(outcome))
                          return callback(writeFailure(*error));
+                     self->tellPlanner({id, {}});
                      log_line(log_level::Info, "cancel accepted")
                          .atRevision(valueOf(outcome).at)
                          .field("request", id)
--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -2,15 +2,14 @@
 
 // The callers' side of graph jobs: routing, keys, durable acceptance, state, cancelling.
 //
-//   graph_front front(loop, store, options, [&](const graph_query_message &q) {
-//       return finder.send(q);
-//   });
+//   graph_front front(loop, store, options, [&](const message &m) { return finder.send(m); });
 //   front.setView(view);                        // each time the configuration was confirmed
 //   auto admitted = front.admit(host, path, key);
 //   front.submit(job, [](result<done> outcome) { ... });
 //
 // A submission succeeds once the job is stored; all failures but OutcomeUnknown mean that it never
-// runs. The planner is asked for states, and the store if no planner answers.
+// runs. The planner is asked for states, and the store if no planner answers. It is also told of
+// what was stored; if that is lost, it finds it in the store.
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/graph_job.h"
@@ -55,9 +54,9 @@
 class graph_front
 {
 public:
-    // @param ask sends a question to the planner; returns false if none is connected
+    // @param send gives a message to the planner; returns false if none is connected
     graph_front(event_loop &loop, platform_store &store, const graph_front_options &options,
-                std::function<bool(const graph_query_message &)> ask);
+                std::function<bool(const message &)> send);
     ~graph_front();
     graph_front(const graph_front &) = delete;
     graph_front &operator=(const graph_front &) = delete;
--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -656,4 +656,14 @@
     }
 };
 
+template<>
+struct field_list<graph_intake_message>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields("job", value.job)("accepted", value.accepted);
+    }
+};
+
 } // namespace goldcrest::positional
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -462,6 +462,14 @@
     std::int64_t waiting = 0; // accepted jobs of the queue of which no task has started
 };
 
+// Entry to planner: what it has just stored, so that the planner need not wait for its watch of the
+// store. Answered with the job's state.
+struct graph_intake_message
+{
+    std::string job; // id
+    std::string accepted; // the job as stored; empty if it was cancelled
+};
+
 // The position in the variant is the kind number on the wire: append only.
 using message = std::variant<
     hello_message, hold_message, hold_reply_message, start_message, task_started_message,
@@ -472,6 +480,6 @@
     explain_job_message, explain_reply_message, job_update_message, config_push_message,
     config_ack_message, outage_query_message, outage_reply_message, cell_status_request_message,
     cell_status_message, worker_report_message, worker_orders_message, graph_query_message,
-    graph_reply_message>;
+    graph_reply_message, graph_intake_message>;
 
 } // namespace goldcrest
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -50,8 +50,9 @@
     void readIntakeAgain();
     void takeListing(const std::vector<store_entry> &entries,
                      const std::map<std::string, job_progress> &records);
-    void takeJob(const store_entry &entry, const std::map<std::string, job_progress> &records);
-    void takeCancel(const store_entry &entry);
+    void takeEntry(const store_entry &entry, const std::map<std::string, job_progress> &records);
+    void takeJob(std::string_view id, std::string_view value,
+                 const std::map<std::string, job_progress> &records);
     void schedulePlan();
     void plan();
     void commit();
@@ -68,6 +69,8 @@
     void onMessage(const std::shared_ptr<peer_link> &link, const message &received);
     void onReport(const std::shared_ptr<peer_link> &link, const worker_report_message &report);
     void onQuery(const std::shared_ptr<peer_link> &link, const graph_query_message &query);
+    void onIntakeMessage(const std::shared_ptr<peer_link> &link,
+                         const graph_intake_message &intake);
 
     // Wraps a callback so that it runs only in the term in which it was made.
     template<typename Callback>
@@ -343,12 +346,8 @@
     }
     // Events come in the order of their writes, and a job is stored before its cancel.
     for (const watch_event &event : batch.events) {
-        if (event.deleted)
-            continue;
-        if (startsWith(event.entry.key, graphJobKey({})))
-            takeJob(event.entry, {});
-        else if (startsWith(event.entry.key, graphCancelKey({})))
-            takeCancel(event.entry);
+        if (!event.deleted)
+            takeEntry(event.entry, {});
     }
     schedulePlan();
 }
@@ -381,22 +380,35 @@
 void planner_service::state::takeListing(const std::vector<store_entry> &entries,
                                          const std::map<std::string, job_progress> &records)
 {
+    const auto isJob
+        = [](const store_entry &entry) { return startsWith(entry.key, graphJobKey({})); };
     for (const store_entry &entry : entries) {
-        if (startsWith(entry.key, graphJobKey({})))
-            takeJob(entry, records);
+        if (isJob(entry))
+            takeEntry(entry, records);
     }
     for (const store_entry &entry : entries) {
-        if (startsWith(entry.key, graphCancelKey({})))
-            takeCancel(entry);
+        if (!isJob(entry))
+            takeEntry(entry, records);
     }
 }
 
-void planner_service::state::takeJob(const store_entry &entry,
+void planner_service::state::takeEntry(const store_entry &entry,
+                                       const std::map<std::string, job_progress> &records)
+{
+    const std::string jobPrefix = graphJobKey({});
+    const std::string cancelPrefix = graphCancelKey({});
+    if (startsWith(entry.key, jobPrefix))
+        takeJob(entry.key.substr(jobPrefix.size()), entry.value, records);
+    else if (startsWith(entry.key, cancelPrefix))
+        planner->cancelJob(entry.key.substr(cancelPrefix.size()), wall());
+}
+
+void planner_service::state::takeJob(std::string_view id, std::string_view value,
                                      const std::map<std::string, job_progress> &records)
 {
-    const result<graph_job> job = decodeGraphJob(entry.value);
+    const result<graph_job> job = decodeGraphJob(value);
     if (const failure *error = failureOf(job)) {
-        log_line(log_level::Error, "job unreadable").error(*error).field("key", entry.key).write();
+        log_line(log_level::Error, "job unreadable").error(*error).field("request", id).write();
         return;
     }
     const auto record = records.find(valueOf(job).id);
@@ -405,11 +417,6 @@
                     loop.now());
 }
 
-void planner_service::state::takeCancel(const store_entry &entry)
-{
-    planner->cancelJob(entry.key.substr(graphCancelKey({}).size()), wall());
-}
-
 // ---- planning ------------------------------------------------------------------------------
 
 void planner_service::state::schedulePlan()
@@ -628,6 +635,8 @@
         onReport(link, *report);
     else if (const auto *query = std::get_if<graph_query_message>(&received))
         onQuery(link, *query);
+    else if (const auto *intake = std::get_if<graph_intake_message>(&received))
+        onIntakeMessage(link, *intake);
 }
 
 void planner_service::state::onReport(const std::shared_ptr<peer_link> &link,
@@ -659,6 +668,18 @@
     link->send(reply);
 }
 
+void planner_service::state::onIntakeMessage(const std::shared_ptr<peer_link> &link,
+                                             const graph_intake_message &intake)
+{
+    if (intake.accepted.empty())
+        planner->cancelJob(intake.job, wall());
+    else
+        takeJob(intake.job, intake.accepted, {});
+    schedulePlan();
+    // The front takes a planner that does not answer for lost.
+    link->send(graph_reply_message{});
+}
+
 void planner_service::state::sendOrders()
 {
     for (const worker_id &worker : planner->takeNews())
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -35,9 +35,13 @@
     store_model model;
     fake_store store{model, loop};
     std::vector<graph_query_message> queries;
+    std::vector<graph_intake_message> intakes;
     bool hasPlanner = false;
-    graph_front front{loop, store, {}, [this](const graph_query_message &query) {
-                          queries.push_back(query);
+    graph_front front{loop, store, {}, [this](const message &value) {
+                          if (const auto *query = std::get_if<graph_query_message>(&value))
+                              queries.push_back(*query);
+                          if (const auto *intake = std::get_if<graph_intake_message>(&value))
+                              intakes.push_back(*intake);
                           return hasPlanner;
                       }};
     platform::front_api api{front, [] { return unix_ms{1000}; }};
@@ -123,6 +127,26 @@
     LONGS_EQUAL(revision, model.current());
 }
 
+// Guards starts while the planner's watch of the store is deaf. A job that was there before may
+// have ended, and is not told again.
+TEST(graph_front, tellsThePlannerWhatItHasStored)
+{
+    confirm();
+    hasPlanner = true;
+    store.faults().loseRequests = 1;
+    LONGS_EQUAL(504, send("POST", "/p/00000000000000aa", "key", someBody, 2s));
+    CHECK(intakes.empty());
+    confirm();
+    LONGS_EQUAL(200, send("POST", "/p/" + someId, "key", someBody, 10ms));
+    LONGS_EQUAL(200, send("POST", "/p/" + someId, "key", someBody, 10ms));
+    LONGS_EQUAL(1, intakes.size());
+    STRCMP_EQUAL(someId.c_str(), intakes[0].job.c_str());
+    CHECK(!failureOf(decodeGraphJob(intakes[0].accepted)));
+    LONGS_EQUAL(200, send("DELETE", "/p/" + someId, "key", {}, 50ms));
+    LONGS_EQUAL(2, intakes.size());
+    CHECK(intakes[1].accepted.empty());
+}
+
 // 503 promises that the job never runs; a write without an answer promises nothing.
 TEST(graph_front, lostAnswerIsNotARefusal)
 {
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -285,7 +285,7 @@
         , store(plain, model.m_loop, sidecar::storeOptions(100 + number))
         , network(model.m_network.of("f" + std::to_string(number) + ":7000"))
         , core(model.m_loop, store, {},
-               [this](const graph_query_message &query) { return finder && finder->send(query); })
+               [this](const message &value) { return finder && finder->send(value); })
     {
         planner_finder_callbacks callbacks;
         callbacks.onOpen = [](epoch) {};
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -4,14 +4,48 @@
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace goldcrest;
 
+namespace {
+
+// Keeps what the planner sends, and lets the test send.
+class recording_link final : public peer_link
+{
+public:
+    bool send(const message &value) override
+    {
+        sent.push_back(value);
+        return true;
+    }
+    void close() override { }
+    bool isOpen() const override { return true; }
+    std::string peerAddress() const override { return "f1:7000"; }
+    const hello_message &peer() const override { return m_greeting; }
+    void onMessage(std::function<void(const message &)> callback) override
+    {
+        receive = std::move(callback);
+    }
+    void onOpen(std::function<void()>) override { }
+    void onClose(std::function<void()>) override { }
+
+    std::vector<message> sent;
+    std::function<void(const message &)> receive;
+
+private:
+    hello_message m_greeting;
+};
+
+} // namespace
+
 TEST_GROUP(planner_service)
 {
     virtual_event_loop loop;
@@ -41,14 +75,19 @@
         loop.advance(100ms);
     }
 
-    void storeJob(const std::string &id)
+    static std::string encodedJob(const std::string &id)
     {
         graph_job job;
         job.id = id;
         job.queue = "q";
         job.steps.emplace_back();
+        return encodeGraphJob(job);
+    }
+
+    void storeJob(const std::string &id)
+    {
         store_transaction creation;
-        creation.put(graphJobKey(id), encodeGraphJob(job));
+        creation.put(graphJobKey(id), encodedJob(id));
         CHECK(!failureOf(model.commit(creation)));
     }
 
@@ -81,6 +120,31 @@
     checkState("a", graph_job_state::Cancelled);
 }
 
+// A watch may be deaf for seconds while jobs are accepted; each message is answered, since a front
+// leaves a planner that is silent.
+TEST(planner_service, frontsTellOfJobsAndCancels)
+{
+    elect();
+    store.faults().muteWatches = true;
+    const auto link = std::make_shared<recording_link>();
+    service->accept(link);
+    storeJob("a");
+    link->receive(graph_intake_message{"a", encodedJob("a")});
+    LONGS_EQUAL(1, link->sent.size());
+    loop.advance(100ms);
+    checkState("a", graph_job_state::Queued);
+    storeCancel("a");
+    link->receive(graph_intake_message{"a", {}});
+    LONGS_EQUAL(2, link->sent.size());
+    loop.advance(100ms);
+    checkState("a", graph_job_state::Cancelled);
+    // The watch tells of them once more.
+    store.faults().muteWatches = false;
+    store.breakWatches();
+    loop.advance(1s);
+    checkState("a", graph_job_state::Cancelled);
+}
+
 TEST(planner_service, cancelBeforeTheElectionIsKept)
 {
     storeJob("a");
