Keep to the time that a caller still waits

Callers say with Deadline-Ms how long they still wait, 3 s with the first of about five tries and less with each further one, and 1 s for a job's state. The front held submissions for 0.9 s and reads for up to 2.7 s whatever they said, so late tries in an outage of the store ended without an answer.

Calls to the store now end within 0.4 of that time for writes, so that another try fits in, and 0.8 for reads. answersWithinTheCallersTime failed before.

--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -2,12 +2,22 @@
 
 #include "goldcrest/log_fields.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
 
 namespace goldcrest {
 
+namespace {
+
+duration shareOf(duration time, double share)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * share));
+}
+
+} // namespace
+
 struct graph_front::state : std::enable_shared_from_this<graph_front::state>
 {
     state(event_loop &eventLoop, platform_store &platformStore)
@@ -21,14 +31,31 @@
         timer_handle timeout;
     };
 
-    void askPlanner(graph_query_message query,
+    // Returns when a caller that waits for another `timeLeft` must have the answer to a read.
+    time_point readEnd(duration timeLeft) const
+    {
+        return loop.now() + std::min(options.readDeadline, shareOf(timeLeft, options.readShare));
+    }
+    // Returns the deadline of a read that must end by `end`.
+    call_options readUntil(time_point end) const
+    {
+        return {call_priority::Normal, std::max<duration>(1ms, end - loop.now())};
+    }
+    call_options writeOptions(call_priority priority, duration timeLeft) const
+    {
+        return {priority, std::min(options.submitDeadline, shareOf(timeLeft, options.submitShare))};
+    }
+
+    void askPlanner(graph_query_message query, time_point end,
                     std::function<void(std::optional<graph_reply_message>)> callback);
     void finish(std::uint64_t query, const std::optional<graph_reply_message> &reply);
-    void readState(const std::string &id, std::function<void(result<graph_job_state>)> callback);
-    void readAcceptance(const std::string &id,
+    void readState(const std::string &id, time_point end,
+                   std::function<void(result<graph_job_state>)> callback);
+    void readAcceptance(const std::string &id, time_point end,
                         std::function<void(result<graph_job_state>)> callback);
     void tellPlanner(const graph_intake_message &stored);
-    void storeCancel(const std::string &id, std::function<void(result<done>)> callback);
+    void storeCancel(const std::string &id, const call_options &bound,
+                     std::function<void(result<done>)> callback);
 
     event_loop &loop;
     platform_store &store;
@@ -120,7 +147,8 @@
     return admitted;
 }
 
-void graph_front::submit(const graph_job &job, std::function<void(result<done>)> callback)
+void graph_front::submit(const graph_job &job, duration timeLeft,
+                         std::function<void(result<done>)> callback)
 {
     state &self = *m_state;
     const std::string key = graphJobKey(job.id);
@@ -136,7 +164,7 @@
             .field("configuration_age_ms", age.count())
             .write();
     };
-    self.store.commit(std::move(creation), {call_priority::Normal, self.options.submitDeadline},
+    self.store.commit(std::move(creation), self.writeOptions(call_priority::Normal, timeLeft),
                       [self = m_state, describe, stored = std::move(stored),
                        callback = std::move(callback)](const result<commit_reply> &outcome) {
                           if (const failure *error = failureOf(outcome)) {
@@ -164,18 +192,19 @@
 // ---- state ---------------------------------------------------------------------------------
 
 void graph_front::state::askPlanner(
-    graph_query_message query, std::function<void(std::optional<graph_reply_message>)> callback)
+    graph_query_message query, time_point end,
+    std::function<void(std::optional<graph_reply_message>)> callback)
 {
     query.query = ++lastQuery;
     if (!send(query))
         return callback(std::nullopt);
     question &open = questions[query.query];
     open.callback = std::move(callback);
-    open.timeout
-        = loop.after(options.queryTimeout, [weak = weak_from_this(), number = query.query] {
-              if (const std::shared_ptr<state> self = weak.lock())
-                  self->finish(number, std::nullopt);
-          });
+    open.timeout = loop.after(std::min(options.queryTimeout, (end - loop.now()) / 2),
+                              [weak = weak_from_this(), number = query.query] {
+                                  if (const std::shared_ptr<state> self = weak.lock())
+                                      self->finish(number, std::nullopt);
+                              });
 }
 
 void graph_front::state::finish(std::uint64_t query,
@@ -194,32 +223,33 @@
     m_state->finish(reply.query, reply);
 }
 
-void graph_front::stateOf(const std::string &id,
+void graph_front::stateOf(const std::string &id, duration timeLeft,
                           std::function<void(result<graph_job_state>)> callback)
 {
     graph_query_message query;
     query.job = id;
-    m_state->askPlanner(query,
-                        [self = m_state, id, callback = std::move(callback)](
+    const time_point end = m_state->readEnd(timeLeft);
+    m_state->askPlanner(query, end,
+                        [self = m_state, id, end, callback = std::move(callback)](
                             const std::optional<graph_reply_message> &reply) {
                             // A job that was just accepted may not have reached the planner.
                             if (!reply || !reply->isKnown)
-                                return self->readState(id, callback);
+                                return self->readState(id, end, callback);
                             callback(static_cast<graph_job_state>(reply->state));
                         });
 }
 
-void graph_front::state::readState(const std::string &id,
+void graph_front::state::readState(const std::string &id, time_point end,
                                    std::function<void(result<graph_job_state>)> callback)
 {
-    store.get(graphProgressKey(id), {call_priority::Normal, options.readDeadline},
-              [self = shared_from_this(), id,
+    store.get(graphProgressKey(id), readUntil(end),
+              [self = shared_from_this(), id, end,
                callback = std::move(callback)](const result<std::optional<store_entry>> &outcome) {
                   if (const failure *error = failureOf(outcome))
                       return callback(unreachable(*error));
                   const std::optional<store_entry> &entry = valueOf(outcome);
                   if (!entry)
-                      return self->readAcceptance(id, callback);
+                      return self->readAcceptance(id, end, callback);
                   const result<job_progress> progress = decodeJobProgress(entry->value);
                   if (const failure *error = failureOf(progress))
                       return callback(unreachable(*error));
@@ -227,10 +257,10 @@
               });
 }
 
-void graph_front::state::readAcceptance(const std::string &id,
+void graph_front::state::readAcceptance(const std::string &id, time_point end,
                                         std::function<void(result<graph_job_state>)> callback)
 {
-    store.get(graphJobKey(id), {call_priority::Normal, options.readDeadline},
+    store.get(graphJobKey(id), readUntil(end),
               [callback = std::move(callback)](const result<std::optional<store_entry>> &outcome) {
                   if (const failure *error = failureOf(outcome))
                       return callback(unreachable(*error));
@@ -240,13 +270,14 @@
               });
 }
 
-void graph_front::waitingIn(const std::string &queue,
+void graph_front::waitingIn(const std::string &queue, duration timeLeft,
                             std::function<void(result<std::int64_t>)> callback)
 {
     graph_query_message query;
     query.queue = queue;
     m_state->askPlanner(
-        query, [callback = std::move(callback)](const std::optional<graph_reply_message> &reply) {
+        query, m_state->readEnd(timeLeft),
+        [callback = std::move(callback)](const std::optional<graph_reply_message> &reply) {
             if (!reply)
                 return callback(makeFailure(code::PlannerUnreachable, "no planner answers"));
             callback(reply->waiting);
@@ -255,28 +286,30 @@
 
 // ---- cancelling ----------------------------------------------------------------------------
 
-void graph_front::cancel(const std::string &id, std::function<void(result<done>)> callback)
+void graph_front::cancel(const std::string &id, duration timeLeft,
+                         std::function<void(result<done>)> callback)
 {
     // Only accepted jobs are cancelled, so that the key of a job that never was does not stay.
+    const call_options bound = m_state->writeOptions(call_priority::Urgent, timeLeft);
     m_state->store.get(
-        graphJobKey(id), {call_priority::Urgent, m_state->options.readDeadline},
-        [self = m_state, id,
+        graphJobKey(id), bound,
+        [self = m_state, id, bound,
          callback = std::move(callback)](const result<std::optional<store_entry>> &outcome) {
             if (const failure *error = failureOf(outcome))
                 return callback(*error);
             if (!valueOf(outcome))
                 return callback(makeFailure(code::UnknownRequest, "there is no such job"));
-            self->storeCancel(id, callback);
+            self->storeCancel(id, bound, callback);
         });
 }
 
-void graph_front::state::storeCancel(const std::string &id,
+void graph_front::state::storeCancel(const std::string &id, const call_options &bound,
                                      std::function<void(result<done>)> callback)
 {
     const std::string key = graphCancelKey(id);
     store_transaction order;
     order.requireAbsent(key).put(key, id);
-    store.commit(std::move(order), {call_priority::Urgent, options.submitDeadline},
+    store.commit(std::move(order), bound,
                  [self = shared_from_this(), id,
                   callback = std::move(callback)](const result<commit_reply> &outcome) {
                      if (const failure *error = failureOf(outcome))
--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -37,10 +37,12 @@
     // it has time for a try at another one; a store that is 100 times slower still answers in it.
     duration submitDeadline = 900ms;
     duration readDeadline = 1200ms;
+    // Shares of the time that a caller still waits, which bound these calls too. A submission that
+    // fails must leave time for another try; a read has no use for it.
+    double submitShare = 0.4;
+    double readShare = 0.8;
     // A planner answers within milliseconds; then the store is asked.
     duration queryTimeout = 250ms;
-    // Callers that are refused come back after this.
-    duration retryAfter = 1s;
 };
 
 // What a request of a caller is about.
@@ -76,17 +78,22 @@
     // Stores a job. A job with this id that is stored already stays as it is, and the call
     // succeeds. Errors: StoreUnavailable, StoreOverBudget: not stored. OutcomeUnknown: it
     // may be.
-    void submit(const graph_job &job, std::function<void(result<done>)> callback);
+    // @param timeLeft how long the caller still waits, here and below
+    void submit(const graph_job &job, duration timeLeft,
+                std::function<void(result<done>)> callback);
 
     // Errors: UnknownRequest, PlannerUnreachable if neither planner nor store answers.
-    void stateOf(const std::string &id, std::function<void(result<graph_job_state>)> callback);
+    void stateOf(const std::string &id, duration timeLeft,
+                 std::function<void(result<graph_job_state>)> callback);
 
     // Errors: UnknownRequest, OutcomeUnknown, StoreUnavailable.
-    void cancel(const std::string &id, std::function<void(result<done>)> callback);
+    void cancel(const std::string &id, duration timeLeft,
+                std::function<void(result<done>)> callback);
 
     // Gives the number of accepted jobs of a queue of which no task has started.
     // Errors: PlannerUnreachable.
-    void waitingIn(const std::string &queue, std::function<void(result<std::int64_t>)> callback);
+    void waitingIn(const std::string &queue, duration timeLeft,
+                   std::function<void(result<std::int64_t>)> callback);
 
     // Reports itself as not ready from now on. Requests on open connections are still served: an
     // accepted job needs nothing of this process.
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -69,12 +69,12 @@
 
     // Sends a request and returns the status, or 0 while there is no answer.
     int send(const std::string &method, const std::string &path, const std::string &key = "key",
-             const std::string &body = {}, duration wait = 3s)
+             const std::string &body = {}, duration wait = 3s, const std::string &timeLeft = "3000")
     {
         server_request request;
         request.method = method;
         request.path = path;
-        request.headers = {{"host", "a.example"}, {"key", key}};
+        request.headers = {{"host", "a.example"}, {"key", key}, {"deadline-ms", timeLeft}};
         request.body = body;
         const auto answer = std::make_shared<recorded_response>();
         api.handle(request, answer);
@@ -147,6 +147,23 @@
     CHECK(intakes[1].accepted.empty());
 }
 
+// A caller whose time ends soon is told in time, so that it does not wait in vain.
+TEST(graph_front, answersWithinTheCallersTime)
+{
+    confirm();
+    store.faults().silent = true;
+    LONGS_EQUAL(0, send("POST", "/p/" + someId, "key", someBody, 800ms));
+    confirm();
+    LONGS_EQUAL(504, send("POST", "/p/00000000000000aa", "key", someBody, 400ms, "900"));
+    LONGS_EQUAL(504, send("POST", "/p/00000000000000ab", "key", someBody, 50ms, "100"));
+    confirm();
+    LONGS_EQUAL(503, send("GET", "/p/" + someId, "key", {}, 850ms, "990"));
+    confirm();
+    hasPlanner = true; // and does not answer
+    LONGS_EQUAL(503, send("GET", "/p/" + someId, "key", {}, 850ms, "990"));
+    LONGS_EQUAL(503, send("GET", "/p/" + someId, "key", {}, 85ms, "100"));
+}
+
 // 503 promises that the job never runs; a write without an answer promises nothing.
 TEST(graph_front, lostAnswerIsNotARefusal)
 {
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -16,6 +16,7 @@
 constexpr duration idleLimit = 1500ms; // after which a silent link closes
 constexpr duration announcementInterval = 1500ms;
 constexpr duration viewInterval = 600ms;
+constexpr duration callerPatience = 3s;
 const resources workerCapacity{64'000, 262'144, 8};
 
 std::string addressOf(std::size_t index)
@@ -412,7 +413,7 @@
     ++m_report.jobs;
     front &chosen = *m_fronts[static_cast<std::size_t>(between(0, frontCount - 1))];
     chosen.core.setView(view());
-    chosen.core.submit(job, [this, id = job.id](const result<done> &outcome) {
+    chosen.core.submit(job, callerPatience, [this, id = job.id](const result<done> &outcome) {
         if (!failureOf(outcome))
             m_accepted.insert(id);
     });
@@ -425,10 +426,11 @@
     auto chosen = m_accepted.begin();
     std::advance(chosen, between(0, static_cast<std::int64_t>(m_accepted.size()) - 1));
     m_cancelled.insert(*chosen);
-    m_fronts[0]->core.cancel(*chosen, [this, id = *chosen](const result<done> &outcome) {
-        if (!failureOf(outcome))
-            m_world.noteCancelled(id);
-    });
+    m_fronts[0]->core.cancel(*chosen, callerPatience,
+                             [this, id = *chosen](const result<done> &outcome) {
+                                 if (!failureOf(outcome))
+                                     m_world.noteCancelled(id);
+                             });
 }
 
 // Watches hear nothing for a while; then the history is dropped and they are cut.
@@ -557,7 +559,7 @@
         if (m_seen[id] != graph_job_state::Queued && m_seen[id] != graph_job_state::Running)
             continue;
         front &chosen = *m_fronts[static_cast<std::size_t>(between(0, frontCount - 1))];
-        chosen.core.stateOf(id, [this, id](const result<graph_job_state> &state) {
+        chosen.core.stateOf(id, callerPatience, [this, id](const result<graph_job_state> &state) {
             if (const failure *error = failureOf(state)) {
                 if (error->number == code::UnknownRequest)
                     m_report.violations.push_back("accepted job unknown: " + id);
