--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -76,14 +76,15 @@
                 = std::max(shortestStall,
                            duration(static_cast<duration::rep>(
                                stallShare * static_cast<double>(task.runEstimate.count()))));
-            if (now - task.percentChangedAt < patience)
+            // Time without reports says nothing of the task.
+            const duration stalled = worker.reportedAt - task.percentChangedAt;
+            if (stalled < patience)
                 continue;
             task.stopWanted = true;
             worker.avoidUntil = now + m_options.avoidTime;
             m_news.insert(id);
             decide("run stopped", key, task.record.lastRun, id, "no progress",
-                   fmt::format("percent={} for_ms={}", task.percent,
-                               (now - task.percentChangedAt).count()));
+                   fmt::format("percent={} for_ms={}", task.percent, stalled.count()));
         }
     }
 }
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -161,6 +161,30 @@
     CHECK(planner.takeChanges(100).empty());
 }
 
+// A run without progress over several reports is started elsewhere; silence of its worker is no
+// sign of that.
+TEST(run_planner, stopsARunThatStandsStillAndNotOneWithoutReports)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    const auto reportRunning = [this] {
+        worker_report_message report = reportOf("w1");
+        report.running.push_back({{"a.0.0.0", 1}, {}, 20, 0});
+        planner.onReport(report, wall, now);
+    };
+    reportRunning();
+    now += 1s;
+    reportRunning();
+    now += 1900ms;
+    planAndStore();
+    CHECK(ordersOf("w1").stops.empty());
+    reportRunning();
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
 // Guards LIMIT: what may run counts, also what is being stopped.
 TEST(run_planner, neverExceedsTheRoomOfAWorker)
 {
