Replace a planner that can't reach the store before its lease ends

A planner without a confirmed renewal for 0.8 s now asks three of its agents at a time to remove its leader key. One that reaches the store does so, under the condition of the key's revision, and tells the planner, which closes its links. If the store is down for all, nothing changes. Records are still conditioned on the key, so nothing of the old planner is stored afterwards; it may grant leases until its own is over, which the successor adds to the leases of workers that it can't reach.

Ruled out: a shorter lease (renewals of a store that is 100 times slower than usual take 0.4 s), and stepping down without a successor (a lease that pauses in an outage would be lost).

--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -285,6 +285,11 @@
     return isLeader() && now < m_state->heldFrom + m_state->times.lifetime - m_state->times.margin;
 }
 
+duration membership::unconfirmedFor(time_point now) const
+{
+    return now - m_state->heldFrom;
+}
+
 bool membership::storeSilent() const
 {
     return m_state->isSilent;
--- a/goldcrest/membership.h
+++ b/goldcrest/membership.h
@@ -76,6 +76,9 @@
     // has confirmed both the lease and the key.
     bool leaseHolds(time_point now) const;
 
+    // Returns the time since the last renewal that held was sent.
+    duration unconfirmedFor(time_point now) const;
+
     // Returns whether no renewal got an answer since the last one that held, that is, the store may
     // be down.
     bool storeSilent() const;
--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -666,4 +666,14 @@
     }
 };
 
+template<>
+struct field_list<takeover_message>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields.count("plannerEpoch", value.plannerEpoch);
+    }
+};
+
 } // namespace goldcrest::positional
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -470,6 +470,13 @@
     std::string accepted; // the job as stored; empty if it was cancelled
 };
 
+// Planner to agent: the planner can't reach the store, and an agent that can is to remove its
+// leader key. Agent to planner: that was done, so another planner may lead from now on.
+struct takeover_message
+{
+    epoch plannerEpoch = 0;
+};
+
 // The position in the variant is the kind number on the wire: append only.
 using message = std::variant<
     hello_message, hold_message, hold_reply_message, start_message, task_started_message,
@@ -480,6 +487,6 @@
     explain_job_message, explain_reply_message, job_update_message, config_push_message,
     config_ack_message, outage_query_message, outage_reply_message, cell_status_request_message,
     cell_status_message, worker_report_message, worker_orders_message, graph_query_message,
-    graph_reply_message, graph_intake_message>;
+    graph_reply_message, graph_intake_message, takeover_message>;
 
 } // namespace goldcrest
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -17,6 +17,12 @@
 constexpr call_options loadOptions{call_priority::Urgent, 2s};
 constexpr call_options commitOptions{call_priority::Urgent, 1500ms};
 
+// An agent that takes longer is cut off itself.
+constexpr call_options takeoverOptions{call_priority::Urgent, 400ms};
+constexpr duration takeoverInterval = 200ms;
+// One that reaches the store is enough; others are asked next.
+constexpr std::size_t agentsAskedAtOnce = 3;
+
 // Coalesces the events of one moment into one pass.
 constexpr duration planDelay = 5ms;
 // Leases end and occurrences fall due without an event.
@@ -38,7 +44,8 @@
         , store(platformStore)
     { }
 
-    void removeStale(const store_entry &entry);
+    void removeKey(const store_entry &entry, std::function<void()> then);
+    void askForTakeover();
     void begin(epoch number);
     void end(std::string_view reason);
     void loadRecords();
@@ -69,6 +76,7 @@
     void onMessage(const std::shared_ptr<peer_link> &link, const message &received);
     void onReport(const std::shared_ptr<peer_link> &link, const worker_report_message &report);
     void onQuery(const std::shared_ptr<peer_link> &link, const graph_query_message &query);
+    void onTakeover(const takeover_message &takeover);
     void onIntakeMessage(const std::shared_ptr<peer_link> &link,
                          const graph_intake_message &intake);
 
@@ -117,6 +125,8 @@
     timer_handle expiryTimer;
     std::set<std::shared_ptr<peer_link>> links;
     std::map<worker_id, std::shared_ptr<peer_link>> agents;
+    worker_id lastAsked; // for a takeover
+    time_point takeoverAskedAt{};
 };
 
 // ---- role ----------------------------------------------------------------------------------
@@ -166,21 +176,66 @@
     const bool isOwn = self.role->isLeader() || self.role->isCandidate();
     if (leader.address != self.options.address || isOwn)
         return true;
-    self.removeStale(entry);
+    self.removeKey(entry, [] {});
     return false;
 }
 
-void planner_service::state::removeStale(const store_entry &entry)
+// If it fails, the lease ends by itself.
+void planner_service::state::removeKey(const store_entry &entry, std::function<void()> then)
 {
     store_transaction removal;
     removal.requireModRevision(entry.key, entry.modRevision).remove(entry.key);
-    // If it fails, the lease ends by itself.
-    store.commit(std::move(removal), commitOptions, [](const result<commit_reply> &outcome) {
-        log_line line(log_level::Info, "leader key of an earlier process removed");
-        if (const failure *error = failureOf(outcome))
-            line.error(*error);
-        line.write();
-    });
+    store.commit(std::move(removal), commitOptions,
+                 [removed = entry.createRevision,
+                  then = std::move(then)](const result<commit_reply> &outcome) {
+                     const failure *error = failureOf(outcome);
+                     const bool isRemoved = !error && valueOf(outcome).applied;
+                     log_line line(log_level::Info, "leader key of a lost planner removed");
+                     line.atEpoch(removed).field("removed", isRemoved ? 1 : 0);
+                     if (error)
+                         line.error(*error);
+                     line.write();
+                     if (isRemoved)
+                         then();
+                 });
+}
+
+void planner_service::takeOver(epoch cutOff, std::function<void()> then)
+{
+    m_state->store.get(leaderKey(m_state->options.cell), takeoverOptions,
+                       [weak = std::weak_ptr<state>(m_state), cutOff,
+                        then = std::move(then)](const result<std::optional<store_entry>> &outcome) {
+                           const std::shared_ptr<state> self = weak.lock();
+                           const std::optional<store_entry> *entry
+                               = std::get_if<std::optional<store_entry>>(&outcome);
+                           if (self && entry && *entry && (*entry)->createRevision == cutOff)
+                               self->removeKey(**entry, then);
+                       });
+}
+
+// Asks some agents to remove this planner's key while the store does not answer it. They can't
+// either if the store is down for all, and then nothing changes.
+void planner_service::state::askForTakeover()
+{
+    const time_point now = loop.now();
+    const bool isCutOff = role->storeSilent() || role->unconfirmedFor(now) > options.takeoverAfter;
+    if (!role->isLeader() || !isCutOff || now - takeoverAskedAt < takeoverInterval)
+        return;
+    takeoverAskedAt = now;
+    log_line(log_level::Warning, "planner asks for a takeover")
+        .atEpoch(role->currentEpoch())
+        .field("unconfirmed_ms", role->unconfirmedFor(now).count())
+        .limit("takeover")
+        .write();
+    auto next = agents.upper_bound(lastAsked);
+    for (std::size_t i = 0; i < std::min(agents.size(), agentsAskedAtOnce); ++i, ++next) {
+        if (next == agents.end())
+            next = agents.begin();
+        lastAsked = next->first;
+        // The agent of this process has the same store.
+        if (lastAsked != options.worker)
+            next->second->send(takeover_message{role->currentEpoch()});
+    }
 }
 
 bool planner_service::isElected() const
@@ -239,7 +294,9 @@
 {
     ++term;
     log_line(log_level::Info, "planner elected").atEpoch(number).write();
-    planner = std::make_unique<run_planner>(options.planner, number, loop.now());
+    run_planner_options decisions = options.planner;
+    decisions.predecessorLease = options.election.lifetime;
+    planner = std::make_unique<run_planner>(decisions, number, loop.now());
     if (options.onRole)
         options.onRole(true);
     loadRecords();
@@ -320,7 +377,10 @@
     isActive = true;
     // Jobs that were stored after the election and before the listing appear twice.
     watchIntake(role->currentEpoch() + 1);
-    planTimer = loop.every(planInterval, [this] { plan(); });
+    planTimer = loop.every(planInterval, [this] {
+        plan();
+        askForTakeover();
+    });
     expiryTimer = loop.every(expiryInterval, [this] { removeExpired(); });
     log_line(log_level::Info, "planner recovered")
         .atEpoch(role->currentEpoch())
@@ -637,6 +697,8 @@
         onQuery(link, *query);
     else if (const auto *intake = std::get_if<graph_intake_message>(&received))
         onIntakeMessage(link, *intake);
+    else if (const auto *takeover = std::get_if<takeover_message>(&received))
+        onTakeover(*takeover);
 }
 
 void planner_service::state::onReport(const std::shared_ptr<peer_link> &link,
@@ -668,6 +730,14 @@
     link->send(reply);
 }
 
+void planner_service::state::onTakeover(const takeover_message &takeover)
+{
+    if (takeover.plannerEpoch != role->currentEpoch())
+        return;
+    role->resign([] {});
+    end("its key was removed on request");
+}
+
 void planner_service::state::onIntakeMessage(const std::shared_ptr<peer_link> &link,
                                              const graph_intake_message &intake)
 {
--- a/goldcrest/planner_service.h
+++ b/goldcrest/planner_service.h
@@ -5,6 +5,7 @@
 //
 //   planner_service service(loop, store, options, wallClock);
 //   callbacks.onVacant = [&] { service.onVacant(); };           // of planner_finder
+//   service.takeOver(epoch, [&] { ... });        // when the planner asks an agent for it
 //   callbacks.mayDial = [&](const leader_record &leader, const store_entry &entry) {
 //       return service.mayDial(leader, entry);
 //   };
@@ -36,6 +37,9 @@
     // The margin covers a late timer; the platform's shortest lease is 1 s.
     membership_times election{1600ms, 300ms, 300ms, 600ms};
     duration longestCandidacyDelay = 300ms;
+    // A planner whose last renewal that held is older asks its agents to replace it. Renewals are
+    // 300 ms apart, and the slowest store answers in 400 ms.
+    duration takeoverAfter = 800ms;
     std::uint64_t seed = 1; // of that delay; processes use different ones
     // Records in one transaction. The platform takes 32 entries, and each record is one condition
     // and one write beside the condition on the leader key.
@@ -66,6 +70,10 @@
     // address, so the earlier one is gone.
     bool mayDial(const leader_record &leader, const store_entry &entry);
 
+    // The planner of this epoch can't reach the store: removes its leader key if this process can,
+    // and calls `then` if that succeeded.
+    void takeOver(epoch cutOff, std::function<void()> then);
+
     // Hands the role over: stores what is not stored, gives the leader key up, and calls `then`.
     void resign(std::function<void()> then);
 
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -88,7 +88,8 @@
         pool_worker &worker = m_pool.at(task.record.worker);
         // The predecessor's grants ended no later than its own lease.
         worker.leaseEnds = std::max(worker.leaseEnds,
-                                    m_electedAt + m_options.workerLease + m_options.leaseSlack);
+                                    m_electedAt + m_options.predecessorLease + m_options.workerLease
+                                        + m_options.leaseSlack);
     });
     syncActive(added);
     decide(progress ? "job restored" : "job queued", {job.id, 0, 0, 0}, 0, {}, {},
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -40,6 +40,9 @@
     // Lease of what runs on a worker. Longer than a takeover and most partitions, so that work
     // survives them; tasks of a worker that is lost start again after it.
     duration workerLease = 8s;
+    // A predecessor whose key was removed may go on granting for this long, until its own lease is
+    // over.
+    duration predecessorLease = 0ms;
     // Added to a lease whose end can't be observed: transport and a late timer of the backend
     // server.
     duration leaseSlack = 500ms;
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -228,6 +228,9 @@
         callbacks.onMessage = [this](const message &received) {
             if (const auto *orders = std::get_if<worker_orders_message>(&received))
                 agent.onOrders(*orders);
+            else if (const auto *takeover = std::get_if<takeover_message>(&received))
+                planner.takeOver(takeover->plannerEpoch,
+                                 [this, done = *takeover] { finder->send(done); });
         };
         callbacks.onVacant = [this] { planner.onVacant(); };
         callbacks.mayDial = [this](const leader_record &leader, const store_entry &entry) {
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -1,9 +1,11 @@
 #include "goldcrest/planner_service.h"
 
+#include "goldcrest/job_record.h"
 #include "standins/store_model.h"
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -98,6 +100,24 @@
         CHECK(!failureOf(model.commit(order)));
     }
 
+    std::shared_ptr<recording_link> connectAgent(const worker_id &worker)
+    {
+        auto link = std::make_shared<recording_link>();
+        service->accept(link);
+        worker_report_message report;
+        report.plannerEpoch = service->currentEpoch();
+        report.worker = worker;
+        link->receive(report);
+        return link;
+    }
+
+    static std::int64_t takeoversIn(const recording_link &link)
+    {
+        return std::count_if(link.sent.begin(), link.sent.end(), [](const message &sent) {
+            return std::holds_alternative<takeover_message>(sent);
+        });
+    }
+
     void checkState(const std::string &id, graph_job_state expected)
     {
         const std::optional<graph_job_state> state = service->planner()->stateOf(id);
@@ -145,6 +165,45 @@
     checkState("a", graph_job_state::Cancelled);
 }
 
+// Guards the time without decisions: a planner that only can't reach the store need not wait for
+// the end of its lease.
+TEST(planner_service, plannerThatIsCutOffAsksToBeReplaced)
+{
+    elect();
+    const auto own = connectAgent("w1");
+    const auto other = connectAgent("w2");
+    loop.advance(5s);
+    LONGS_EQUAL(0, takeoversIn(*other));
+    store.faults().down = true;
+    loop.advance(1s);
+    CHECK(takeoversIn(*other) > 0);
+    LONGS_EQUAL(0, takeoversIn(*own));
+    other->receive(takeover_message{service->currentEpoch()});
+    CHECK(!service->isElected());
+}
+
+TEST(planner_service, takeoverRemovesTheKeyOfThatEpochOnly)
+{
+    elect();
+    const epoch led = service->currentEpoch();
+    fake_store otherStore{model, loop};
+    planner_service other{loop, otherStore, {}, [] { return unix_ms{0}; }};
+    int removed = 0;
+    other.takeOver(led + 1, [&] { ++removed; });
+    loop.advance(100ms);
+    LONGS_EQUAL(0, removed);
+    CHECK(!model.range(leaderKey("main"), {}).empty());
+    other.takeOver(led, [&] { ++removed; });
+    loop.advance(100ms);
+    LONGS_EQUAL(1, removed);
+    CHECK(model.range(leaderKey("main"), {}).empty());
+    // A process that is cut off too changes nothing.
+    otherStore.faults().down = true;
+    other.takeOver(led, [&] { ++removed; });
+    loop.advance(1s);
+    LONGS_EQUAL(1, removed);
+}
+
 TEST(planner_service, cancelBeforeTheElectionIsKept)
 {
     storeJob("a");
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -224,6 +224,38 @@
     LONGS_EQUAL(2, ordersOf("w2").starts[0].run.number);
 }
 
+// A predecessor that was replaced early may go on granting until its own lease is over.
+TEST(run_planner, restoredRunKeepsItsTaskThroughThePredecessorsLease)
+{
+    run_planner_options options;
+    options.predecessorLease = 1600ms;
+    const duration bound = options.predecessorLease + options.workerLease + options.leaseSlack;
+    planner = run_planner(options, someEpoch, now);
+    confirm();
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy.service = "s";
+    job.steps.push_back(makeStep(1, 1));
+    job_progress progress;
+    progress.state = graph_job_state::Running;
+    progress.occurrencesBegun = 1;
+    progress.occurrences.emplace_back().steps.emplace_back().tasks.push_back(
+        {false, 0, 1, "w1", "w1l1", {}});
+    planner.addJob(job, progress, wall, now);
+    const time_point end = now + bound;
+    while (now + 500ms < end) {
+        now += 500ms;
+        planner.onReport(reportOf("w2"), wall, now);
+        planAndStore();
+        CHECK(ordersOf("w2").starts.empty());
+    }
+    now += 1s;
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+}
+
 // The lease counts from the backend server's clock as last reported, whenever the order arrives.
 TEST(run_planner, leaseCountsFromTheReportedClock)
 {
