--- /dev/null
+++ b/goldcrest/planner_service_links.cc
@@ -0,0 +1,115 @@
+#include "goldcrest/planner_service.h"
+
+#include "goldcrest/planner_service_state.h"
+
+#include <utility>
+
+namespace goldcrest {
+
+void planner_service::accept(std::shared_ptr<peer_link> link)
+{
+    state &self = *m_state;
+    if (!self.role->isLeader() || self.isResigning) {
+        link->close();
+        return;
+    }
+    const std::weak_ptr<state> weak = m_state;
+    const std::weak_ptr<peer_link> weakLink = link;
+    link->onMessage([weak, weakLink](const message &received) {
+        const std::shared_ptr<state> owner = weak.lock();
+        const std::shared_ptr<peer_link> sender = weakLink.lock();
+        if (owner && sender)
+            owner->onMessage(sender, received);
+    });
+    link->onClose([weak, weakLink] {
+        const std::shared_ptr<state> owner = weak.lock();
+        const std::shared_ptr<peer_link> closed = weakLink.lock();
+        if (!owner || !closed)
+            return;
+        for (auto it = owner->agents.begin(); it != owner->agents.end();)
+            it = it->second == closed ? owner->agents.erase(it) : std::next(it);
+        owner->links.erase(closed);
+    });
+    self.links.insert(std::move(link));
+}
+
+void planner_service::state::onMessage(const std::shared_ptr<peer_link> &link,
+                                       const message &received)
+{
+    if (!isActive)
+        return;
+    if (const auto *report = std::get_if<worker_report_message>(&received))
+        onReport(link, *report);
+    else if (const auto *query = std::get_if<graph_query_message>(&received))
+        onQuery(link, *query);
+    else if (const auto *intake = std::get_if<graph_intake_message>(&received))
+        onIntakeMessage(link, *intake);
+    else if (const auto *takeover = std::get_if<takeover_message>(&received))
+        onTakeover(*takeover);
+}
+
+void planner_service::state::onReport(const std::shared_ptr<peer_link> &link,
+                                      const worker_report_message &report)
+{
+    // Without a certain lease nothing is granted: a successor may be counting on that.
+    if (!role->leaseHolds(loop.now()) || !planner->onReport(report, wall(), loop.now()))
+        return;
+    agents[report.worker] = link;
+    sendOrdersTo(report.worker);
+    schedulePlan();
+}
+
+void planner_service::state::onQuery(const std::shared_ptr<peer_link> &link,
+                                     const graph_query_message &query)
+{
+    // A planner that may have been replaced leaves the answer to the store.
+    if (!role->leaseHolds(loop.now()))
+        return;
+    graph_reply_message reply;
+    reply.query = query.query;
+    if (query.job.empty()) {
+        reply.isKnown = true;
+        reply.waiting = planner->waitingIn(query.queue);
+    } else if (const std::optional<graph_job_state> found = planner->stateOf(query.job)) {
+        reply.isKnown = true;
+        reply.state = static_cast<std::int32_t>(*found);
+    }
+    link->send(reply);
+}
+
+void planner_service::state::onTakeover(const takeover_message &takeover)
+{
+    if (takeover.plannerEpoch != role->currentEpoch())
+        return;
+    role->resign([] {});
+    end("its key was removed on request");
+}
+
+void planner_service::state::onIntakeMessage(const std::shared_ptr<peer_link> &link,
+                                             const graph_intake_message &intake)
+{
+    if (intake.accepted.empty())
+        planner->cancelJob(intake.job, wall());
+    else
+        takeJob(intake.job, intake.accepted, {});
+    schedulePlan();
+    // The front takes a planner that does not answer for lost.
+    link->send(graph_reply_message{});
+}
+
+void planner_service::state::sendOrders()
+{
+    for (const worker_id &worker : planner->takeNews())
+        sendOrdersTo(worker);
+}
+
+void planner_service::state::sendOrdersTo(const worker_id &worker)
+{
+    const auto link = agents.find(worker);
+    if (link == agents.end() || !role->leaseHolds(loop.now()))
+        return;
+    if (const auto orders = planner->ordersFor(worker, loop.now()))
+        link->second->send(*orders);
+}
+
+} // namespace goldcrest
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -213,7 +213,7 @@
                      const placement_request &request, time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_room> &rooms,
                    const unit &beneficiary, time_point now);
-    std::map<std::string, bool> guaranteedJobs() const;
+    std::set<std::string> guaranteedJobs() const;
     queue_policy policyOf(const tracked_job &job) const;
     std::size_t unitNumberOf(const task_key &task, const step_spec &step);
     time_point expectedEnd(const tracked_task &task, time_point now) const;
@@ -232,6 +232,7 @@
     std::map<std::string, std::set<worker_id>> m_failedOn; // workers on which tasks of a job failed
     std::set<worker_id> m_news;
     std::vector<run_decision> m_decisions;
+    std::set<std::string> m_guaranteed; // jobs, in the present pass
     std::map<task_key, std::size_t> m_unitNumbers; // of the present pass
     std::vector<task_key> m_unitTasks;
     std::map<task_key, step_advice> m_advice; // by the first task of the step
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -34,6 +34,7 @@
         return;
     m_unitNumbers.clear();
     m_unitTasks.clear();
+    m_guaranteed = guaranteedJobs();
     std::map<std::string, std::vector<unit>> byService;
     for (unit &next : collectUnits(now))
         byService[next.policy.service].push_back(std::move(next));
@@ -105,7 +106,7 @@
 }
 
 // Jobs of priority 0 that are within their team's guarantee, in order of acceptance.
-std::map<std::string, bool> run_planner::guaranteedJobs() const
+std::set<std::string> run_planner::guaranteedJobs() const
 {
     std::map<std::string, std::vector<const tracked_job *>> byTeam;
     for (const std::string &id : m_unfinished) {
@@ -113,7 +114,7 @@
         if (policyOf(job).priority == 0)
             byTeam[job.spec().team].push_back(&job);
     }
-    std::map<std::string, bool> guaranteed;
+    std::set<std::string> guaranteed;
     for (auto &[name, jobs] : byTeam) {
         const team_entry *team = m_view.catalogue ? findTeam(*m_view.catalogue, name) : nullptr;
         std::int64_t left = team ? team->guaranteedAccelerators : 0;
@@ -128,7 +129,7 @@
             if (need > left)
                 continue;
             left -= need;
-            guaranteed[job->id()] = true;
+            guaranteed.insert(job->id());
         }
     }
     return guaranteed;
@@ -154,14 +155,13 @@
 
 std::vector<run_planner::unit> run_planner::collectUnits(time_point now)
 {
-    const std::map<std::string, bool> guaranteed = guaranteedJobs();
     std::vector<unit> units;
     for (const std::string &id : m_unfinished) {
         tracked_job &job = m_jobs.at(id);
         unit next;
         next.job = &job;
         next.policy = policyOf(job);
-        next.isGuaranteed = guaranteed.count(id) > 0;
+        next.isGuaranteed = m_guaranteed.count(id) > 0;
         next.target = targetOf(job);
         for (const step_ref &step : job.readySteps()) {
             const step_spec &spec = job.specOf(step);
@@ -240,7 +240,6 @@
 std::vector<worker_room> run_planner::makeRooms(const std::string &service, time_point now)
 {
     std::vector<worker_room> rooms;
-    const std::map<std::string, bool> guaranteed = guaranteedJobs();
     std::map<std::size_t, double> losses;
     for (auto &[id, worker] : m_pool.workers()) {
         if (worker.service != service || !isUsable(worker, now))
@@ -261,7 +260,7 @@
                 = step.longRunning && !task.stopWanted ? now + endless : expectedEnd(task, now);
             run.isStopping = task.stopWanted;
             run.priority = policyOf(job).priority;
-            run.isGuaranteed = guaranteed.count(key.job) > 0;
+            run.isGuaranteed = m_guaranteed.count(key.job) > 0;
             run.mayStop = !step.longRunning;
             if (losses.count(run.unit) == 0)
                 losses[run.unit] = lateCost(job, step.estimated, now);
