--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -98,10 +98,19 @@
                        [weak = std::weak_ptr<state>(m_state), cutOff,
                         then = std::move(then)](const result<std::optional<store_entry>> &outcome) {
                            const std::shared_ptr<state> self = weak.lock();
-                           const std::optional<store_entry> *entry
-                               = std::get_if<std::optional<store_entry>>(&outcome);
-                           if (self && entry && *entry && (*entry)->createRevision == cutOff)
-                               self->removeKey(**entry, then);
+                           if (!self)
+                               return;
+                           if (const failure *error = failureOf(outcome)) {
+                               log_line(log_level::Info, "takeover not possible here")
+                                   .error(*error)
+                                   .atEpoch(cutOff)
+                                   .limit("takeover")
+                                   .write();
+                               return;
+                           }
+                           const std::optional<store_entry> &entry = valueOf(outcome);
+                           if (entry && entry->createRevision == cutOff)
+                               self->removeKey(*entry, then);
                        });
 }
 
