--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -16,6 +16,20 @@
     return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * share));
 }
 
+// A failed write of the store as callers must see it.
+failure writeFailure(const failure &why)
+{
+    if (why.number == code::StoreAmbiguous)
+        return makeFailure(code::OutcomeUnknown, "the store's answer was lost");
+    return why;
+}
+
+failure unreachable(const failure &why)
+{
+    return makeFailure(code::PlannerUnreachable,
+                       "neither planner nor store answers: " + why.reason);
+}
+
 } // namespace
 
 struct graph_front::state : std::enable_shared_from_this<graph_front::state>
@@ -67,24 +81,6 @@
     std::map<std::uint64_t, question> questions;
 };
 
-namespace {
-
-// A failed write of the store as callers must see it.
-failure writeFailure(const failure &why)
-{
-    if (why.number == code::StoreAmbiguous)
-        return makeFailure(code::OutcomeUnknown, "the store's answer was lost");
-    return why;
-}
-
-failure unreachable(const failure &why)
-{
-    return makeFailure(code::PlannerUnreachable,
-                       "neither planner nor store answers: " + why.reason);
-}
-
-} // namespace
-
 graph_front::graph_front(event_loop &loop, platform_store &store,
                          const graph_front_options &options,
                          std::function<bool(const message &)> send)
