--- a/goldcrest/clock.h
+++ b/goldcrest/clock.h
@@ -18,6 +18,12 @@
 using std::chrono_literals::operator""min;
 using std::chrono_literals::operator""h;
 
+// Returns a time multiplied by a factor, in whole milliseconds, rounded towards 0.
+inline duration scaled(duration time, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
 // Source of monotonic time. Tests replace it by virtual time.
 class clock
 {
--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -11,11 +11,6 @@
 
 namespace {
 
-duration shareOf(duration time, double share)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * share));
-}
-
 // A failed write of the store as callers must see it.
 failure writeFailure(const failure &why)
 {
@@ -48,7 +43,7 @@
     // Returns when a caller that waits for another `timeLeft` must have the answer to a read.
     time_point readEnd(duration timeLeft) const
     {
-        return loop.now() + std::min(options.readDeadline, shareOf(timeLeft, options.readShare));
+        return loop.now() + std::min(options.readDeadline, scaled(timeLeft, options.readShare));
     }
     // Returns the deadline of a read that must end by `end`.
     call_options readUntil(time_point end) const
@@ -57,7 +52,7 @@
     }
     call_options writeOptions(call_priority priority, duration timeLeft) const
     {
-        return {priority, std::min(options.submitDeadline, shareOf(timeLeft, options.submitShare))};
+        return {priority, std::min(options.submitDeadline, scaled(timeLeft, options.submitShare))};
     }
 
     void askPlanner(graph_query_message query, time_point end,
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -158,11 +158,6 @@
     return options;
 }
 
-duration scaled(duration time, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
 bool mayEvict(const room_run &run, const eviction_rule &rule)
 {
     if (run.isStopping || !run.mayStop)
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -173,8 +173,7 @@
     // The lease counts from the backend server's own clock at the last report, so that an answer
     // that is delivered late can't extend it.
     orders.holdUntil = worker->clock + m_options.workerLease.count();
-    const duration longest(static_cast<duration::rep>(
-        static_cast<double>(m_options.workerLease.count()) * (1 + m_options.clockError)));
+    const duration longest = scaled(m_options.workerLease, 1 + m_options.clockError);
     worker->leaseEnds
         = std::max(worker->leaseEnds, worker->reportedAt + longest + m_options.leaseSlack);
     for (const task_key &key : worker->active) {
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -73,10 +73,7 @@
             const step_spec &step = job.specOf({key.occurrence, key.step});
             if (!task.seen || task.stopWanted || step.longRunning || task.percent >= 100)
                 continue;
-            const duration patience
-                = std::max(shortestStall,
-                           duration(static_cast<duration::rep>(
-                               stallShare * static_cast<double>(task.runEstimate.count()))));
+            const duration patience = std::max(shortestStall, scaled(task.runEstimate, stallShare));
             // Time without reports says nothing of the task.
             const duration stalled = worker.reportedAt - task.percentChangedAt;
             if (stalled < patience)
@@ -138,8 +135,7 @@
 time_point run_planner::targetOf(const tracked_job &job) const
 {
     const queue_policy policy = policyOf(job);
-    const auto chain = static_cast<double>(longestChain(job.spec()).count());
-    return job.acceptedAt() + duration(static_cast<duration::rep>(policy.slackFactor * chain))
+    return job.acceptedAt() + scaled(longestChain(job.spec()), policy.slackFactor)
         + policy.completionTarget;
 }
 
