Count the time for which a machine was suspended

Cause: the event loop read the steady clock, which stands still while a machine is suspended. A planner that woke up took its own lease as valid and could renew the lease of a worker that it alone still reached, after its successor had waited for that lease and started the tasks elsewhere. A front took its view of the keys as fresh. Change: now() reads CLOCK_BOOTTIME.

--- a/goldcrest/asio_event_loop.cc
+++ b/goldcrest/asio_event_loop.cc
@@ -117,7 +117,7 @@
 
 time_point asio_event_loop::now() const
 {
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    return boot_clock().now();
 }
 
 void asio_event_loop::post(std::function<void()> task)
--- a/goldcrest/clock.h
+++ b/goldcrest/clock.h
@@ -9,8 +9,9 @@
 
 using duration = std::chrono::milliseconds;
 
-// Monotonic time of one process. Two processes never compare their time points; messages carry ages
-// and durations.
+// Monotonic time of one process. It includes the time for which the machine was suspended, since
+// leases of others run on meanwhile. Two processes never compare their time points; messages carry
+// ages and durations.
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
 using std::chrono_literals::operator""ms;
@@ -34,14 +35,12 @@
     virtual time_point now() const = 0;
 };
 
-// The clock of the operating system.
-class steady_clock final : public clock
+// The clock of the operating system. It reads CLOCK_BOOTTIME: std::chrono::steady_clock stands
+// still while the machine is suspended.
+class boot_clock final : public clock
 {
 public:
-    time_point now() const override
-    {
-        return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-    }
+    time_point now() const override;
 };
 
 } // namespace goldcrest
--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -163,7 +163,7 @@
 {
     const auto &running = *static_cast<const exchange *>(context);
     const bool isLate
-        = running.status() == 0 && steady_clock().now() - running.startedAt > streamHeaderTimeout;
+        = running.status() == 0 && boot_clock().now() - running.startedAt > streamHeaderTimeout;
     return isLate ? 1 : 0; // 1 makes libcurl abort the transfer
 }
 
@@ -229,7 +229,7 @@
     if (total > 0ms) {
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(total.count()));
     } else {
-        next.startedAt = steady_clock().now();
+        next.startedAt = boot_clock().now();
         curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
         curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &next);
         curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
--- a/goldcrest/log_fields.cc
+++ b/goldcrest/log_fields.cc
@@ -81,7 +81,7 @@
     static std::mutex guard;
     static log_limiter limiter;
     const std::lock_guard<std::mutex> lock(guard);
-    return limiter.admit(key, steady_clock().now(), suppressed);
+    return limiter.admit(key, boot_clock().now(), suppressed);
 }
 
 } // namespace
