Keep a busy planner in office: cheaper and paced planning passes

Cause: on 160 workers the planner used up the processor of its machine. Each report led to a pass; each unit of a wide step was placed on its own, with copies of all workers' runs; queues were searched by name for each worker and unit; each change of a job walked all workers. Its renewals were then handled late, it asked its agents for a takeover, and the successor did the same. Ruled out: the store (renewals were answered in time) and the links. Change: the tasks of a step are tried until one has to wait; placement works on indexes instead of copies; victims of a preemption are kept per worker; queues are indexed; active runs are compared with the job's last ones only; a report leads to a pass only if it may allow a start; the pause after a pass is three times its length; new runs are stored before checkpoints; time without a confirmed renewal counts only as far as the planner was served.

--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -15,6 +15,9 @@
 // An agent whose read takes longer is itself cut off from the store.
 constexpr call_options takeoverOptions{call_priority::Urgent, 400ms};
 constexpr duration takeoverInterval = 200ms;
+// A failed renewal proves nothing about the store if the planner has had fewer ticks since the last
+// confirmed one.
+constexpr int ticksToJudgeStore = 3;
 // One agent that reaches the store is enough; the next request goes to other agents.
 constexpr std::size_t maxAgentsPerTakeover = 3;
 
@@ -120,8 +123,13 @@
 void planner_service::state::requestTakeover()
 {
     const time_point now = loop.now();
-    const bool isCutOff
-        = role->storeUnresponsive() || role->timeSinceRenewal(now) > options.takeoverAfter;
+    const time_point confirmedAt = now - role->timeSinceRenewal(now);
+    ticksUnconfirmed = confirmedAt == lastConfirmedAt ? ticksUnconfirmed + 1 : 0;
+    lastConfirmedAt = confirmedAt;
+    // Time without a confirmation counts only as far as this process was served meanwhile. A busy
+    // planner gets its confirmations late, and a successor would be just as busy.
+    const bool isCutOff = (role->storeUnresponsive() && ticksUnconfirmed >= ticksToJudgeStore)
+        || ticksUnconfirmed * planInterval > options.takeoverAfter;
     if (!role->isLeader() || !isCutOff || now - takeoverRequestedAt < takeoverInterval)
         return;
     takeoverRequestedAt = now;
@@ -215,6 +223,8 @@
     isCommitting = false;
     isAdvicePending = false;
     isPlanScheduled = false;
+    nextPassAt = {};
+    ticksUnconfirmed = 0;
     watch.reset();
     planDelayTimer.reset();
     planTimer.reset();
--- a/goldcrest/planner_service_links.cc
+++ b/goldcrest/planner_service_links.cc
@@ -56,7 +56,8 @@
         return;
     agents[report.worker] = link;
     sendOrdersTo(report.worker);
-    schedulePlan();
+    if (planner->needsPass())
+        schedulePlan();
 }
 
 void planner_service::state::onQuery(const std::shared_ptr<peer_link> &link,
--- a/goldcrest/planner_service_records.cc
+++ b/goldcrest/planner_service_records.cc
@@ -15,6 +15,9 @@
 
 // Events within this time are handled in one planning pass.
 constexpr duration planDelay = 5ms;
+// The pause after a pass, as a multiple of the time that the pass took, so that reports, renewals
+// and queries are handled in between however long passes become.
+constexpr double pausePerPass = 3;
 // Each expired job removes three keys, and the platform accepts 32 entries in one transaction.
 constexpr std::size_t expiredPerCommit = 10;
 
@@ -25,22 +28,32 @@
     if (isPlanScheduled || !isActive)
         return;
     isPlanScheduled = true;
-    planDelayTimer = loop.after(planDelay, [this] {
+    planDelayTimer = loop.after(std::max(planDelay, nextPassAt - loop.now()), [this] {
         isPlanScheduled = false;
         plan();
     });
 }
 
+void planner_service::state::onPlanTick()
+{
+    if (loop.now() >= nextPassAt)
+        plan();
+    requestTakeover();
+}
+
 void planner_service::state::plan()
 {
     if (!isActive || isResigning)
         return;
-    if (role->isLeaseValid(loop.now()))
-        planner->plan(wall(), loop.now());
+    const time_point begunAt = loop.now();
+    if (role->isLeaseValid(begunAt))
+        planner->plan(wall(), begunAt);
     requestAdvice();
     writeDecisions();
     commit();
     sendOrders();
+    const time_point endedAt = loop.now();
+    nextPassAt = endedAt + scaled(endedAt - begunAt, pausePerPass);
 }
 
 // Sends one request at a time, because the advice service accepts one at a time.
--- a/goldcrest/planner_service_recovery.cc
+++ b/goldcrest/planner_service_recovery.cc
@@ -65,10 +65,7 @@
     // Jobs that were stored between the election and the listing appear in both the listing and the
     // watch; addJob() ignores known jobs.
     watchIntake(role->currentEpoch() + 1);
-    planTimer = loop.every(planInterval, [this] {
-        plan();
-        requestTakeover();
-    });
+    planTimer = loop.every(planInterval, [this] { onPlanTick(); });
     expiryTimer = loop.every(expiryInterval, [this] { removeExpired(); });
     log_line(log_level::Info, "planner recovered")
         .atEpoch(role->currentEpoch())
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -48,6 +48,7 @@
     void addStoredJob(std::string_view id, std::string_view value,
                       const std::map<std::string, job_progress> &records);
     void schedulePlan();
+    void onPlanTick();
     void plan();
     void commit();
     void onCommitted(const result<commit_reply> &outcome,
@@ -105,6 +106,9 @@
     bool isCommitting = false;
     bool isAdvicePending = false;
     bool isPlanScheduled = false;
+    time_point nextPassAt{}; // a pass before this would take too large a share of the processor
+    int ticksUnconfirmed = 0; // plan ticks since the last confirmed renewal
+    time_point lastConfirmedAt{};
     timer_handle planDelayTimer;
     timer_handle planTimer;
     timer_handle retryTimer;
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -56,11 +56,42 @@
                            capacity.available.cores - demand.cores, capacity.index);
 }
 
+// Returns how many tasks with this demand fit into the capacity, at most `limit`.
+std::int64_t slotsIn(const resources &available, const resources &demand, std::int64_t limit)
+{
+    std::int64_t slots = limit;
+    const auto bound = [&slots](std::int64_t have, std::int64_t need) {
+        if (need > 0)
+            slots = std::min(slots, std::max<std::int64_t>(0, have / need));
+        else if (have < need)
+            slots = 0;
+    };
+    bound(available.accelerators, demand.accelerators);
+    bound(available.cores, demand.cores);
+    bound(available.memory, demand.memory);
+    return slots;
+}
+
+// Returns whether the capacities hold enough tasks in total. Cheaper than assigning them.
+bool haveSlots(const std::vector<scratch_capacity> &capacities, const resources &demand,
+               std::int32_t count)
+{
+    std::int64_t slots = 0;
+    for (const scratch_capacity &capacity : capacities) {
+        slots += slotsIn(capacity.available, demand, count);
+        if (slots >= count)
+            return true;
+    }
+    return false;
+}
+
 // Returns the worker index for each task, or nothing if not all tasks fit.
 std::optional<index_list> assign(std::vector<scratch_capacity> capacities,
                                  const placement_request &request)
 {
     const resources demand = demandOf(*request.step);
+    if (!haveSlots(capacities, demand, request.count))
+        return std::nullopt;
     index_list chosen;
     for (std::int32_t i = 0; i < request.count; ++i) {
         scratch_capacity *best = nullptr;
@@ -120,19 +151,23 @@
     return std::nullopt;
 }
 
-index_list allIndexes(const std::vector<worker_capacity> &capacities)
+index_list eligibleIndexes(const std::vector<worker_capacity> &capacities,
+                           const placement_request &request)
 {
+    if (request.eligible)
+        return *request.eligible;
     index_list all;
     for (std::size_t i = 0; i < capacities.size(); ++i)
         all.push_back(i);
     return all;
 }
 
-std::map<std::string, index_list> indexesByRack(const std::vector<worker_capacity> &capacities)
+std::map<std::string, index_list> indexesByRack(const std::vector<worker_capacity> &capacities,
+                                                const index_list &eligible)
 {
     std::map<std::string, index_list> racks;
-    for (std::size_t i = 0; i < capacities.size(); ++i)
-        racks[capacities[i].rack].push_back(i);
+    for (const std::size_t index : eligible)
+        racks[capacities[index].rack].push_back(index);
     return racks;
 }
 
@@ -150,15 +185,16 @@
     const bool keepsTogether = step.sameRack && request.count > 1;
     std::vector<placement_option> options;
     const double remote = request.remoteFactor;
+    index_list eligible = eligibleIndexes(capacities, request);
     if (keepsTogether || !step.dataRack.empty()) {
-        for (auto &[rack, among] : indexesByRack(capacities)) {
+        for (auto &[rack, among] : indexesByRack(capacities, eligible)) {
             const bool isNear = step.dataRack.empty() || rack == step.dataRack;
             if (isNear || keepsTogether)
                 options.push_back({std::move(among), isNear ? 1 : remote});
         }
     }
     const double apart = (keepsTogether ? remote : 1) * (step.dataRack.empty() ? 1 : remote);
-    options.push_back({allIndexes(capacities), apart});
+    options.push_back({std::move(eligible), apart});
     return options;
 }
 
@@ -227,40 +263,99 @@
     return victims;
 }
 
+// Searches for the cheapest victims worker by worker, and keeps what it found for a worker until a
+// choice affects it.
+class victim_search
+{
+public:
+    victim_search(const std::vector<worker_capacity> &capacities, const index_list &among,
+                  const placement_request &request, const eviction_rule &rule, time_point now)
+        : m_capacities(capacities)
+        , m_request(request)
+        , m_rule(rule)
+        , m_demand(demandOf(*request.step))
+        , m_now(now)
+    {
+        for (const std::size_t index : among) {
+            candidate &added = m_candidates.emplace_back();
+            added.index = index;
+            added.tasks = placedOn(request, capacities[index]);
+            update(added);
+        }
+    }
+
+    // Chooses the worker of the next task. Returns false if the task fits nowhere.
+    bool chooseNext(eviction &found)
+    {
+        candidate *best = nullptr;
+        for (candidate &one : m_candidates) {
+            const scratch_capacity limit{one.index, {}, one.tasks};
+            if (one.victims && takesAnother(m_request, limit)
+                && (!best || one.victims->loss < best->victims->loss))
+                best = &one;
+        }
+        if (!best)
+            return false;
+        const std::set<std::size_t> units = best->victims->units;
+        found.loss += best->victims->loss;
+        found.where.indexes.push_back(best->index);
+        best->taken += m_demand;
+        ++best->tasks;
+        m_chosen.insert(units.begin(), units.end());
+        for (candidate &one : m_candidates) {
+            if (&one == best || hasRunOf(one, units))
+                update(one);
+        }
+        return true;
+    }
+
+    const std::set<std::size_t> &chosen() const { return m_chosen; }
+
+private:
+    struct candidate
+    {
+        std::size_t index = 0;
+        std::int32_t tasks = 0; // of the step
+        resources taken;
+        std::optional<victim_set> victims;
+    };
+
+    void update(candidate &one) const
+    {
+        one.victims
+            = victimsOn(m_capacities[one.index], m_demand, one.taken, m_chosen, m_rule, m_now);
+    }
+
+    bool hasRunOf(const candidate &one, const std::set<std::size_t> &units) const
+    {
+        const std::vector<placed_run> &runs = m_capacities[one.index].runs;
+        return !units.empty() && std::any_of(runs.begin(), runs.end(), [&](const placed_run &run) {
+            return units.count(run.unit) > 0;
+        });
+    }
+
+    const std::vector<worker_capacity> &m_capacities;
+    const placement_request &m_request;
+    const eviction_rule &m_rule;
+    resources m_demand;
+    time_point m_now;
+    std::vector<candidate> m_candidates;
+    std::set<std::size_t> m_chosen;
+};
+
 std::optional<eviction> evictIn(const std::vector<worker_capacity> &capacities,
                                 const index_list &among, const placement_request &request,
                                 const eviction_rule &rule, duration estimate, time_point now)
 {
-    const resources demand = demandOf(*request.step);
-    std::set<std::size_t> chosen;
-    std::map<std::size_t, resources> taken;
-    std::map<std::size_t, std::int32_t> tasks;
     eviction found;
     found.where.start = now;
     found.where.estimate = estimate;
+    victim_search search(capacities, among, request, rule, now);
     for (std::int32_t i = 0; i < request.count; ++i) {
-        std::optional<victim_set> best;
-        std::size_t bestIndex = 0;
-        for (const std::size_t index : among) {
-            const scratch_capacity limit{
-                index, {}, placedOn(request, capacities[index]) + tasks[index]};
-            if (!takesAnother(request, limit))
-                continue;
-            auto victims = victimsOn(capacities[index], demand, taken[index], chosen, rule, now);
-            if (victims && (!best || victims->loss < best->loss)) {
-                best = std::move(victims);
-                bestIndex = index;
-            }
-        }
-        if (!best)
+        if (!search.chooseNext(found))
             return std::nullopt;
-        chosen.insert(best->units.begin(), best->units.end());
-        found.loss += best->loss;
-        taken[bestIndex] += demand;
-        ++tasks[bestIndex];
-        found.where.indexes.push_back(bestIndex);
     }
-    found.units.assign(chosen.begin(), chosen.end());
+    found.units.assign(search.chosen().begin(), search.chosen().end());
     return found;
 }
 
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrest {
@@ -44,8 +45,10 @@
 
 void run_planner::noteChanged(tracked_job &job)
 {
-    if (job.version() > job.storedVersion())
+    if (job.version() > job.storedVersion()) {
         m_changed.insert(job.id());
+        m_changedByCheckpoint.erase(job.id());
+    }
     if (job.isFinished()) {
         m_unfinished.erase(job.id());
         m_failedOn.erase(job.id());
@@ -57,18 +60,24 @@
 // Updates the workers' lists of active tasks to match the job.
 void run_planner::syncActive(tracked_job &job)
 {
-    std::set<std::pair<worker_id, task_key>> present;
+    std::vector<std::pair<task_key, worker_id>> present;
     job.forEachActive([&](const task_key &key, const step_spec &, tracked_task &task) {
-        present.insert({task.record.worker, key});
+        present.emplace_back(key, task.record.worker);
     });
-    for (auto &[id, worker] : m_pool.workers()) {
-        for (auto it = worker.active.begin(); it != worker.active.end();) {
-            const bool isGone = it->job == job.id() && present.count({id, *it}) == 0;
-            it = isGone ? worker.active.erase(it) : std::next(it);
-        }
-    }
-    for (const auto &[id, key] : present)
+    std::vector<std::pair<task_key, worker_id>> &entered = m_activeRuns[job.id()];
+    std::vector<std::pair<task_key, worker_id>> changed;
+    std::set_difference(entered.begin(), entered.end(), present.begin(), present.end(),
+                        std::back_inserter(changed));
+    for (const auto &[key, id] : changed)
+        m_pool.at(id).active.erase(key);
+    changed.clear();
+    std::set_difference(present.begin(), present.end(), entered.begin(), entered.end(),
+                        std::back_inserter(changed));
+    for (const auto &[key, id] : changed)
         m_pool.at(id).active.insert(key);
+    entered = std::move(present);
+    if (entered.empty())
+        m_activeRuns.erase(job.id());
 }
 
 void run_planner::addJob(const graph_job &job, const std::optional<job_progress> &progress,
@@ -82,6 +91,7 @@
         = m_jobs.emplace(job.id, tracked_job(job, progress, now - age)).first->second;
     if (!added.isFinished())
         m_unfinished.insert(job.id);
+    m_needsPass = true;
     added.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
         task.begunAt = now;
         task.percentChangedAt = now;
@@ -104,6 +114,7 @@
         return;
     tracked_job &job = found->second;
     job.cancel(wall);
+    m_needsPass = true;
     noteChanged(job);
     job.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
         m_changedWorkers.insert(task.record.worker);
@@ -114,15 +125,24 @@
 void run_planner::setView(const operator_view &view)
 {
     m_view = view;
+    m_queueIndexes.clear();
+    if (!m_view.catalogue)
+        return;
+    for (std::size_t i = 0; i < m_view.catalogue->queues.size(); ++i)
+        m_queueIndexes.emplace(m_view.catalogue->queues[i].name, i);
 }
 
-queue_policy run_planner::policyOf(const tracked_job &job) const
+// Returns the queue of a job, or nullptr if it is not in the catalogue.
+const queue_entry *run_planner::queueOf(const tracked_job &job) const
 {
-    if (m_view.catalogue) {
-        if (const queue_entry *queue = findQueueByName(*m_view.catalogue, job.spec().queue))
-            return queue->policy;
-    }
-    return job.spec().policy;
+    const auto found = m_queueIndexes.find(job.spec().queue);
+    return found == m_queueIndexes.end() ? nullptr : &m_view.catalogue->queues[found->second];
+}
+
+const queue_policy &run_planner::policyOf(const tracked_job &job) const
+{
+    const queue_entry *queue = queueOf(job);
+    return queue ? queue->policy : job.spec().policy;
 }
 
 // ---- records -------------------------------------------------------------------------------
@@ -130,11 +150,13 @@
 std::vector<stored_change> run_planner::takeChanges(std::size_t maxCount) const
 {
     std::vector<stored_change> changes;
-    for (const std::string &id : m_changed) {
-        if (changes.size() == maxCount)
-            break;
-        const tracked_job &job = m_jobs.at(id);
-        changes.push_back({id, job.version(), job.state(), job.progress()});
+    for (const std::set<std::string> *changed : {&m_changed, &m_changedByCheckpoint}) {
+        for (const std::string &id : *changed) {
+            if (changes.size() == maxCount)
+                return changes;
+            const tracked_job &job = m_jobs.at(id);
+            changes.push_back({id, job.version(), job.state(), job.progress()});
+        }
     }
     return changes;
 }
@@ -147,8 +169,10 @@
             continue;
         tracked_job &job = found->second;
         job.noteStored(change.version, change.state);
-        if (job.storedVersion() >= job.version())
+        if (job.storedVersion() >= job.version()) {
             m_changed.erase(change.job);
+            m_changedByCheckpoint.erase(change.job);
+        }
         job.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
             if (task.startOrderedIn == 0)
                 m_changedWorkers.insert(task.record.worker);
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -33,6 +33,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace goldcrest {
@@ -112,9 +114,14 @@
     // stops stalled runs, and places tasks.
     void plan(unix_ms wall, time_point now);
 
-    // Returns records whose current version is not stored, at most `maxCount`.
+    // Returns whether something has changed since the last pass that may allow a start, so that the
+    // next pass should not wait.
+    bool needsPass() const { return m_needsPass; }
+
+    // Returns records whose current version is not stored, at most `maxCount`. Those that only have
+    // new checkpoints come last, because no order waits for them.
     std::vector<stored_change> takeChanges(std::size_t maxCount) const;
-    bool hasChanges() const { return !m_changed.empty(); }
+    bool hasChanges() const { return !m_changed.empty() || !m_changedByCheckpoint.empty(); }
     // The changes are stored. Releases the orders and acknowledgements that depend on them.
     void onStored(const std::vector<stored_change> &changes);
 
@@ -154,6 +161,8 @@
 
 private:
     struct unit;
+    enum class unit_outcome;
+    enum class step_outcome;
 
     // Workers on which other runs are being stopped to make capacity for a unit.
     struct preemption_reservation
@@ -207,7 +216,9 @@
                                                 time_point now) const;
     double latenessCost(const tracked_job &job, duration rest, time_point now) const;
     time_point targetOf(const tracked_job &job) const;
-    void planService(std::vector<unit> &units, const std::string &service, time_point now);
+    void planService(const std::vector<unit> &units, const std::string &service, time_point now);
+    step_outcome planStep(const unit &next, std::vector<worker_capacity> &capacities,
+                          std::size_t &unitsLeft, time_point now);
     bool isAdvised(const unit &next, const pool_worker &worker) const;
     bool mayStart(const unit &next, const std::vector<worker_capacity> &capacities,
                   const placement &where, time_point now);
@@ -218,20 +229,22 @@
     void requestAdvice(const unit &next, time_point now);
     void updatePace(pool_worker &worker, time_point now);
     void addPaces(const pool_worker &worker, worker_orders_message &orders) const;
-    bool planUnit(unit &next, std::vector<worker_capacity> &capacities, time_point now);
+    unit_outcome planUnit(const unit &next, const std::vector<std::size_t> &eligible,
+                          std::vector<worker_capacity> &capacities, time_point now);
     std::optional<eviction> findEviction(const unit &next,
-                                         const std::vector<worker_capacity> &eligible,
+                                         const std::vector<worker_capacity> &capacities,
                                          const placement_request &request,
                                          const std::optional<placement> &found,
                                          time_point now) const;
-    void startUnit(unit &next, std::vector<worker_capacity> &capacities, const placement &where,
-                   time_point now);
+    void startUnit(const unit &next, std::vector<worker_capacity> &capacities,
+                   const placement &where, time_point now);
     bool keepPreemptionReservation(const unit &next, std::vector<worker_capacity> &capacities,
                                    const placement_request &request, time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
                    const unit &beneficiary, time_point now);
     std::set<std::string> guaranteedJobs() const;
-    queue_policy policyOf(const tracked_job &job) const;
+    const queue_entry *queueOf(const tracked_job &job) const;
+    const queue_policy &policyOf(const tracked_job &job) const;
     std::size_t unitNumberOf(const task_key &task, const step_spec &step);
     time_point expectedEnd(const tracked_task &task, time_point now) const;
     double lostWork(const tracked_task &task, const step_spec &step, time_point now) const;
@@ -241,9 +254,14 @@
     time_point m_electedAt;
     worker_pool m_pool;
     operator_view m_view;
+    std::unordered_map<std::string, std::size_t> m_queueIndexes; // in the catalogue, by name
     std::map<std::string, tracked_job> m_jobs;
+    // By job: the worker of each task with an active run, in key order, as entered in the pool.
+    std::map<std::string, std::vector<std::pair<task_key, worker_id>>> m_activeRuns;
     std::set<std::string> m_unfinished;
+    bool m_needsPass = true;
     std::set<std::string> m_changed; // jobs whose current version is not stored
+    std::set<std::string> m_changedByCheckpoint; // the same, with new checkpoints only
     // Jobs with checkpoints that are not part of a version yet.
     std::set<std::string> m_checkpointed;
     time_point m_checkpointsStoredAt{};
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -11,8 +11,7 @@
 
 const queue_entry *run_planner::advisedQueueOf(const tracked_job &job) const
 {
-    const queue_entry *queue
-        = m_view.catalogue ? findQueueByName(*m_view.catalogue, job.spec().queue) : nullptr;
+    const queue_entry *queue = queueOf(job);
     return queue && queue->advice ? queue : nullptr;
 }
 
@@ -77,7 +76,7 @@
     advice_request request;
     request.step = fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
     for (const auto &[id, worker] : m_pool.workers()) {
-        const bool isCandidate = worker.service == next.policy.service && isUsable(worker, now)
+        const bool isCandidate = worker.service == next.policy->service && isUsable(worker, now)
             && (!advice.isKnown || advice.allowed.count(id) > 0);
         if (isCandidate && request.machines.size() < maxAdvisedWorkers)
             request.machines.push_back(worker.machine);
@@ -136,10 +135,12 @@
     constexpr std::int32_t speedUpStep = 20;
     double worst = 0;
     for (const task_key &key : worker.active) {
-        const step_spec &step = m_jobs.at(key.job).specOf({key.occurrence, key.step});
-        const auto found
-            = worker.running.find({formatTask(key), m_jobs.at(key.job).find(key)->record.lastRun});
-        if (step.latencyTarget > 0ms && found != worker.running.end())
+        const tracked_job &job = m_jobs.at(key.job);
+        const step_spec &step = job.specOf({key.occurrence, key.step});
+        if (step.latencyTarget <= 0ms)
+            continue;
+        const auto found = worker.running.find({formatTask(key), job.find(key)->record.lastRun});
+        if (found != worker.running.end())
             worst = std::max(worst,
                              static_cast<double>(found->second.load)
                                  / static_cast<double>(step.latencyTarget.count()));
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -27,7 +27,10 @@
 
 } // namespace
 
-bool run_planner::planUnit(unit &next, std::vector<worker_capacity> &capacities, time_point now)
+run_planner::unit_outcome run_planner::planUnit(const unit &next,
+                                                const std::vector<std::size_t> &eligible,
+                                                std::vector<worker_capacity> &capacities,
+                                                time_point now)
 {
     const step_spec &step = next.job->specOf(next.step);
     placement_request request;
@@ -35,34 +38,27 @@
     request.count = static_cast<std::int32_t>(next.indexes.size());
     request.estimate = next.estimate;
     request.remoteFactor = m_options.remoteFactor;
-    for (const tracked_task &task : next.job->find(next.step)->tasks) {
-        if (task.isActive())
-            ++request.placedBefore[task.record.worker];
+    if (step.maxPerWorker > 0) {
+        for (const tracked_task &task : next.job->find(next.step)->tasks) {
+            if (task.isActive())
+                ++request.placedBefore[task.record.worker];
+        }
     }
-    const std::vector<std::size_t> indexes = eligibleCapacities(next, capacities, now);
-    std::vector<worker_capacity> eligible;
-    eligible.reserve(indexes.size());
-    for (const std::size_t index : indexes)
-        eligible.push_back(capacities[index]);
-    const auto toAllCapacities = [&](placement found) {
-        for (std::size_t &index : found.indexes)
-            index = indexes[index];
-        return found;
-    };
-    const std::optional<placement> found = bestPlacement(eligible, request, now);
+    request.eligible = &eligible;
+    const std::optional<placement> found = bestPlacement(capacities, request, now);
     if (found && found->start <= now) {
-        const placement where = toAllCapacities(*found);
-        if (mayStart(next, capacities, where, now)) {
-            startUnit(next, capacities, where, now);
-            return true;
+        if (mayStart(next, capacities, *found, now)) {
+            startUnit(next, capacities, *found, now);
+            return unit_outcome::Started;
         }
-        reserveCapacity(capacities, request, where);
-        return false;
+        reserveCapacity(capacities, request, *found);
+        return unit_outcome::Waiting;
     }
     if (keepPreemptionReservation(next, capacities, request, now))
-        return false;
-    if (const std::optional<eviction> evicted = findEviction(next, eligible, request, found, now)) {
-        const placement where = toAllCapacities(evicted->where);
+        return unit_outcome::WaitingForStops;
+    if (const std::optional<eviction> evicted
+        = findEviction(next, capacities, request, found, now)) {
+        const placement &where = evicted->where;
         stopUnits(evicted->units, capacities, next, now);
         reserveCapacity(capacities, request, where);
         preemption_reservation &made
@@ -71,10 +67,11 @@
         made.workers.clear();
         for (const std::size_t index : where.indexes)
             made.workers.push_back(capacities[index].worker);
-    } else if (found) {
-        reserveCapacity(capacities, request, toAllCapacities(*found));
+        return unit_outcome::WaitingForStops;
     }
-    return false;
+    if (found)
+        reserveCapacity(capacities, request, *found);
+    return unit_outcome::Waiting;
 }
 
 // Reserves the capacity that others are being stopped for. Returns false if the unit has no
@@ -105,33 +102,33 @@
 
 // Returns which units to stop for a unit that would otherwise wait too long, if any.
 std::optional<eviction> run_planner::findEviction(const unit &next,
-                                                  const std::vector<worker_capacity> &eligible,
+                                                  const std::vector<worker_capacity> &capacities,
                                                   const placement_request &request,
                                                   const std::optional<placement> &found,
                                                   time_point now) const
 {
     eviction_rule rule;
-    rule.belowPriority = next.policy.priority;
+    rule.belowPriority = next.policy->priority;
     if (!next.isGuaranteed) {
         const time_point end = now + m_options.stopTime + next.estimate;
         const bool isOnTime = found && found->start + found->estimate <= next.target;
         if (isOnTime || end > next.target)
             return std::nullopt;
-        rule.maxLoss = onTimeValueOf(next.policy.priority);
-        return cheapestEviction(eligible, request, rule, now);
+        rule.maxLoss = onTimeValueOf(next.policy->priority);
+        return cheapestEviction(capacities, request, rule, now);
     }
     if (found && found->start - now <= guaranteedWaitLimit)
         return std::nullopt;
     rule.alsoUnguaranteed = true;
     rule.maxLoss = std::numeric_limits<double>::max();
-    std::optional<eviction> evicted = cheapestEviction(eligible, request, rule, now);
+    std::optional<eviction> evicted = cheapestEviction(capacities, request, rule, now);
     if (evicted || now - next.job->acceptedAt() > lastResortMaxAge)
         return evicted;
     rule.anyUnit = true;
-    return cheapestEviction(eligible, request, rule, now);
+    return cheapestEviction(capacities, request, rule, now);
 }
 
-void run_planner::startUnit(unit &next, std::vector<worker_capacity> &capacities,
+void run_planner::startUnit(const unit &next, std::vector<worker_capacity> &capacities,
                             const placement &where, time_point now)
 {
     const step_spec &step = next.job->specOf(next.step);
@@ -150,7 +147,7 @@
     run.unit = unitNumberOf(next.job->keyOf(next.step, next.indexes.front()), step);
     run.demand = demandOf(step);
     run.endsAt = now + where.estimate;
-    run.priority = next.policy.priority;
+    run.priority = next.policy->priority;
     run.isGuaranteed = next.isGuaranteed;
     run.mayStop = !step.longRunning;
     occupy(capacities, request, where, run);
@@ -160,7 +157,7 @@
                        {},
                        fmt::format("queue={} priority={} guaranteed={} rack={} estimate_ms={} "
                                    "view_age_ms={} waited_ms={}",
-                                   next.job->spec().queue, next.policy.priority, next.isGuaranteed,
+                                   next.job->spec().queue, next.policy->priority, next.isGuaranteed,
                                    m_pool.find(assigned.worker)->rack, where.estimate.count(),
                                    (now - m_view.confirmedAt).count(),
                                    (now - next.job->acceptedAt()).count()));
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace goldcrest {
@@ -26,6 +27,7 @@
 
 void run_planner::plan(unix_ms wall, time_point now)
 {
+    m_needsPass = false;
     endRunsWithExpiredLeases(wall, now);
     for (const std::string &id : m_unfinished)
         m_jobs.at(id).openDue(wall);
@@ -37,8 +39,9 @@
     m_unitTasks.clear();
     m_guaranteed = guaranteedJobs();
     std::map<std::string, std::vector<unit>> byService;
-    for (unit &next : collectUnits(now))
-        byService[next.policy.service].push_back(std::move(next));
+    std::vector<unit> waiting = collectUnits(now);
+    for (unit &next : waiting)
+        byService[next.policy->service].push_back(std::move(next));
     for (auto &[service, units] : byService)
         planService(units, service, now);
 }
@@ -102,7 +105,8 @@
         if (job == m_jobs.end() || job->second.isFinished())
             continue;
         job->second.storeCheckpoints();
-        noteChanged(job->second);
+        if (m_changed.count(id) == 0)
+            m_changedByCheckpoint.insert(id);
     }
 }
 
@@ -138,7 +142,7 @@
 
 time_point run_planner::targetOf(const tracked_job &job) const
 {
-    const queue_policy policy = policyOf(job);
+    const queue_policy &policy = policyOf(job);
     return job.acceptedAt() + scaled(criticalPathTime(job.spec()), policy.slackFactor)
         + policy.completionTarget;
 }
@@ -161,7 +165,7 @@
         tracked_job &job = m_jobs.at(id);
         unit next;
         next.job = &job;
-        next.policy = policyOf(job);
+        next.policy = &policyOf(job);
         next.isGuaranteed = m_guaranteed.count(id) > 0;
         next.target = targetOf(job);
         for (const step_ref &step : job.readySteps()) {
@@ -171,24 +175,19 @@
             next.indexes.clear();
             const tracked_step &tracked = *job.find(step);
             for (std::size_t i = 0; i < tracked.tasks.size(); ++i) {
-                if (tracked.tasks[i].record.isDone || tracked.tasks[i].isActive())
-                    continue;
-                next.indexes.push_back(static_cast<std::int32_t>(i));
-                if (spec.gang)
-                    continue;
-                units.push_back(next);
-                next.indexes.clear();
+                if (!tracked.tasks[i].record.isDone && !tracked.tasks[i].isActive())
+                    next.indexes.push_back(static_cast<std::int32_t>(i));
             }
-            if (spec.gang)
-                units.push_back(next);
+            units.push_back(next);
         }
     }
     std::stable_sort(units.begin(), units.end(), [now](const unit &a, const unit &b) {
         const auto rank = [now](const unit &one) {
             // Jobs that can still complete on time go before jobs that will be late in any case.
             const bool isLate = one.target < now + one.estimate;
-            return std::make_tuple(!one.isGuaranteed, one.policy.priority, isLate, one.target,
-                                   one.job->id(), one.step.occurrence, one.step.step);
+            return std::make_tuple(!one.isGuaranteed, one.policy->priority, isLate, one.target,
+                                   std::string_view(one.job->id()), one.step.occurrence,
+                                   one.step.step);
         };
         return rank(a) < rank(b);
     });
@@ -273,18 +272,16 @@
             capacity.free -= run.demand;
             capacity.runs.push_back(run);
         }
-        for (const auto &[run, running] : worker.running) {
-            const result<task_key> key = parseTask(run.task);
-            const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
-            if (!failureOf(key) && worker.active.count(valueOf(key)) > 0)
+        for (const std::optional<task_key> &key : worker.runningTasks) {
+            if (key && worker.active.count(*key) > 0)
                 continue;
+            const auto job = key ? m_jobs.find(key->job) : m_jobs.end();
             if (job == m_jobs.end()) {
                 capacity.free = {}; // the size of the run is not known
                 continue;
             }
-            const step_ref step{valueOf(key).occurrence, valueOf(key).step};
-            if (step.step < static_cast<std::int32_t>(job->second.spec().steps.size()))
-                capacity.free -= demandOf(job->second.specOf(step));
+            if (key->step < static_cast<std::int32_t>(job->second.spec().steps.size()))
+                capacity.free -= demandOf(job->second.specOf({key->occurrence, key->step}));
         }
         capacities.push_back(std::move(capacity));
     }
@@ -295,22 +292,51 @@
     return capacities;
 }
 
-void run_planner::planService(std::vector<unit> &units, const std::string &service, time_point now)
+void run_planner::planService(const std::vector<unit> &units, const std::string &service,
+                              time_point now)
 {
-    // Bounds the waiting units, whose reservations keep capacity from units of lower rank: a pass
-    // ends once more than 8 times this many units wait. More reservations would hold back work for
-    // starts that the estimates can't predict.
-    constexpr std::size_t maxReservations = 4;
-    // Maximum number of units per pass, to bound its time.
-    constexpr std::size_t maxUnits = 256;
+    // A pass ends once this many steps wait, since their reservations keep capacity from steps of
+    // lower rank. More of them would hold back work for starts that the estimates can't predict.
+    constexpr std::size_t maxWaitingSteps = 32;
+    // Maximum number of placement units per pass, to bound its time.
+    std::size_t unitsLeft = 256;
     std::vector<worker_capacity> capacities = makeCapacities(service, now);
     std::size_t waiting = 0;
-    for (std::size_t i = 0; i < units.size() && i < maxUnits; ++i) {
-        if (planUnit(units[i], capacities, now))
-            continue;
-        if (++waiting > maxReservations * 8)
+    for (const unit &next : units) {
+        if (unitsLeft == 0 || waiting > maxWaitingSteps)
+            break;
+        if (planStep(next, capacities, unitsLeft, now) == step_outcome::Waiting)
+            ++waiting;
+    }
+}
+
+// Places the waiting tasks of a step: a gang as a whole, other tasks one by one. The tasks of a
+// step are alike, so once one of them has to wait, the others are not tried.
+run_planner::step_outcome run_planner::planStep(const unit &next,
+                                                std::vector<worker_capacity> &capacities,
+                                                std::size_t &unitsLeft, time_point now)
+{
+    const std::vector<std::size_t> eligible = eligibleCapacities(next, capacities, now);
+    if (next.job->specOf(next.step).gang) {
+        --unitsLeft;
+        return planUnit(next, eligible, capacities, now) == unit_outcome::Started
+            ? step_outcome::Started
+            : step_outcome::Waiting;
+    }
+    step_outcome outcome = step_outcome::Started;
+    unit single = next;
+    for (const std::int32_t index : next.indexes) {
+        if (unitsLeft == 0)
+            break;
+        --unitsLeft;
+        single.indexes.assign(1, index);
+        const unit_outcome placed = planUnit(single, eligible, capacities, now);
+        if (placed != unit_outcome::Started)
+            outcome = step_outcome::Waiting;
+        if (placed == unit_outcome::Waiting)
             break;
     }
+    return outcome;
 }
 
 // Returns the indexes of the workers on which the unit may run. Leaves out workers on which runs
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -60,6 +60,10 @@
     if (worker.draining != report.draining)
         recordDecision(report.draining ? "worker draining" : "worker drain ended", {}, 0, worker.id,
                        "reported by its backend server");
+    const bool isNewlyUsable = worker.incarnation != report.incarnation
+        || worker.service != report.service || worker.capacity != report.capacity
+        || worker.draining != report.draining || now - worker.reportedAt > m_options.freshReport;
+    m_needsPass = m_needsPass || isNewlyUsable;
     worker.incarnation = report.incarnation;
     worker.machine = report.machine;
     worker.service = report.service;
@@ -86,6 +90,7 @@
     const graph_job_state before = job.state();
     if (!job.endRun(key, run, how, saved, wall))
         return;
+    m_needsPass = true;
     recordDecision("run ended", key, run, worker, std::move(reason));
     if (job.state() != before)
         recordDecision("job ended", {key.job, 0, 0, 0}, 0, {}, std::string(nameOf(job.state())));
@@ -185,10 +190,12 @@
                                  time_point now)
 {
     worker.running.clear();
+    worker.runningTasks.clear();
     worker.unassignedRuns.clear();
     for (const running_task &running : report.running) {
         worker.running[running.run] = running;
         const result<task_key> key = parseTask(running.run.task);
+        worker.runningTasks.push_back(failureOf(key) ? std::nullopt : std::optional(valueOf(key)));
         const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
         tracked_task *task = job == m_jobs.end() ? nullptr : job->second.find(valueOf(key));
         if (!task || !task->isActive() || task->record.worker != worker.id
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -50,6 +50,8 @@
     std::int64_t clock = 0; // of the backend server at the last report, ms
     time_point leaseEnds{}; // no granted lease ends later
     std::map<run_id, running_task> running; // as reported
+    // Tasks of the reported runs; without a value: the name could not be parsed.
+    std::vector<std::optional<task_key>> runningTasks;
     std::set<run_id> unresolved; // calls without an answer, as reported
     // Reported runs that are not the current run of a task on this worker; they are to be stopped.
     std::set<run_id> unassignedRuns;
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -182,6 +182,20 @@
     CHECK(!service->isElected());
 }
 
+// Load pattern: a recovery storm, in which the planner is late for everything. Its confirmations
+// arrive, but it handles them late. A successor would be just as late.
+TEST(planner_service, busyPlannerStaysInOffice)
+{
+    elect();
+    const auto other = connectAgent("w2");
+    for (int i = 0; i < 20; ++i) {
+        loop.jump(950ms); // handles one batch of events, then computes again
+        loop.advance(10ms);
+    }
+    LONGS_EQUAL(0, takeoversIn(*other));
+    CHECK(service->isElected());
+}
+
 TEST(planner_service, takeoverRemovesTheKeyOfThatEpochOnly)
 {
     elect();
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -212,6 +212,67 @@
 }
 
 // Guards LIMIT: what may run counts, also what is being stopped.
+// Load pattern: a burst of wide steps. Their tasks are alike, so when one has to wait, the pass
+// goes on with other work instead of trying hundreds more of them.
+TEST(run_planner, wideStepsThatWaitDoNotHideWorkThatFits)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("long", 1, makeStep(1, 8));
+    planAndStore();
+    for (int i = 0; i < 3; ++i)
+        addJob("wide" + std::to_string(i), 1, makeStep(230, 1));
+    addJob("small", 2, makeStep(1, 0));
+    planAndStore();
+    CHECK(*planner.stateOf("wide0") == graph_job_state::Queued);
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
+// Load pattern: a recovery storm. Each report of a fleet that has nothing new must not cost a pass.
+TEST(run_planner, reportWithoutNewsNeedsNoPass)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    CHECK(!planner.needsPass());
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 20, 0});
+    planner.onReport(report, wall, now);
+    CHECK(!planner.needsPass());
+    report.clock = ++clock;
+    report.running.clear();
+    report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Done, {}});
+    planner.onReport(report, wall, now);
+    CHECK(planner.needsPass());
+}
+
+// Load pattern: many tasks that save checkpoints, which all have to be stored at once. New runs are
+// stored first, since their starts wait for it.
+TEST(run_planner, newRunsAreStoredBeforeCheckpoints)
+{
+    for (int i = 0; i < 3; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    step_spec step = makeStep(1, 1);
+    step.checkpointing = true;
+    for (int i = 0; i < 20; ++i)
+        addJob("a" + std::to_string(i), 1, step);
+    planAndStore();
+    now += 2s;
+    for (int i = 0; i < 3; ++i) {
+        const std::string worker = "w" + std::to_string(i);
+        worker_report_message report = reportOf(worker);
+        for (const start_order &start : ordersOf(worker).starts)
+            report.running.push_back({start.run, "saved", 10, 0});
+        planner.onReport(report, wall, now);
+    }
+    addJob("new", 1, makeStep(1, 1));
+    confirm();
+    planner.plan(wall, now);
+    const std::vector<stored_change> first = planner.takeChanges(1);
+    LONGS_EQUAL(1, first.size());
+    STRCMP_EQUAL("new", first.front().job.c_str());
+    CHECK(planner.takeChanges(100).size() > 10);
+}
+
 TEST(run_planner, neverExceedsTheCapacityOfAWorker)
 {
     planner.onReport(reportOf("w1"), wall, now);
