Learn per queue how far declared run times can be trusted

The planner ranked, reserved and preempted by declared times: a gang that declared 0.3 s was taken as late at once and waited 5 s behind others. Change: run_time_model, a regression of the logarithms for each queue with the declared time as prior, learns from typical runs. Rank, targets, placement and preemption use its predictions. A planner starts without history.

--- a/goldcrest/graph_job.cc
+++ b/goldcrest/graph_job.cc
@@ -129,13 +129,19 @@
 }
 
 duration criticalPathTime(const graph_job &job)
+{
+    return criticalPathTime(job, [](const step_spec &step) { return step.estimated; });
+}
+
+duration criticalPathTime(const graph_job &job,
+                          const std::function<duration(const step_spec &)> &timeOf)
 {
     std::vector<duration> ends(job.steps.size(), 0ms);
     duration longest = 0ms;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         for (const std::int32_t predecessor : job.steps[i].after)
             ends[i] = std::max(ends[i], ends[static_cast<std::size_t>(predecessor)]);
-        ends[i] += job.steps[i].estimated;
+        ends[i] += timeOf(job.steps[i]);
         longest = std::max(longest, ends[i]);
     }
     return longest;
--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -16,6 +16,7 @@
 #include "goldcrest/outcome.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -120,6 +121,10 @@
 // dependent steps.
 duration criticalPathTime(const graph_job &job);
 
+// Returns the length of the critical path, with run times that `timeOf` gives for each step.
+duration criticalPathTime(const graph_job &job,
+                          const std::function<duration(const step_spec &)> &timeOf);
+
 // Returns the stored form (CBOR).
 std::string encodeGraphJob(const graph_job &job);
 
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -24,6 +24,7 @@
 #include "goldcrest/placement_advisor.h"
 #include "goldcrest/queue_catalogue.h"
 #include "goldcrest/run_placement.h"
+#include "goldcrest/run_time_model.h"
 #include "goldcrest/tracked_job.h"
 #include "goldcrest/worker_pool.h"
 
@@ -216,6 +217,8 @@
                                                 time_point now) const;
     double latenessCost(const tracked_job &job, duration rest, time_point now) const;
     time_point targetOf(const tracked_job &job) const;
+    duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
+    void observeRunTime(const task_key &key, std::int32_t run, time_point now);
     void planService(const std::vector<unit> &units, const std::string &service, time_point now);
     step_outcome planStep(const unit &next, std::vector<worker_capacity> &capacities,
                           std::size_t &unitsLeft, time_point now);
@@ -255,6 +258,7 @@
     worker_pool m_pool;
     operator_view m_view;
     std::unordered_map<std::string, std::size_t> m_queueIndexes; // in the catalogue, by name
+    run_time_model m_runTimes;
     std::map<std::string, tracked_job> m_jobs;
     // By job: the worker of each task with an active run, in key order, as entered in the pool.
     std::map<std::string, std::vector<std::pair<task_key, worker_id>>> m_activeRuns;
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -135,7 +135,8 @@
     std::vector<run_assignment> runs;
     for (std::size_t i = 0; i < next.indexes.size(); ++i) {
         const worker_capacity &capacity = capacities[where.indexes[i]];
-        runs.push_back({next.indexes[i], capacity.worker, capacity.incarnation, where.estimate});
+        runs.push_back({next.indexes[i], capacity.worker, capacity.incarnation, where.estimate,
+                        where.estimate <= next.estimate});
     }
     next.job->beginRuns(next.step, runs, now);
     noteChanged(*next.job);
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -143,8 +143,14 @@
 time_point run_planner::targetOf(const tracked_job &job) const
 {
     const queue_policy &policy = policyOf(job);
-    return job.acceptedAt() + scaled(criticalPathTime(job.spec()), policy.slackFactor)
-        + policy.completionTarget;
+    const duration chain = criticalPathTime(
+        job.spec(), [&](const step_spec &step) { return expectedTimeOf(job, step); });
+    return job.acceptedAt() + scaled(chain, policy.slackFactor) + policy.completionTarget;
+}
+
+duration run_planner::expectedTimeOf(const tracked_job &job, const step_spec &step) const
+{
+    return m_runTimes.expected(job.spec().queue, step.estimated);
 }
 
 // Returns the value lost if stopping the job, with `rest` of its work left, makes it miss its
@@ -171,7 +177,7 @@
         for (const step_ref &step : job.readySteps()) {
             const step_spec &spec = job.specOf(step);
             next.step = step;
-            next.estimate = spec.estimated;
+            next.estimate = expectedTimeOf(job, spec);
             next.indexes.clear();
             const tracked_step &tracked = *job.find(step);
             for (std::size_t i = 0; i < tracked.tasks.size(); ++i) {
@@ -267,7 +273,7 @@
             run.isGuaranteed = m_guaranteed.count(key.job) > 0;
             run.mayStop = !step.longRunning;
             if (losses.count(run.unit) == 0)
-                losses[run.unit] = latenessCost(job, step.estimated, now);
+                losses[run.unit] = latenessCost(job, expectedTimeOf(job, step), now);
             losses[run.unit] += lostWork(task, step, now);
             capacity.free -= run.demand;
             capacity.runs.push_back(run);
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -143,6 +143,22 @@
     }
 }
 
+// Learns from a run that has completed its task how long such tasks take. A gang counts once, and
+// the tasks of another step count as one together.
+void run_planner::observeRunTime(const task_key &key, std::int32_t run, time_point now)
+{
+    const auto found = m_jobs.find(key.job);
+    const tracked_task *task = found == m_jobs.end() ? nullptr : found->second.find(key);
+    if (!task || task->record.isDone || !task->isActive() || task->record.lastRun != run
+        || !task->isTypical)
+        return;
+    const tracked_job &job = found->second;
+    const step_spec &step = job.specOf({key.occurrence, key.step});
+    const time_point begunAt = task->isListed ? task->listedAt : task->begunAt;
+    m_runTimes.observe(job.spec().queue, step.estimated, now - begunAt,
+                       step.gang ? 1.0 : 1.0 / step.count);
+}
+
 void run_planner::noteFailure(pool_worker &worker, const std::string &job, time_point now)
 {
     std::set<worker_id> &failedOn = m_failedOn[job];
@@ -173,6 +189,8 @@
         const result<task_key> key = parseTask(ended.run.task);
         if (!failureOf(key)) {
             noteHealth(worker, valueOf(key), ended.how, now);
+            if (ended.how == run_end::Done)
+                observeRunTime(valueOf(key), ended.run.number, now);
             endRun(valueOf(key), ended.run.number, ended.how, ended.saved, worker.id,
                    std::string(names[static_cast<std::size_t>(ended.how)]), wall);
             const auto job = m_jobs.find(valueOf(key).job);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -218,6 +218,7 @@
         task.begunAt = now;
         task.percentChangedAt = now;
         task.runEstimate = run.estimate;
+        task.isTypical = run.isNear && task.record.saved.empty();
     }
     m_state = graph_job_state::Running;
 }
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -36,6 +36,9 @@
     std::int32_t percent = 0; // progress of the current run
     time_point percentChangedAt{};
     duration runEstimate = 0ms; // estimated run time of the current run on its worker
+    // The current run started from the beginning and near its data, so its length tells how long
+    // such tasks take.
+    bool isTypical = false;
 
     bool isActive() const { return !record.worker.empty(); }
 };
@@ -73,6 +76,7 @@
     worker_id worker;
     std::string incarnation; // of the worker's backend server
     duration estimate = 0ms; // expected time on that worker
+    bool isNear = true; // not slowed by its distance to its data or to the other tasks
 };
 
 class tracked_job
