Move work off leaving workers, and free that of departed ones

On the untouched code a gang ended because a member had not started within 5 s (GANG). Change: agents report the time that a draining backend server has left, and that one which announced its departure and has not answered for 1 s is gone; its runs end at once, but for starts that may still reach a later incarnation. Runs that would not end in time are stopped, those that save checkpoints as late as possible, gangs as a whole. A gang that stays incomplete for 0.4 of the backend servers' limit is stopped, unless its progress shows that it is complete. Seven tests, which use the new fields and so don't build on the old code.

--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -440,6 +440,9 @@
     std::vector<refused_start> refused;
     // Runs with a start or stop call of unknown outcome, which may still take effect.
     std::vector<run_id> unresolved;
+    duration drainLeft = 0ms; // while draining: minimum time until the backend server leaves
+    // The backend server has announced its departure and is gone, with all that ran on it.
+    bool hasLeft = false;
 };
 
 // Order to start a run.
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -57,6 +57,8 @@
     void queryNow();
     void onStatus(const result<host_status> &outcome, time_point sentAt, std::int64_t ordersAtSend);
     void report(const host_status &status, time_point sentAt, std::int64_t ordersAtSend);
+    worker_report_message makeReport() const;
+    void reportDeparture();
     void forgetSettled(time_point sentAt);
     void scheduleQuery(duration delay);
 
@@ -81,7 +83,10 @@
 
     std::optional<host_announcement> backend;
     std::uint64_t incarnationCount = 0;
+    time_point announcedAt{};
     bool hasLeft = false;
+    time_point lastAnswerAt{}; // of the backend server, or when its incarnation began
+    time_point departureReportedAt{};
     epoch token = 0;
     bool isConnected = false;
     std::int64_t ordersSeen = 0;
@@ -146,6 +151,7 @@
         return;
     const bool drainingChanged = announcement.draining != self.backend->draining;
     self.backend = announcement;
+    self.announcedAt = self.loop.now();
     if (drainingChanged)
         self.queryNow();
 }
@@ -154,6 +160,7 @@
 {
     if (m_state->backend && m_state->backend->id == id) {
         m_state->backend->draining = true;
+        m_state->backend->drainLeft = 0ms;
         m_state->hasLeft = true;
         m_state->queryNow();
     }
@@ -168,6 +175,9 @@
         .field("service", announcement.service)
         .write();
     backend = announcement;
+    announcedAt = loop.now();
+    lastAnswerAt = loop.now();
+    departureReportedAt = {};
     ++incarnationCount;
     hasLeft = false;
     endsStored = 0;
@@ -427,10 +437,13 @@
         if (isReachable)
             log_line(log_level::Warning, "backend server unreachable").error(*error).write();
         isReachable = false;
+        if (hasLeft && loop.now() - lastAnswerAt >= options.departureProof)
+            reportDeparture();
         if (!isQuerying)
             scheduleQuery(options.retryPause);
         return;
     }
+    lastAnswerAt = loop.now();
     const host_status &status = valueOf(outcome);
     // Answers on different connections may arrive out of order, and another incarnation numbers its
     // ends differently.
@@ -450,12 +463,10 @@
         scheduleQuery(endsListed > endsStored ? options.pauseForStoring : 0ms);
 }
 
-void run_agent::state::report(const host_status &status, time_point sentAt,
-                              std::int64_t ordersAtSend)
+worker_report_message run_agent::state::makeReport() const
 {
     worker_report_message message;
     message.plannerEpoch = token;
-    message.ordersSeen = ordersAtSend;
     message.worker = worker;
     message.incarnation = backend->incarnation();
     message.machine = backend->id;
@@ -465,7 +476,35 @@
     message.labels = backend->labels;
     message.capacity = backend->capacity;
     message.draining = backend->draining || hasLeft;
-    message.clock = status.clock;
+    if (message.draining)
+        message.drainLeft
+            = std::max<duration>(0ms, backend->drainLeft - (loop.now() - announcedAt));
+    message.clock = newestClock;
+    return message;
+}
+
+// Tells the planner that all runs of the backend server have ended with it, except those whose
+// start may still take effect in a later incarnation.
+void run_agent::state::reportDeparture()
+{
+    if (departureReportedAt != time_point{}
+        && loop.now() - departureReportedAt < options.statusQueryWait)
+        return;
+    worker_report_message message = makeReport();
+    message.hasLeft = true;
+    for (const auto &[run, ordered] : runs) {
+        if (ordered.mayTakeEffectLate)
+            message.unresolved.push_back(run);
+    }
+    if (send && send(message))
+        departureReportedAt = loop.now();
+}
+
+void run_agent::state::report(const host_status &status, time_point sentAt,
+                              std::int64_t ordersAtSend)
+{
+    worker_report_message message = makeReport();
+    message.ordersSeen = ordersAtSend;
     message.running = status.running;
     message.ended = status.ended;
     std::set<run_id> listed;
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -36,6 +36,8 @@
     // Pause between status queries while ended runs are not stored yet; the backend server answers
     // each query immediately as long as it has unacknowledged ends.
     duration pauseForStoring = 100ms;
+    // A backend server that has announced its departure and does not answer for this long is gone.
+    duration departureProof = 1s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
 };
--- a/goldcrest/run_host.h
+++ b/goldcrest/run_host.h
@@ -33,6 +33,7 @@
     std::vector<std::string> labels;
     resources capacity;
     bool draining = false;
+    duration drainLeft = 0ms; // while draining: minimum time until it leaves
 
     // Identifies the incarnation. The id alone does not, since it may be reused after a restart.
     std::string incarnation() const { return id + "/" + std::to_string(startedAtMs); }
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -60,6 +60,8 @@
     duration freshView = 3s;
     // Maximum time from a stop to the end of a run; must match the setting of the platform.
     duration stopTime = 500ms;
+    // The backend servers end a gang that is incomplete for this long.
+    duration gangTimeout = 3s;
     // Slowdown of tasks away from their data, and of gangs spread over several racks.
     double remoteFactor = 3;
     // A worker on which runs fail or stall gets no starts for this long. Such faults last 5 to 7 s
@@ -197,6 +199,8 @@
     void processRunning(pool_worker &worker, const worker_report_message &report, time_point now);
     void processRefusals(pool_worker &worker, const worker_report_message &report, unix_ms wall,
                          time_point now);
+    void endRunsOfDepartedServer(pool_worker &worker, const worker_report_message &report,
+                                 unix_ms wall);
     void endRunsNotListed(pool_worker &worker, const worker_report_message &report, unix_ms wall);
     void endRun(const task_key &task, std::int32_t run, run_end how, const std::string &saved,
                 const worker_id &worker, std::string reason, unix_ms wall);
@@ -208,6 +212,10 @@
     // Planning.
     void endRunsWithExpiredLeases(unix_ms wall, time_point now);
     void stopStalledRuns(time_point now);
+    void stopRunsOnLeavingWorkers(time_point now);
+    void stopIncompleteGangs(time_point now);
+    void stopRun(tracked_job &job, const task_key &key, std::string_view reason,
+                 const std::string &inputs);
     void storeCheckpoints(time_point now);
     std::vector<unit> collectUnits(time_point now);
     std::vector<worker_capacity> makeCapacities(const std::string &service, time_point now);
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -172,21 +172,9 @@
     for (const std::size_t number : units) {
         const task_key &first = m_unitTasks[number];
         tracked_job &job = m_jobs.at(first.job);
-        const step_ref ref{first.occurrence, first.step};
-        tracked_step &step = *job.find(ref);
-        const bool isGang = job.specOf(ref).gang;
-        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-            tracked_task &task = step.tasks[i];
-            const auto index = static_cast<std::int32_t>(i);
-            if (!task.isActive() || task.stopWanted || (!isGang && index != first.index))
-                continue;
-            task.stopWanted = true;
-            m_changedWorkers.insert(task.record.worker);
-            recordDecision("run stopped", job.keyOf(ref, index), task.record.lastRun,
-                           task.record.worker, "preempted by work of higher rank",
-                           fmt::format("for={} guaranteed={} percent={}", beneficiary.job->id(),
-                                       beneficiary.isGuaranteed, task.percent));
-        }
+        stopRun(
+            job, first, "preempted by work of higher rank",
+            fmt::format("for={} guaranteed={}", beneficiary.job->id(), beneficiary.isGuaranteed));
     }
     for (worker_capacity &capacity : capacities) {
         for (placed_run &run : capacity.runs) {
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -32,6 +32,8 @@
     for (const std::string &id : m_unfinished)
         m_jobs.at(id).openDue(wall);
     stopStalledRuns(now);
+    stopRunsOnLeavingWorkers(now);
+    stopIncompleteGangs(now);
     storeCheckpoints(now);
     if (!m_view.catalogue || now - m_view.confirmedAt > m_options.freshView)
         return;
@@ -63,37 +65,6 @@
     }
 }
 
-// Stops runs without progress. The timeout is a share of the estimated run time, because the
-// progress of long tasks rarely advances by a whole percent.
-void run_planner::stopStalledRuns(time_point now)
-{
-    constexpr duration shortestStall = 2500ms;
-    constexpr double stallShare = 0.35;
-    for (auto &[id, worker] : m_pool.workers()) {
-        if (now - worker.reportedAt > m_options.freshReport)
-            continue;
-        for (const task_key &key : worker.active) {
-            tracked_job &job = m_jobs.at(key.job);
-            tracked_task &task = *job.find(key);
-            const step_spec &step = job.specOf({key.occurrence, key.step});
-            if (!task.isListed || task.stopWanted || step.longRunning || task.percent >= 100)
-                continue;
-            const duration stallTimeout
-                = std::max(shortestStall, scaled(task.runEstimate, stallShare));
-            // Measured up to the last report, since time without reports does not prove anything
-            // about the task.
-            const duration stalled = worker.reportedAt - task.percentChangedAt;
-            if (stalled < stallTimeout)
-                continue;
-            task.stopWanted = true;
-            worker.avoidUntil = now + m_options.avoidTime;
-            m_changedWorkers.insert(id);
-            recordDecision("run stopped", key, task.record.lastRun, id, "no progress",
-                           fmt::format("percent={} for_ms={}", task.percent, stalled.count()));
-        }
-    }
-}
-
 // Adds new checkpoints to the records of their jobs, all at once to save writes.
 void run_planner::storeCheckpoints(time_point now)
 {
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -33,6 +33,10 @@
     updateWorker(worker, report, now);
     if (report.incarnation.empty())
         return true;
+    if (report.hasLeft) {
+        endRunsOfDepartedServer(worker, report, wall);
+        return true;
+    }
     processEnds(worker, report, wall, now);
     processRunning(worker, report, now);
     stopRunsOfOtherIncarnations(worker);
@@ -72,6 +76,7 @@
     worker.labels = report.labels;
     worker.capacity = report.capacity;
     worker.draining = report.draining;
+    worker.leavesAt = report.draining ? now + report.drainLeft : time_point::max();
     worker.clock = report.clock;
     worker.isReported = true;
     worker.reportedAt = now;
@@ -257,6 +262,27 @@
     }
 }
 
+// Ends the runs that a backend server has taken with it. A run whose start may still take effect is
+// left to its lease.
+void run_planner::endRunsOfDepartedServer(pool_worker &worker, const worker_report_message &report,
+                                          unix_ms wall)
+{
+    worker.running.clear();
+    worker.runningTasks.clear();
+    worker.unassignedRuns.clear();
+    const std::set<task_key> active = worker.active;
+    for (const task_key &key : active) {
+        const tracked_task *task = m_jobs.at(key.job).find(key);
+        if (!task->isActive() || task->record.worker != worker.id
+            || task->record.workerIncarnation != report.incarnation)
+            continue;
+        const run_id run{formatTask(key), task->record.lastRun};
+        if (worker.unresolved.count(run) == 0)
+            endRun(key, run.number, run_end::Lapsed, {}, worker.id, "its backend server has left",
+                   wall);
+    }
+}
+
 // Ends runs that the report does not list although it was made after their orders were carried out.
 // Such a run does not exist and can no longer start.
 void run_planner::endRunsNotListed(pool_worker &worker, const worker_report_message &report,
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -44,6 +44,7 @@
     std::vector<std::string> labels;
     resources capacity;
     bool draining = false;
+    time_point leavesAt = time_point::max(); // while draining: it does not leave earlier
 
     bool isReported = false; // has reported in this planner's epoch
     time_point reportedAt{};
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -145,6 +145,55 @@
     LONGS_EQUAL(0, reports[0].ordersSeen);
 }
 
+// Load pattern: a release, in which the backend servers are replaced one after the other. What ran
+// on one that has left need not wait for its lease.
+TEST(run_agent, reportsABackendServerThatHasLeft)
+{
+    const auto failQueries = [this](int count) {
+        for (int i = 0; i < count; ++i) {
+            const auto answer = host.statusQueries.back().answer;
+            answer(makeFailure(code::BackendUnavailable, "connection refused"));
+            loop.advance(200ms);
+        }
+    };
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    loop.advance(1ms);
+    reports.clear();
+    // Silence alone proves nothing.
+    failQueries(10);
+    CHECK(reports.empty());
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    loop.advance(1ms);
+    reports.clear();
+    agent.onDeparture("i-1");
+    loop.advance(1ms);
+    failQueries(3);
+    CHECK(reports.empty());
+    failQueries(4);
+    CHECK(!reports.empty());
+    CHECK(reports.back().hasLeft);
+    STRCMP_EQUAL("i-1/100", reports.back().incarnation.c_str());
+    CHECK(reports.back().unresolved.empty());
+}
+
+// A start without an answer may still reach the next incarnation.
+TEST(run_agent, departureLeavesUnansweredStartsUnresolved)
+{
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    host.starts.back().answer(makeFailure(code::BackendUnavailable, "no answer"));
+    agent.onDeparture("i-1");
+    loop.advance(1ms);
+    for (int i = 0; i < 8; ++i) {
+        const auto answer = host.statusQueries.back().answer;
+        answer(makeFailure(code::BackendUnavailable, "connection refused"));
+        loop.advance(200ms);
+    }
+    CHECK(reports.back().hasLeft);
+    LONGS_EQUAL(1, reports.back().unresolved.size());
+}
+
 TEST(run_agent, ordersOfAnEarlierPlannerAreRefused)
 {
     CHECK(!agent.onOrders(orders(4, 1)));
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -311,6 +311,137 @@
     LONGS_EQUAL(2, ordersOf("w2").starts[0].run.number);
 }
 
+// Load pattern: a release, in which the backend servers are replaced one after the other.
+TEST(run_planner, runsOfADepartedServerStartElsewhereAtOnce)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(2, 1));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    for (const start_order &start : ordersOf("w1").starts)
+        report.running.push_back({start.run, {}, 10, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    report = reportOf("w1");
+    report.draining = true;
+    report.hasLeft = true;
+    report.unresolved.push_back({"a.0.0.1", 1});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    // The start of the other task may still reach the next incarnation.
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    STRCMP_EQUAL("a.0.0.0", ordersOf("w2").starts[0].run.task.c_str());
+}
+
+// Load pattern: workers taken away at short notice. A gang that would lose a member before its end
+// is stopped as a whole, one that ends in time goes on.
+TEST(run_planner, stopsAGangThatALeavingWorkerWouldBreak)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = true;
+    addJob("a", 1, gang);
+    planAndStore();
+    const auto report = [this](const std::string &worker, std::int32_t percent, duration left) {
+        worker_report_message sent = reportOf(worker);
+        const std::string task = worker == "w1" ? "a.0.0.0" : "a.0.0.1";
+        sent.running.push_back({{task, 1}, {}, percent, 0});
+        sent.draining = left > 0ms;
+        sent.drainLeft = left;
+        planner.onReport(sent, wall, now);
+    };
+    ordersOf("w1");
+    ordersOf("w2");
+    report("w1", 0, 0ms);
+    report("w2", 0, 0ms);
+    now += 1s; // 4 s are left
+    report("w1", 20, 6s);
+    report("w2", 20, 0ms);
+    planAndStore();
+    LONGS_EQUAL(0, ordersOf("w2").stops.size());
+    report("w1", 20, 2s);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+    LONGS_EQUAL(1, ordersOf("w2").stops.size());
+}
+
+// A task that saves checkpoints works on until it has to save its last one.
+TEST(run_planner, checkpointingTaskLeavesWithItsCheckpoint)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    step_spec step = makeStep(1, 1);
+    step.checkpointing = true;
+    addJob("a", 1, step);
+    planAndStore();
+    ordersOf("w1");
+    const auto reportLeaving = [this](duration left) {
+        worker_report_message sent = reportOf("w1");
+        sent.running.push_back({{"a.0.0.0", 1}, {}, 0, 0});
+        sent.draining = true;
+        sent.drainLeft = left;
+        planner.onReport(sent, wall, now);
+        planAndStore();
+    };
+    reportLeaving(2s);
+    LONGS_EQUAL(0, ordersOf("w1").stops.size());
+    now += 1s;
+    reportLeaving(700ms);
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
+// Load pattern: a busy planner or a cut link delays the start of one member of a gang.
+TEST(run_planner, stopsAGangThatStaysIncomplete)
+{
+    run_planner_options options;
+    options.gangTimeout = 5s;
+    planner = run_planner(options, someEpoch, now);
+    confirm();
+    planner.onReport(reportOf("w1"), wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = true;
+    addJob("a", 1, gang);
+    planAndStore();
+    ordersOf("w1");
+    ordersOf("w2");
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    now += 1s;
+    report.clock = ++clock;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(0, ordersOf("w1").stops.size());
+    now += 1500ms;
+    report.clock = ++clock;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
+// A worker that is only silent keeps its gang: the progress of the others shows that it is
+// complete.
+TEST(run_planner, silentMemberOfAWorkingGangIsLeftAlone)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = true;
+    addJob("a", 1, gang);
+    planAndStore();
+    ordersOf("w1");
+    ordersOf("w2");
+    for (std::int32_t percent = 0; percent <= 60; percent += 10) {
+        worker_report_message report = reportOf("w1");
+        report.running.push_back({{"a.0.0.0", 1}, {}, percent, 0});
+        planner.onReport(report, wall, now);
+        planAndStore();
+        LONGS_EQUAL(0, ordersOf("w1").stops.size());
+        now += 500ms;
+    }
+}
+
 // A predecessor that was replaced early may go on granting until its own lease is over.
 TEST(run_planner, restoredRunKeepsItsTaskThroughThePredecessorsLease)
 {
