Derive the planner's times from the bounds of the deployment

Cause: the lease of workers, the checkpoint interval, the times around guarantees, the age of a view and the retention were figures of the first two sites; a factor with a fraction was refused, so that a process would not have started. Result: settings_test renders the template with two made-up sets of bounds and without any, and compares all options; the old settings refuse both sets.

--- /dev/null
+++ b/goldcrest/planner_bounds.h
@@ -0,0 +1,31 @@
+#pragma once
+
+// Derives the planner's times from the bounds of a deployment, so that none of them is the figure of
+// one deployment.
+//
+//   planner_bounds bounds;                       // from the settings
+//   bounds.stopTime = 400ms;
+//   run_planner_options options = optionsFor(bounds);
+
+#include "goldcrest/clock.h"
+#include "goldcrest/run_planner.h"
+
+namespace goldcrest {
+
+// What the backend servers of a deployment do, and what its users are promised.
+struct planner_bounds
+{
+    duration stopTime = 500ms; // longest time from a stop order to the end of a run
+    duration gangTimeout = 3s; // after which a gang that is incomplete is ended
+    duration longestLease = 8s; // that the backend servers accept
+    duration checkpointInterval = 1s; // at which they save checkpoints
+    duration reclaimTime = 2700ms; // within which a job within a guarantee must start
+    duration changeTime = 5s; // within which evacuations must take effect
+    duration stateTime = 120s; // for which callers can query a finished job
+    double remoteFactor = 3; // slowdown of tasks away from their data
+};
+
+// Returns the options of a planner that keeps the bounds.
+run_planner_options optionsFor(const planner_bounds &bounds);
+
+} // namespace goldcrest
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -68,8 +68,15 @@
     // on the users' machines.
     duration avoidTime = 8s;
     // Interval at which checkpoints are stored, so that the work survives the loss of all
-    // processes. The platform's backend servers save a checkpoint once a second.
+    // processes. More often than the backend servers save them gains nothing.
     duration checkpointInterval = 1s;
+    // A unit within a guarantee that can start within this time waits for capacity; otherwise other
+    // units are stopped for it.
+    duration guaranteedWaitLimit = 300ms;
+    // Units within other guarantees are stopped only for a job that is younger than this. Once a job
+    // can no longer start in time, stopping them gains nothing, and two old jobs would stop each
+    // other in turn.
+    duration lastResortMaxAge = 2s;
     // Finished jobs are kept this long, so that callers can query their state.
     duration retention = 150s;
 };
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -12,15 +12,6 @@
 
 namespace {
 
-// A unit within a guarantee that can start within this time waits for capacity; otherwise other
-// units are stopped for it. It must start within 2.7 s, including the time to stop others.
-constexpr duration guaranteedWaitLimit = 300ms;
-
-// Units within other guarantees are stopped only for a job that is younger than this. Once the
-// limit of 2.7 s has been missed, stopping them gains nothing, and two old jobs would stop each
-// other in turn.
-constexpr duration lastResortMaxAge = 2s;
-
 // Added to the stop time for a preemption reservation. Covers the delivery of stops and reports,
 // and runs that end soon and were not stopped.
 constexpr duration preemptionSlack = 500ms;
@@ -117,12 +108,12 @@
         rule.maxLoss = onTimeValueOf(next.policy->priority);
         return cheapestEviction(capacities, request, rule, now);
     }
-    if (found && found->start - now <= guaranteedWaitLimit)
+    if (found && found->start - now <= m_options.guaranteedWaitLimit)
         return std::nullopt;
     rule.alsoUnguaranteed = true;
     rule.maxLoss = std::numeric_limits<double>::max();
     std::optional<eviction> evicted = cheapestEviction(capacities, request, rule, now);
-    if (evicted || now - next.job->acceptedAt() > lastResortMaxAge)
+    if (evicted || now - next.job->acceptedAt() > m_options.lastResortMaxAge)
         return evicted;
     rule.anyUnit = true;
     return cheapestEviction(capacities, request, rule, now);
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -200,9 +200,8 @@
 {
     if (!task.isListed)
         return 0;
-    // Checkpoints are about 1 s apart, so no more than that is lost.
     const duration ran = now - task.listedAt;
-    const duration lost = step.checkpointing ? std::min<duration>(ran, 1s) : ran;
+    const duration lost = step.checkpointing ? std::min(ran, m_options.checkpointInterval) : ran;
     return static_cast<double>(coreMsOf(step.perTask)) / 1000 * static_cast<double>(lost.count())
         / 1000;
 }
--- a/goldcrest/settings_table.cc
+++ b/goldcrest/settings_table.cc
@@ -206,6 +206,22 @@
     return true;
 }
 
+bool readNumber(const json &value, const setting_row &row, double &out,
+                std::vector<failure> &errors)
+{
+    const double number = value.is_number() ? value.get<double>() : 0;
+    // Written so that it refuses NaN.
+    const bool isInRange = number >= static_cast<double>(row.low)
+        && number <= static_cast<double>(row.high);
+    if (!value.is_number() || !isInRange) {
+        addSettingError(errors, row.path,
+                        "must be a number of " + row.allowed() + ", is " + value.dump());
+        return false;
+    }
+    out = number;
+    return true;
+}
+
 bool readText(const json &value, const std::string &path, text_kind kind, std::string &out,
               std::vector<failure> &errors)
 {
--- a/goldcrest/settings_table.h
+++ b/goldcrest/settings_table.h
@@ -65,6 +65,11 @@
 bool readInteger(const nlohmann::json &value, const setting_row &row, std::int64_t &out,
                  std::vector<failure> &errors);
 
+// Reads a number within the row's range, which may be a fraction. Returns false and reports an error
+// for any other value.
+bool readNumber(const nlohmann::json &value, const setting_row &row, double &out,
+                std::vector<failure> &errors);
+
 // Reads a text of the given kind. Returns false and reports an error for any other value.
 bool readText(const nlohmann::json &value, const std::string &path, text_kind kind,
               std::string &out, std::vector<failure> &errors);
@@ -148,6 +153,35 @@
         return *this;
     }
 
+    settings_table &number(std::string_view path, accessor<double> field)
+    {
+        add(path, "number",
+            [field](S &target, const nlohmann::json &value, const setting_row &row,
+                    std::vector<failure> &errors) {
+                readNumber(value, row, field(target), errors);
+            });
+        m_entries.back().formatDefault
+            = [field](S &target) { return nlohmann::json(field(target)).dump(); };
+        return *this;
+    }
+
+    // A time given as a number of seconds, which may be a fraction.
+    settings_table &seconds(std::string_view path, accessor<duration> field)
+    {
+        constexpr double msPerSecond = 1000;
+        add(path, "number",
+            [field](S &target, const nlohmann::json &value, const setting_row &row,
+                    std::vector<failure> &errors) {
+                double read = 0;
+                if (readNumber(value, row, read, errors))
+                    field(target) = duration(static_cast<duration::rep>(read * msPerSecond));
+            });
+        m_entries.back().formatDefault = [field](S &target) {
+            return nlohmann::json(static_cast<double>(field(target).count()) / msPerSecond).dump();
+        };
+        return unit("s");
+    }
+
     settings_table &milliseconds(std::string_view path, accessor<duration> field)
     {
         add(path, "integer",
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -4,6 +4,7 @@
 #include "testing/doc_page_support.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -153,38 +154,119 @@
     })";
     const auto second = platform::parseSidecarSettings(sidecar);
     CHECK(second.errors.empty());
-    CHECK(second.value.stopTime == 200ms);
-    CHECK(second.value.workerLease == 8s);
+    CHECK(second.value.bounds.stopTime == 200ms);
+    CHECK(optionsFor(second.value.bounds).workerLease == 8s);
+    const auto fraction = platform::parseSidecarSettings(
+        replaced(sidecar, "\"remoteFactor\": 3", "\"remoteFactor\": 2.5"));
+    CHECK(fraction.errors.empty());
+    DOUBLES_EQUAL(2.5, fraction.value.bounds.remoteFactor, 1e-9);
+    const auto text = platform::parseSidecarSettings(
+        replaced(sidecar, "\"remoteFactor\": 3", "\"remoteFactor\": \"3\""));
+    STRCMP_EQUAL("remoteFactor", text.errors.at(0).field.c_str());
 }
 
-// The templates that the platform fills in parse with its values, and contain no other placeholder.
-TEST(settings, templatesOfTheDeploymentAreValid)
+// Fills in a template as the platform does: sections of values that are missing are left out.
+static std::string filled(const std::string &path, const std::map<std::string, std::string> &values)
 {
-    const std::vector<std::pair<std::string, std::string>> values
-        = {{"{{node_name|json}}", "\"side-rimouski-1\""},
-           {"{{zone|json}}", "\"rimouski\""},
-           {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
-           {"{{listen.ready|json}}", "\"10.1.0.19:8523\""},
-           {"{{listen.control|json}}", "\"10.1.0.19:8526\""},
-           {"{{platform.address|json}}", "\"10.200.1.7:8524\""},
-           {"{{app|json}}", "\"10.1.0.19:8529\""},
-           {"{{service|json}}", "\"huvo11a\""},
-           {"{{advice}}", "10.200.1.9:8524"},
-           {"{{ip}}", "10.1.0.19"},
-           {"{{bounds.revoke_ms}}", "5000"},
-           {"{{bounds.stop_timeout_ms}}", "200"},
-           {"{{bounds.remote_factor}}", "3"}};
-    const auto fill = [&](const std::string &path) {
-        std::string text = valueOf(readSettingsFile(path));
-        for (const auto &[placeholder, value] : values) {
+    std::string text = valueOf(readSettingsFile(path));
+    for (std::size_t at = text.find("{{#"); at != std::string::npos; at = text.find("{{#")) {
+        const std::string name = text.substr(at + 3, text.find("}}", at) - at - 3);
+        const std::string open = "{{#" + name + "}}";
+        const std::string close = "{{/" + name + "}}";
+        const std::size_t end = text.find(close, at);
+        CHECK(end != std::string::npos);
+        const std::string inner = text.substr(at + open.size(), end - at - open.size());
+        text.replace(at, end + close.size() - at, values.count(name) > 0 ? inner : "");
+    }
+    for (const auto &[name, value] : values) {
+        const std::string quoted = '"' + value + '"';
+        for (const auto &[placeholder, with] :
+             {std::pair("{{" + name + "|json}}", quoted), {"{{" + name + "}}", value}}) {
             while (text.find(placeholder) != std::string::npos)
-                text = replaced(text, placeholder, value);
+                text = replaced(text, placeholder, with);
         }
-        CHECK(text.find("{{") == std::string::npos);
-        return text;
-    };
-    CHECK(platform::parseFrontSettings(fill("deploy/front.json")).errors.empty());
-    const auto sidecar = platform::parseSidecarSettings(fill("deploy/sidecar.json"));
+    }
+    CHECK(text.find("{{") == std::string::npos);
+    return text;
+}
+
+static std::map<std::string, std::string> nodeValues()
+{
+    return {{"node_name", "side-1"},
+            {"zone", "north"},
+            {"listen.front", "10.1.0.19:8521"},
+            {"listen.ready", "10.1.0.19:8523"},
+            {"listen.control", "10.1.0.19:8526"},
+            {"platform.address", "10.200.1.7:8524"},
+            {"app", "10.1.0.19:8529"},
+            {"service", "huvo11a"},
+            {"advice", "10.200.1.9:8524"},
+            {"ip", "10.1.0.19"},
+            {"bounds.revoke_ms", "5000"}};
+}
+
+TEST(settings, templatesOfTheDeploymentAreValid)
+{
+    CHECK(platform::parseFrontSettings(filled("deploy/front.json", nodeValues())).errors.empty());
+    // Without bounds, the defaults apply.
+    const auto sidecar = platform::parseSidecarSettings(filled("deploy/sidecar.json", nodeValues()));
     CHECK(sidecar.errors.empty());
     STRCMP_EQUAL("10.1.0.19:7000", sidecar.value.linkListen.c_str());
+    CHECK(sidecar.value.bounds.gangTimeout == planner_bounds{}.gangTimeout);
+}
+
+// Guards deployments that nobody here has seen: the planner's times follow the bounds that the
+// platform states, fractions included.
+TEST(settings, plannerFollowsTheBoundsOfTheDeployment)
+{
+    struct deployment
+    {
+        const char *stop, *gang, *lease, *checkpoint, *reclaim, *change, *state, *remote;
+        run_planner_options expected;
+    };
+    run_planner_options slow;
+    slow.stopTime = 900ms;
+    slow.gangTimeout = 12s;
+    slow.workerLease = 8s;
+    slow.checkpointInterval = 2500ms;
+    slow.guaranteedWaitLimit = 660ms;
+    slow.lastResortMaxAge = 4600ms;
+    slow.freshView = 8s;
+    slow.retention = 630s;
+    slow.remoteFactor = 1.5;
+    run_planner_options tight;
+    tight.stopTime = 100ms;
+    tight.gangTimeout = 1500ms;
+    tight.workerLease = 4s;
+    tight.checkpointInterval = 500ms;
+    tight.guaranteedWaitLimit = 132ms;
+    tight.lastResortMaxAge = 600ms;
+    tight.freshView = 1500ms;
+    tight.retention = 90s;
+    tight.remoteFactor = 4;
+    for (const deployment &one :
+         {deployment{"900", "12000", "20000", "2.5", "6000", "10000", "600", "1.5", slow},
+          deployment{"100", "1500", "4000", "0.5", "1200", "3000", "60", "4", tight}}) {
+        std::map<std::string, std::string> values = nodeValues();
+        values["bounds.stop_timeout_ms"] = one.stop;
+        values["bounds.gang_timeout_ms"] = one.gang;
+        values["bounds.max_hold_ms"] = one.lease;
+        values["bounds.checkpoint_interval_s"] = one.checkpoint;
+        values["bounds.reclaim_ms"] = one.reclaim;
+        values["bounds.evacuate_ms"] = one.change;
+        values["bounds.status_s"] = one.state;
+        values["bounds.remote_factor"] = one.remote;
+        const auto parsed = platform::parseSidecarSettings(filled("deploy/sidecar.json", values));
+        CHECK(parsed.errors.empty());
+        const run_planner_options used = optionsFor(parsed.value.bounds);
+        CHECK(used.stopTime == one.expected.stopTime);
+        CHECK(used.gangTimeout == one.expected.gangTimeout);
+        CHECK(used.workerLease == one.expected.workerLease);
+        CHECK(used.checkpointInterval == one.expected.checkpointInterval);
+        CHECK(used.guaranteedWaitLimit == one.expected.guaranteedWaitLimit);
+        CHECK(used.lastResortMaxAge == one.expected.lastResortMaxAge);
+        CHECK(used.freshView == one.expected.freshView);
+        CHECK(used.retention == one.expected.retention);
+        DOUBLES_EQUAL(one.expected.remoteFactor, used.remoteFactor, 1e-9);
+    }
 }
