Move work away from workers that have turned slow

Change: the progress of a step's tasks is compared between workers. One whose tasks take more than 3.5 times as long gets no starts for a while, and what would take too long there begins again elsewhere. The new test fails without the comparison (0 stops of 2).

--- a/goldcrest/planner_bounds.h
+++ b/goldcrest/planner_bounds.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Derives the planner's times from the bounds of a deployment, so that none of them is the figure of
-// one deployment.
+// Derives the planner's times from the bounds of a deployment, so that none of them is the figure
+// of one deployment.
 //
 //   planner_bounds bounds;                       // from the settings
 //   bounds.stopTime = 400ms;
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -73,9 +73,9 @@
     // A unit within a guarantee that can start within this time waits for capacity; otherwise other
     // units are stopped for it.
     duration guaranteedWaitLimit = 300ms;
-    // Units within other guarantees are stopped only for a job that is younger than this. Once a job
-    // can no longer start in time, stopping them gains nothing, and two old jobs would stop each
-    // other in turn.
+    // Units within other guarantees are stopped only for a job that is younger than this. Once a
+    // job can no longer start in time, stopping them gains nothing, and two old jobs would stop
+    // each other in turn.
     duration lastResortMaxAge = 2s;
     // Finished jobs are kept this long, so that callers can query their state.
     duration retention = 150s;
@@ -171,6 +171,7 @@
 
 private:
     struct unit;
+    struct speed_evidence;
     enum class unit_outcome;
     enum class step_outcome;
 
@@ -219,6 +220,9 @@
     // Planning.
     void endRunsWithExpiredLeases(unix_ms wall, time_point now);
     void stopStalledRuns(time_point now);
+    void findSlowWorkers(time_point now);
+    void compareSpeeds(tracked_job &job, std::map<worker_id, speed_evidence> &evidence);
+    void stopSlowRuns(pool_worker &worker, time_point now);
     void stopRunsOnLeavingWorkers(time_point now);
     void stopIncompleteGangs(time_point now);
     void stopRun(tracked_job &job, const task_key &key, std::string_view reason,
--- a/goldcrest/run_planner_health.cc
+++ b/goldcrest/run_planner_health.cc
@@ -3,8 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace goldcrest {
 
@@ -13,8 +15,39 @@
 // Time for a stop order to reach the backend server, and for its report.
 constexpr duration stopMargin = 300ms;
 
+// Speeds are compared once a run has been observed this long, and if its progress must show.
+constexpr duration leastObserved = 1s;
+constexpr double leastProgress = 6; // percent
+// Fewer tasks of a step say too little about its usual speed.
+constexpr std::size_t leastCompared = 4;
+// Tasks of one step differ in their work, and healthy workers in their speed, by up to 2.5 times in
+// all. Workers that have turned slow take five times as long or more.
+constexpr double slowFactor = 3.5;
+constexpr double fineFactor = 2;
+
+struct speed_sample
+{
+    worker_id worker;
+    double speed = 0; // percent in the estimated run time
+    double elapsed = 0; // as a share of the estimated run time
+};
+
+double medianOf(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace
 
+// What the runs on a worker show about its speed.
+struct run_planner::speed_evidence
+{
+    bool isSlow = false;
+    bool isFine = false;
+};
+
 // Stops runs without progress. The timeout is a share of the estimated run time, because the
 // progress of long tasks rarely advances by a whole percent.
 void run_planner::stopStalledRuns(time_point now)
@@ -46,6 +79,79 @@
     }
 }
 
+// Finds workers on which tasks progress much more slowly than tasks of the same steps on others.
+// They get no starts for a while.
+void run_planner::findSlowWorkers(time_point now)
+{
+    std::map<worker_id, speed_evidence> evidence;
+    for (const auto &[id, runs] : m_activeRuns) {
+        if (runs.size() >= leastCompared)
+            compareSpeeds(m_jobs.at(id), evidence);
+    }
+    for (const auto &[id, found] : evidence) {
+        pool_worker &worker = m_pool.at(id);
+        if (!found.isSlow || found.isFine)
+            continue;
+        if (now >= worker.slowUntil)
+            recordDecision("worker avoided", {}, 0, id,
+                           "its tasks progress more slowly than tasks of the same steps elsewhere");
+        worker.slowUntil = now + m_options.avoidTime;
+        stopSlowRuns(worker, now);
+    }
+}
+
+void run_planner::compareSpeeds(tracked_job &job, std::map<worker_id, speed_evidence> &evidence)
+{
+    std::map<std::pair<std::int32_t, std::int32_t>, std::vector<speed_sample>> steps;
+    job.forEachActive([&](const task_key &key, const step_spec &step, tracked_task &task) {
+        if (!task.isListed || task.stopWanted || step.gang || step.longRunning || step.bestEffort
+            || task.runEstimate <= 0ms)
+            return;
+        const duration observed = m_pool.at(task.record.worker).reportedAt - task.listedAt;
+        if (observed < leastObserved)
+            return;
+        const double elapsed
+            = static_cast<double>(observed.count()) / static_cast<double>(task.runEstimate.count());
+        steps[{key.occurrence, key.step}].push_back(
+            {task.record.worker, (task.percent - task.listedPercent) / elapsed, elapsed});
+    });
+    for (const auto &[step, samples] : steps) {
+        if (samples.size() < leastCompared)
+            continue;
+        std::vector<double> speeds;
+        for (const speed_sample &sample : samples)
+            speeds.push_back(sample.speed);
+        const double usual = medianOf(std::move(speeds));
+        for (const speed_sample &sample : samples) {
+            if (usual * sample.elapsed < leastProgress)
+                continue;
+            speed_evidence &found = evidence[sample.worker];
+            found.isSlow = found.isSlow || sample.speed * slowFactor < usual;
+            found.isFine = found.isFine || sample.speed * fineFactor > usual;
+        }
+    }
+}
+
+// Stops the runs on a slow worker that would end sooner if they began again elsewhere.
+void run_planner::stopSlowRuns(pool_worker &worker, time_point now)
+{
+    const std::set<task_key> active = worker.active;
+    for (const task_key &key : active) {
+        tracked_job &job = m_jobs.at(key.job);
+        const tracked_task &task = *job.find(key);
+        const step_spec &step = job.specOf({key.occurrence, key.step});
+        const duration observed = worker.reportedAt - task.listedAt;
+        if (task.stopWanted || !task.isListed || step.longRunning || observed < leastObserved)
+            continue;
+        const std::int32_t progress = std::max(1, task.percent - task.listedPercent);
+        const duration left = observed * (100 - task.percent) / progress;
+        const duration again = expectedTimeOf(job, step) + m_options.stopTime + stopMargin;
+        if (left > 2 * again)
+            stopRun(job, key, "its worker has turned slow",
+                    fmt::format("percent={} expected_ms={}", task.percent, left.count()));
+    }
+}
+
 // Stops the runs that a leaving worker would end before they are done: at once, or, if they save
 // checkpoints, as late as they can still save one. A gang is stopped as a whole.
 void run_planner::stopRunsOnLeavingWorkers(time_point now)
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -32,6 +32,7 @@
     for (const std::string &id : m_unfinished)
         m_jobs.at(id).openDue(wall);
     stopStalledRuns(now);
+    findSlowWorkers(now);
     stopRunsOnLeavingWorkers(now);
     stopIncompleteGangs(now);
     storeCheckpoints(now);
@@ -333,7 +334,7 @@
             continue;
         allowed.push_back(i);
         const bool hasFailed = failed != m_failedOn.end() && failed->second.count(worker.id) > 0;
-        if (now >= worker.avoidUntil && !hasFailed)
+        if (now >= std::max(worker.avoidUntil, worker.slowUntil) && !hasFailed)
             healthy.push_back(i);
     }
     // If half of the workers or more appear faulty, the fault is probably elsewhere.
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -230,6 +230,7 @@
             task->isListed = true;
             task->listedAt = now;
             task->percentChangedAt = now;
+            task->listedPercent = running.percent;
         }
         if (running.percent != task->percent) {
             task->percent = running.percent;
--- a/goldcrest/settings_table.cc
+++ b/goldcrest/settings_table.cc
@@ -211,8 +211,8 @@
 {
     const double number = value.is_number() ? value.get<double>() : 0;
     // Written so that it refuses NaN.
-    const bool isInRange = number >= static_cast<double>(row.low)
-        && number <= static_cast<double>(row.high);
+    const bool isInRange
+        = number >= static_cast<double>(row.low) && number <= static_cast<double>(row.high);
     if (!value.is_number() || !isInRange) {
         addSettingError(errors, row.path,
                         "must be a number of " + row.allowed() + ", is " + value.dump());
--- a/goldcrest/settings_table.h
+++ b/goldcrest/settings_table.h
@@ -65,8 +65,8 @@
 bool readInteger(const nlohmann::json &value, const setting_row &row, std::int64_t &out,
                  std::vector<failure> &errors);
 
-// Reads a number within the row's range, which may be a fraction. Returns false and reports an error
-// for any other value.
+// Reads a number within the row's range, which may be a fraction. Returns false and reports an
+// error for any other value.
 bool readNumber(const nlohmann::json &value, const setting_row &row, double &out,
                 std::vector<failure> &errors);
 
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -34,6 +34,7 @@
     time_point begunAt{}; // when the current run was recorded
     time_point listedAt{}; // when the current run was first reported
     std::int32_t percent = 0; // progress of the current run
+    std::int32_t listedPercent = 0; // when it was first reported
     time_point percentChangedAt{};
     duration runEstimate = 0ms; // estimated run time of the current run on its worker
     // The current run started from the beginning and near its data, so its length tells how long
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -72,6 +72,7 @@
 
     std::set<std::string> failedJobs; // jobs whose tasks failed here; cleared when a task succeeds
     time_point avoidUntil{}; // no starts until then
+    time_point slowUntil{}; // the same, since its tasks progress slowly
 
     std::int32_t bestEffortPercent = 100; // speed allowed for best-effort tasks
     time_point bestEffortChangedAt{};
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/run_planner.h"
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -273,6 +274,51 @@
     CHECK(planner.takeChanges(100).size() > 10);
 }
 
+// Load pattern: some workers turn slow while wide steps and urgent gangs run. Tasks of the same
+// step on other workers show it; what would take too long there begins again elsewhere.
+TEST(run_planner, workIsMovedAwayFromASlowWorker)
+{
+    for (int i = 0; i < 6; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    addJob("wide", 2, makeStep(6, 5));
+    addJob("single", 1, makeStep(1, 3));
+    planAndStore();
+    std::map<std::string, std::vector<run_id>> started;
+    for (int i = 0; i < 6; ++i) {
+        const std::string worker = "w" + std::to_string(i);
+        for (const start_order &start : ordersOf(worker).starts)
+            started[worker].push_back(start.run);
+    }
+    const auto slow = std::find_if(started.begin(), started.end(),
+                                   [](const auto &entry) { return entry.second.size() == 2; });
+    CHECK(slow != started.end());
+    const auto reportAll = [&](std::int32_t percent) {
+        for (const auto &[worker, runs] : started) {
+            worker_report_message report = reportOf(worker);
+            for (const run_id &run : runs)
+                report.running.push_back(
+                    {run, {}, worker == slow->first ? percent / 8 : percent, 0});
+            planner.onReport(report, wall, now);
+        }
+        planAndStore();
+    };
+    reportAll(0);
+    now += 500ms;
+    reportAll(10);
+    LONGS_EQUAL(0, ordersOf(slow->first).stops.size());
+    now += 1s;
+    reportAll(30);
+    LONGS_EQUAL(2, ordersOf(slow->first).stops.size());
+    for (const auto &[worker, runs] : started)
+        LONGS_EQUAL(worker == slow->first ? 2 : 0, ordersOf(worker).stops.size());
+    // New work goes elsewhere.
+    started[slow->first].clear();
+    reportAll(30);
+    addJob("next", 1, makeStep(1, 3));
+    planAndStore();
+    CHECK(ordersOf(slow->first).starts.empty());
+}
+
 TEST(run_planner, neverExceedsTheCapacityOfAWorker)
 {
     planner.onReport(reportOf("w1"), wall, now);
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -209,7 +209,8 @@
 {
     CHECK(platform::parseFrontSettings(filled("deploy/front.json", nodeValues())).errors.empty());
     // Without bounds, the defaults apply.
-    const auto sidecar = platform::parseSidecarSettings(filled("deploy/sidecar.json", nodeValues()));
+    const auto sidecar
+        = platform::parseSidecarSettings(filled("deploy/sidecar.json", nodeValues()));
     CHECK(sidecar.errors.empty());
     STRCMP_EQUAL("10.1.0.19:7000", sidecar.value.linkListen.c_str());
     CHECK(sidecar.value.bounds.gangTimeout == planner_bounds{}.gangTimeout);
