Serve jobs that are still of use first; send callers back at once

Cause: among jobs of one priority, those that can't be on time came in the order of their targets, so that the most overdue, which are worth nothing any more, went before those that are only late. A front that alone can't reach the store sent its callers back after 1 s, longer than the targets of many urgent jobs allow. Change: three tiers, on time, late, and too late (beyond three times the target). Retry-After is 0 if the planner has answered a query within 1 s, which it does only while it reaches the store.

--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -73,6 +73,7 @@
     std::function<bool(const message &)> send;
     operator_view view;
     bool isDraining = false;
+    std::optional<time_point> plannerAnsweredAt; // a query
     std::uint64_t lastQuery = 0;
     std::map<std::uint64_t, pending_query> pendingQueries;
 };
@@ -213,8 +214,19 @@
     answered.callback(reply);
 }
 
+std::chrono::seconds graph_front::retryAfter() const
+{
+    const state &self = *m_state;
+    const bool isLocal = self.plannerAnsweredAt
+        && self.loop.now() - *self.plannerAnsweredAt <= self.options.plannerProof;
+    return isLocal ? std::chrono::seconds(0) : self.options.retryPause;
+}
+
 void graph_front::onReply(const graph_reply_message &reply)
 {
+    // The answer to a notification has no number, and proves nothing about the store.
+    if (reply.query != 0)
+        m_state->plannerAnsweredAt = m_state->loop.now();
     m_state->finish(reply.query, reply);
 }
 
--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -44,6 +44,12 @@
     // submission must leave time for a retry elsewhere; a read needs no such reserve.
     double submitShare = 0.4;
     double readShare = 0.8;
+    // A planner answers queries only while it reaches the store. If it has done so within this
+    // time, the store serves others, and a failure is one of this process.
+    duration plannerProof = 1s;
+    // Pause for callers that were refused because of a failure that may concern all processes. By
+    // then the load balancer has noticed which ones refuse requests.
+    std::chrono::seconds retryPause{1};
     // Timeout of a query to the planner, which normally answers within milliseconds. After it, the
     // store is read instead.
     duration queryTimeout = 250ms;
@@ -103,6 +109,10 @@
     void waitingIn(const std::string &queue, duration timeLeft,
                    std::function<void(result<std::int64_t>)> callback);
 
+    // Returns when a caller that was refused should try again. If only this process is in trouble,
+    // another one serves the caller at once.
+    std::chrono::seconds retryAfter() const;
+
     // Reports the front as not ready from now on. Requests on open connections are still served.
     // Accepted jobs don't depend on this process.
     void drain();
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -101,6 +101,10 @@
     std::string inputs; // the values it is based on, as name=value
 };
 
+// What completing a job at some time is still worth to its caller. Jobs of the same priority are
+// placed in this order.
+enum class job_lateness { OnTime, Late, TooLate };
+
 class run_planner
 {
 public:
@@ -236,6 +240,7 @@
                                                 time_point now) const;
     double latenessCost(const tracked_job &job, duration rest, time_point now) const;
     time_point targetOf(const tracked_job &job) const;
+    job_lateness latenessOf(const tracked_job &job, time_point end) const;
     duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
     void observeRunTime(const task_key &key, std::int32_t run, time_point now);
     void planService(const std::vector<unit> &units, const std::string &service, time_point now);
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -120,6 +120,18 @@
     return job.acceptedAt() + scaled(chain, policy.slackFactor) + policy.completionTarget;
 }
 
+job_lateness run_planner::latenessOf(const tracked_job &job, time_point end) const
+{
+    // Callers have a use for a job that takes up to this many times as long as its target.
+    constexpr int lateFactor = 3;
+    const time_point target = targetOf(job);
+    if (end <= target)
+        return job_lateness::OnTime;
+    return end <= job.acceptedAt() + (target - job.acceptedAt()) * lateFactor
+        ? job_lateness::Late
+        : job_lateness::TooLate;
+}
+
 duration run_planner::expectedTimeOf(const tracked_job &job, const step_spec &step) const
 {
     return m_runTimes.expected(job.spec().queue, step.estimated);
@@ -150,6 +162,7 @@
             const step_spec &spec = job.specOf(step);
             next.step = step;
             next.estimate = expectedTimeOf(job, spec);
+            next.lateness = latenessOf(job, now + next.estimate);
             next.indexes.clear();
             const tracked_step &tracked = *job.find(step);
             for (std::size_t i = 0; i < tracked.tasks.size(); ++i) {
@@ -159,12 +172,10 @@
             units.push_back(next);
         }
     }
-    std::stable_sort(units.begin(), units.end(), [now](const unit &a, const unit &b) {
-        const auto rank = [now](const unit &one) {
-            // Jobs that can still complete on time go before jobs that will be late in any case.
-            const bool isLate = one.target < now + one.estimate;
-            return std::make_tuple(!one.isGuaranteed, one.policy->priority, isLate, one.target,
-                                   std::string_view(one.job->id()), one.step.occurrence,
+    std::stable_sort(units.begin(), units.end(), [](const unit &a, const unit &b) {
+        const auto rank = [](const unit &one) {
+            return std::make_tuple(!one.isGuaranteed, one.policy->priority, one.lateness,
+                                   one.target, std::string_view(one.job->id()), one.step.occurrence,
                                    one.step.step);
         };
         return rank(a) < rank(b);
--- a/goldcrest/run_planner_unit.h
+++ b/goldcrest/run_planner_unit.h
@@ -20,6 +20,7 @@
     const queue_policy *policy = nullptr;
     bool isGuaranteed = false;
     time_point target{}; // when the job should be done
+    job_lateness lateness = job_lateness::OnTime; // if it starts now
     duration estimate = 0ms;
 };
 
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -79,11 +79,19 @@
         const auto answer = std::make_shared<recorded_response>();
         api.handle(request, answer);
         loop.advance(wait);
+        lastRetryAfter.clear();
+        if (!answer->answers.empty()) {
+            for (const auto &[name, value] : answer->answers[0].headers) {
+                if (name == "Retry-After")
+                    lastRetryAfter = value;
+            }
+        }
         lastBody = answer->answers.empty() ? std::string() : answer->answers[0].body;
         return answer->answers.empty() ? 0 : answer->answers[0].status;
     }
 
     std::string lastBody;
+    std::string lastRetryAfter;
 
     void setup() override
     {
@@ -165,6 +173,32 @@
 }
 
 // 503 guarantees that the job never runs; a write with unknown outcome proves nothing.
+// Load pattern: the store turns a third of the fronts away while urgent jobs come in a burst. A
+// caller of such a front is served by another one at once, if the planner shows that the store
+// serves others.
+TEST(graph_front, callersReturnAtOnceIfOnlyThisFrontIsInTrouble)
+{
+    confirm();
+    store.faults().down = true;
+    LONGS_EQUAL(503, send("GET", "/p/"));
+    STRCMP_EQUAL("1", lastRetryAfter.c_str());
+    hasPlanner = true;
+    confirm();
+    CHECK(send("GET", "/p/", "key", {}, 10ms) == 0);
+    graph_reply_message reply;
+    reply.query = queries.back().query;
+    front.onReply(reply);
+    // No view and no store: the refusal comes at once, and the caller may return at once.
+    loop.advance(500ms);
+    front.setView({});
+    LONGS_EQUAL(503, send("POST", "/p/" + someId, "key", someBody, 0ms));
+    STRCMP_EQUAL("0", lastRetryAfter.c_str());
+    // A notification is answered without a look at the store.
+    loop.advance(1s);
+    front.onReply({});
+    CHECK(front.retryAfter().count() == 1);
+}
+
 TEST(graph_front, lostAnswerIsNotARefusal)
 {
     confirm();
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -319,6 +319,33 @@
     CHECK(ordersOf(slow->first).starts.empty());
 }
 
+// Load pattern: a burst of urgent jobs behind a full fleet. Those that come too late to be of use
+// do not go before those that are only late.
+TEST(run_planner, jobsOfUseGoBeforeThoseThatCameTooLate)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("running", 0, makeStep(1, 8));
+    planAndStore();
+    ordersOf("w1");
+    addJob("tooLate", 1, makeStep(1, 8)); // its target is 15 s after its acceptance
+    now += 30s;
+    addJob("late", 1, makeStep(1, 8));
+    now += 15s;
+    addJob("onTime", 1, makeStep(1, 8));
+    worker_report_message report = reportOf("w1");
+    report.ended.push_back({1, {"running.0.0.0", 1}, run_end::Done, {}});
+    std::int64_t number = 1;
+    for (const std::string expected : {"onTime", "late", "tooLate"}) {
+        planner.onReport(report, wall, now);
+        planAndStore();
+        const worker_orders_message orders = ordersOf("w1");
+        LONGS_EQUAL(1, orders.starts.size());
+        STRCMP_EQUAL((expected + ".0.0.0").c_str(), orders.starts[0].run.task.c_str());
+        report = reportOf("w1");
+        report.ended.push_back({++number, {expected + ".0.0.0", 1}, run_end::Done, {}});
+    }
+}
+
 TEST(run_planner, neverExceedsTheCapacityOfAWorker)
 {
     planner.onReport(reportOf("w1"), wall, now);
