Ignore reports that were overtaken by later ones

Change: reports on an earlier link of the same agent are ignored, and so are those that are older by the backend server's clock. Result: both new tests fail before and pass now. Unit tests and the cell model pass.

--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -145,7 +145,7 @@
         lastTakeoverAgent = next->first;
         // The agent of this process reaches the store no better than the planner.
         if (lastTakeoverAgent != options.worker)
-            next->second->send(takeover_message{role->currentEpoch()});
+            next->second.link->send(takeover_message{role->currentEpoch()});
     }
 }
 
--- a/goldcrest/planner_service_links.cc
+++ b/goldcrest/planner_service_links.cc
@@ -2,6 +2,8 @@
 
 #include "goldcrest/planner_service_state.h"
 
+#include "goldcrest/log_fields.h"
+
 #include <utility>
 
 namespace goldcrest {
@@ -15,11 +17,11 @@
     }
     const std::weak_ptr<state> weak = m_state;
     const std::weak_ptr<peer_link> weakLink = link;
-    link->onMessage([weak, weakLink](const message &received) {
+    link->onMessage([weak, weakLink, number = ++self.linkCount](const message &received) {
         const std::shared_ptr<state> owner = weak.lock();
         const std::shared_ptr<peer_link> sender = weakLink.lock();
         if (owner && sender)
-            owner->onMessage(sender, received);
+            owner->onMessage({sender, number}, received);
     });
     link->onClose([weak, weakLink] {
         const std::shared_ptr<state> owner = weak.lock();
@@ -27,34 +29,43 @@
         if (!owner || !closed)
             return;
         for (auto it = owner->agents.begin(); it != owner->agents.end();)
-            it = it->second == closed ? owner->agents.erase(it) : std::next(it);
+            it = it->second.link == closed ? owner->agents.erase(it) : std::next(it);
         owner->links.erase(closed);
     });
     self.links.insert(std::move(link));
 }
 
-void planner_service::state::onMessage(const std::shared_ptr<peer_link> &link,
-                                       const message &received)
+void planner_service::state::onMessage(const numbered_link &from, const message &received)
 {
     if (!isActive)
         return;
     if (const auto *report = std::get_if<worker_report_message>(&received))
-        onReport(link, *report);
+        onReport(from, *report);
     else if (const auto *query = std::get_if<graph_query_message>(&received))
-        onQuery(link, *query);
+        onQuery(from.link, *query);
     else if (const auto *intake = std::get_if<graph_intake_message>(&received))
-        onIntakeMessage(link, *intake);
+        onIntakeMessage(from.link, *intake);
     else if (const auto *takeover = std::get_if<takeover_message>(&received))
         onTakeover(*takeover);
 }
 
-void planner_service::state::onReport(const std::shared_ptr<peer_link> &link,
+void planner_service::state::onReport(const numbered_link &from,
                                       const worker_report_message &report)
 {
+    // An agent that has opened another link sends nothing on the earlier one, so what is still read
+    // from that is older than what the other one has brought.
+    const auto known = agents.find(report.worker);
+    if (known != agents.end() && known->second.number > from.number) {
+        log_line(log_level::Info, "report on an earlier link ignored")
+            .field("worker", report.worker)
+            .limit("earlier link")
+            .write();
+        return;
+    }
     // Nothing is granted unless the lease is certainly valid, because a successor may rely on that.
     if (!role->isLeaseValid(loop.now()) || !planner->onReport(report, wall(), loop.now()))
         return;
-    agents[report.worker] = link;
+    agents[report.worker] = from;
     sendOrdersTo(report.worker);
     if (planner->needsPass())
         schedulePlan();
@@ -110,7 +121,7 @@
     if (link == agents.end() || !role->isLeaseValid(loop.now()))
         return;
     if (const auto orders = planner->ordersFor(worker, loop.now()))
-        link->second->send(*orders);
+        link->second.link->send(*orders);
 }
 
 } // namespace goldcrest
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -24,6 +24,13 @@
 constexpr duration planInterval = 100ms;
 constexpr duration expiryInterval = 5s;
 
+// A link with its number in the order in which links were accepted.
+struct numbered_link
+{
+    std::shared_ptr<peer_link> link;
+    std::uint64_t number = 0;
+};
+
 struct planner_service::state : std::enable_shared_from_this<planner_service::state>
 {
     state(event_loop &eventLoop, platform_store &platformStore)
@@ -61,8 +68,8 @@
     void sendOrders();
     void sendOrdersTo(const worker_id &worker);
     void writeDecisions();
-    void onMessage(const std::shared_ptr<peer_link> &link, const message &received);
-    void onReport(const std::shared_ptr<peer_link> &link, const worker_report_message &report);
+    void onMessage(const numbered_link &from, const message &received);
+    void onReport(const numbered_link &from, const worker_report_message &report);
     void onQuery(const std::shared_ptr<peer_link> &link, const graph_query_message &query);
     void onTakeover(const takeover_message &takeover);
     void onIntakeMessage(const std::shared_ptr<peer_link> &link,
@@ -115,7 +122,8 @@
     timer_handle commitTimer;
     timer_handle expiryTimer;
     std::set<std::shared_ptr<peer_link>> links;
-    std::map<worker_id, std::shared_ptr<peer_link>> agents;
+    std::uint64_t linkCount = 0;
+    std::map<worker_id, numbered_link> agents;
     worker_id lastTakeoverAgent; // the agent that was last asked for a takeover
     time_point takeoverRequestedAt{};
 };
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -30,6 +30,11 @@
     if (report.plannerEpoch != m_epoch)
         return false;
     pool_worker &worker = m_pool.at(report.worker);
+    // A report that was overtaken by a later one would seem to prove that new runs have ended.
+    const bool isOvertaken = !report.incarnation.empty() && report.incarnation == worker.incarnation
+        && report.clock < worker.clock;
+    if (isOvertaken)
+        return false;
     updateWorker(worker, report, now);
     if (report.incarnation.empty())
         return true;
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -182,6 +182,26 @@
     CHECK(!service->isElected());
 }
 
+// An agent that has opened a second link sends nothing on the first one any more. What is still
+// read from it is older, also if the backend server has restarted in between.
+TEST(planner_service, reportsOfAnEarlierLinkAreIgnored)
+{
+    elect();
+    const auto first = connectAgent("w2");
+    const auto second = connectAgent("w2");
+    worker_report_message report;
+    report.plannerEpoch = service->currentEpoch();
+    report.worker = "w2";
+    report.incarnation = "new";
+    second->receive(report);
+    report.incarnation = "old";
+    first->receive(report);
+    STRCMP_EQUAL("new", service->planner()->workers().workers().at("w2").incarnation.c_str());
+    report.incarnation = "newest";
+    second->receive(report);
+    STRCMP_EQUAL("newest", service->planner()->workers().workers().at("w2").incarnation.c_str());
+}
+
 // Load pattern: a recovery storm, in which the planner is late for everything. Its confirmations
 // arrive, but it handles them late. A successor would be just as late.
 TEST(planner_service, busyPlannerStaysInOffice)
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -493,6 +493,26 @@
     LONGS_EQUAL(1, ordersOf("w1").stops.size());
 }
 
+// Load pattern: a busy planner. An agent that waits too long for an answer opens another link, and
+// what the planner then still reads from the first one is older.
+TEST(run_planner, overtakenReportEndsNothing)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message early = reportOf("w1");
+    early.ordersSeen = 100;
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 50, 0});
+    planner.onReport(report, wall, now);
+    CHECK(!planner.onReport(early, wall, now));
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    CHECK(ordersOf("w1").stops.empty());
+    CHECK(ordersOf("w2").starts.empty());
+}
+
 // A worker that is only silent keeps its gang: the progress of the others shows that it is
 // complete.
 TEST(run_planner, silentMemberOfAWorkingGangIsLeftAlone)
