Survive unexpected errors of a single callback

Cause: an exception of any callback ended the process: a page of the store's listing whose last item is no object threw one.

--- a/goldcrest/asio_event_loop.cc
+++ b/goldcrest/asio_event_loop.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/asio_event_loop.h"
 
+#include "goldcrest/log_fields.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -142,7 +144,18 @@
 void asio_event_loop::run()
 {
     m_state->context.restart();
-    m_state->context.run();
+    while (!m_state->context.stopped()) {
+        try {
+            m_state->context.run();
+        } catch (const std::bad_alloc &) {
+            throw;
+        } catch (const std::exception &error) {
+            log_line(log_level::Error, "unexpected error in a callback")
+                .field("why", error.what())
+                .limit("unexpected error")
+                .write();
+        }
+    }
 }
 
 bool asio_event_loop::runUntil(const std::function<bool()> &condition, duration limit)
--- a/goldcrest/asio_event_loop.h
+++ b/goldcrest/asio_event_loop.h
@@ -30,7 +30,9 @@
     [[nodiscard]] timer_handle after(duration delay, std::function<void()> task) override;
     [[nodiscard]] timer_handle every(duration period, std::function<void()> task) override;
 
-    // Runs callbacks on the calling thread until stop().
+    // Runs callbacks on the calling thread until stop(). An exception of a callback is logged and
+    // ends that callback only, so that one message that was not foreseen does not end the process.
+    // std::bad_alloc is passed on.
     void run();
 
     // Runs callbacks until `condition` holds or `limit` has passed. For tests and command-line
--- a/testing/boot_clock_test.cc
+++ b/testing/asio_event_loop_test.cc
@@ -1,8 +1,11 @@
-// Replaces clock_gettime() for this program, to read the clocks of a machine that was suspended.
+// Tests of the event loop of daemons. Replaces clock_gettime() for this program, to read the clocks
+// of a machine that was suspended.
 
 #include "goldcrest/asio_event_loop.h"
+#include "testing/quiet_log.h"
 
 #include <ctime>
+#include <stdexcept>
 
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -26,11 +29,26 @@
     return outcome;
 }
 
-TEST_GROUP(boot_clock){};
+TEST_GROUP(event_loop_of_daemons){};
+
+// Guards against a process that ends because of one message that was not foreseen.
+TEST(event_loop_of_daemons, errorOfACallbackEndsOnlyThatCallback)
+{
+    silenceLog();
+    asio_event_loop loop;
+    bool wasRun = false;
+    loop.post([] { throw std::runtime_error("not foreseen"); });
+    loop.post([&] {
+        wasRun = true;
+        loop.stop();
+    });
+    loop.run();
+    CHECK(wasRun);
+}
 
 // Guards leases: a planner that was suspended must see that its own lease is over, and a front that
 // its view of the keys is old.
-TEST(boot_clock, suspensionCountsAsElapsedTime)
+TEST(event_loop_of_daemons, suspensionCountsAsElapsedTime)
 {
     const asio_event_loop loop;
     const time_point before = loop.now();
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -86,6 +86,47 @@
 
 // Responses 503 and 429 mean that the write was not applied; a lost answer leaves its outcome
 // unknown.
+// Answers each request with the same body.
+class fixed_client final : public http_client
+{
+public:
+    explicit fixed_client(std::string body)
+        : m_body(std::move(body))
+    { }
+    void send(http_request, std::function<void(result<http_response>)> callback) override
+    {
+        http_response response;
+        response.status = 200;
+        response.body = m_body;
+        callback(response);
+    }
+    std::unique_ptr<http_stream> stream(http_request, std::function<void(std::string_view)>,
+                                        std::function<void(result<done>)>) override
+    {
+        return nullptr;
+    }
+
+private:
+    std::string m_body;
+};
+
+// Guards against a process that ends because of one malformed answer.
+TEST(platform_store, malformedPagesAreErrors)
+{
+    for (const std::string body :
+         {R"({"items":[7],"has_more":true})", R"({"items":["x"],"has_more":true})",
+          R"({"items":[{"key":7}],"has_more":true})", R"({"items":[null],"has_more":true})",
+          R"({"items":{"a":1},"has_more":true})", R"([1])", "{", ""}) {
+        fixed_client client(body);
+        platform::kv_store other(client, loop, "10.0.0.7:8524");
+        std::optional<result<std::vector<store_entry>>> outcome;
+        other.list("gc/", 0, options,
+                   [&](const result<std::vector<store_entry>> &answer) { outcome = answer; });
+        CHECK(outcome.has_value());
+        CHECK(failureOf(*outcome) != nullptr);
+    }
+}
+
 TEST(platform_store, refusalsAndLostAnswersDiffer)
 {
     store_transaction write;
