Keep the ends that a departed backend server had listed

Change: agents keep listed ends until they are stored, and send them in a final report of the incarnation, also when the next incarnation comes first. Only runs that the departed incarnation had listed end with it, and only if the agent's process is old enough to know all starts that may still take effect. Result: three new tests fail before and pass now.

--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -595,8 +595,8 @@
                 "failureDomain", value.failureDomain)("rack", value.rack)("labels", value.labels)(
                 "capacity", value.capacity)("draining", value.draining)("clock", value.clock)(
                 "running", value.running)("ended", value.ended)("refused", value.refused)(
-                "unresolved", value.unresolved)("drainLeft", value.drainLeft)("hasLeft",
-                                                                              value.hasLeft);
+                "unresolved", value.unresolved)("drainLeft", value.drainLeft)(
+                "isFinal", value.isFinal)("hasEndedRuns", value.hasEndedRuns);
     }
 };
 
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -441,8 +441,11 @@
     // Runs with a start or stop call of unknown outcome, which may still take effect.
     std::vector<run_id> unresolved;
     duration drainLeft = 0ms; // while draining: minimum time until the backend server leaves
-    // The backend server has announced its departure and is gone, with all that ran on it.
-    bool hasLeft = false;
+    // This incarnation of the backend server is gone. The report only completes its ends.
+    bool isFinal = false;
+    // In a final report: all runs have ended with it but for those in `unresolved`. Otherwise the
+    // agent does not know which starts may still take effect.
+    bool hasEndedRuns = false;
 };
 
 // Order to start a run.
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -58,7 +58,9 @@
     void onStatus(const result<host_status> &outcome, time_point sentAt, std::int64_t ordersAtSend);
     void report(const host_status &status, time_point sentAt, std::int64_t ordersAtSend);
     worker_report_message makeReport() const;
+    worker_report_message makeDepartureReport() const;
     void reportDeparture();
+    bool sendPendingDeparture();
     void forgetSettled(time_point sentAt);
     void scheduleQuery(duration delay);
 
@@ -83,10 +85,15 @@
 
     std::optional<host_announcement> backend;
     std::uint64_t incarnationCount = 0;
+    time_point createdAt = loop.now();
     time_point announcedAt{};
     bool hasLeft = false;
     time_point lastAnswerAt{}; // of the backend server, or when its incarnation began
     time_point departureReportedAt{};
+    // Ends that the backend server has listed and that may not be stored yet, by number.
+    std::map<std::int64_t, ended_task> listedEnds;
+    // The departure of an earlier incarnation, until the planner has been told.
+    std::optional<worker_report_message> pendingDeparture;
     epoch token = 0;
     bool isConnected = false;
     std::int64_t ordersSeen = 0;
@@ -174,6 +181,9 @@
         .field("before", backend ? backend->incarnation() : std::string())
         .field("service", announcement.service)
         .write();
+    // The new incarnation shows that the earlier one is gone.
+    if (backend)
+        pendingDeparture = makeDepartureReport();
     backend = announcement;
     announcedAt = loop.now();
     lastAnswerAt = loop.now();
@@ -182,6 +192,7 @@
     hasLeft = false;
     endsStored = 0;
     endsListed = 0;
+    listedEnds.clear();
     newestClock = 0;
     holdUntil = 0;
     isQuerying = false;
@@ -445,6 +456,11 @@
     }
     lastAnswerAt = loop.now();
     const host_status &status = valueOf(outcome);
+    if (status.startedAtMs == backend->startedAtMs) {
+        for (const ended_task &ended : status.ended)
+            listedEnds.emplace(ended.number, ended);
+        listedEnds.erase(listedEnds.begin(), listedEnds.upper_bound(endsStored));
+    }
     // Answers on different connections may arrive out of order, and another incarnation numbers its
     // ends differently.
     if (status.clock < newestClock || status.startedAtMs != backend->startedAtMs) {
@@ -483,23 +499,51 @@
     return message;
 }
 
-// Tells the planner that all runs of the backend server have ended with it, except those whose
-// start may still take effect in a later incarnation.
-void run_agent::state::reportDeparture()
+// Returns the final report of the backend server's incarnation, with the ends that it has listed.
+// Runs whose start may still take effect in a later incarnation are unresolved.
+worker_report_message run_agent::state::makeDepartureReport() const
 {
-    if (departureReportedAt != time_point{}
-        && loop.now() - departureReportedAt < options.statusQueryWait)
-        return;
     worker_report_message message = makeReport();
-    message.hasLeft = true;
+    message.isFinal = true;
+    // An earlier process of this agent may have sent starts that this one does not know.
+    message.hasEndedRuns = loop.now() - createdAt >= lateOrderLimit;
+    message.draining = true;
+    for (const auto &[number, ended] : listedEnds)
+        message.ended.push_back(ended);
+    std::set<run_id> unresolved;
     for (const auto &[run, ordered] : runs) {
         if (ordered.mayTakeEffectLate)
-            message.unresolved.push_back(run);
+            unresolved.insert(run);
     }
-    if (send && send(message))
+    for (const auto &[run, until] : unconfirmedStarts) {
+        if (loop.now() <= until)
+            unresolved.insert(run);
+    }
+    message.unresolved.assign(unresolved.begin(), unresolved.end());
+    return message;
+}
+
+void run_agent::state::reportDeparture()
+{
+    if (departureReportedAt != time_point{}
+        && loop.now() - departureReportedAt < options.statusQueryWait)
+        return;
+    if (send && send(makeDepartureReport()))
         departureReportedAt = loop.now();
 }
 
+// Returns whether nothing is pending any more.
+bool run_agent::state::sendPendingDeparture()
+{
+    if (!pendingDeparture)
+        return true;
+    pendingDeparture->plannerEpoch = token;
+    if (!send || !send(*pendingDeparture))
+        return false;
+    pendingDeparture.reset();
+    return true;
+}
+
 void run_agent::state::report(const host_status &status, time_point sentAt,
                               std::int64_t ordersAtSend)
 {
@@ -532,7 +576,7 @@
         else if (ordered.refused && listed.count(run) == 0)
             message.refused.push_back({run, *ordered.refused});
     }
-    if (send && send(message))
+    if (sendPendingDeparture() && send && send(message))
         forgetSettled(sentAt);
 }
 
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -38,11 +38,12 @@
     updateWorker(worker, report, now);
     if (report.incarnation.empty())
         return true;
-    if (report.hasLeft) {
-        endRunsOfDepartedServer(worker, report, wall);
+    processEnds(worker, report, wall, now);
+    if (report.isFinal) {
+        if (report.hasEndedRuns)
+            endRunsOfDepartedServer(worker, report, wall);
         return true;
     }
-    processEnds(worker, report, wall, now);
     processRunning(worker, report, now);
     stopRunsOfOtherIncarnations(worker);
     processRefusals(worker, report, wall, now);
@@ -268,8 +269,9 @@
     }
 }
 
-// Ends the runs that a backend server has taken with it. A run whose start may still take effect is
-// left to its lease.
+// Ends the runs that a backend server has taken with it. A run whose start may still take effect,
+// or that was never listed, is left: its start may have reached the next incarnation, which may
+// have the same id.
 void run_planner::endRunsOfDepartedServer(pool_worker &worker, const worker_report_message &report,
                                           unix_ms wall)
 {
@@ -279,7 +281,7 @@
     const std::set<task_key> active = worker.active;
     for (const task_key &key : active) {
         const tracked_task *task = m_jobs.at(key.job).find(key);
-        if (!task->isActive() || task->record.worker != worker.id
+        if (!task->isActive() || !task->isListed || task->record.worker != worker.id
             || task->record.workerIncarnation != report.incarnation)
             continue;
         const run_id run{formatTask(key), task->record.lastRun};
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -71,9 +71,11 @@
     virtual_event_loop loop;
     recording_host host;
     std::vector<worker_report_message> reports;
+    bool canSend = true;
     run_agent agent{loop, host, "w1", {}, [this](const worker_report_message &report) {
-                        reports.push_back(report);
-                        return true;
+                        if (canSend)
+                            reports.push_back(report);
+                        return canSend;
                     }};
     std::int64_t clock = 1000;
     std::int64_t sequence = 0;
@@ -171,11 +173,56 @@
     CHECK(reports.empty());
     failQueries(4);
     CHECK(!reports.empty());
-    CHECK(reports.back().hasLeft);
+    CHECK(reports.back().isFinal);
+    // An earlier process of the agent may have sent starts that still take effect.
+    CHECK(!reports.back().hasEndedRuns);
+    loop.advance(12s);
+    failQueries(4);
+    CHECK(reports.back().hasEndedRuns);
     STRCMP_EQUAL("i-1/100", reports.back().incarnation.c_str());
     CHECK(reports.back().unresolved.empty());
 }
 
+// An end that the backend server listed must not be lost with it, even if the planner could not be
+// told at the time (TWICE on trouble-1 of the large site, seed 2).
+TEST(run_agent, endsOfADepartedBackendServerAreReported)
+{
+    answerStatusQuery({{someRun, {}, 90, 0}});
+    loop.advance(1ms);
+    canSend = false;
+    answerStatusQuery({}, {{1, someRun, run_end::Done, {}}});
+    loop.advance(1ms);
+    agent.onDeparture("i-1");
+    canSend = true;
+    reports.clear();
+    for (int i = 0; i < 8; ++i) {
+        const auto answer = host.statusQueries.back().answer;
+        answer(makeFailure(code::BackendUnavailable, "connection refused"));
+        loop.advance(200ms);
+    }
+    CHECK(reports.back().isFinal);
+    LONGS_EQUAL(1, reports.back().ended.size());
+}
+
+TEST(run_agent, endsAreReportedBeforeTheNextIncarnation)
+{
+    answerStatusQuery({{someRun, {}, 90, 0}});
+    loop.advance(1ms);
+    canSend = false;
+    answerStatusQuery({}, {{1, someRun, run_end::Done, {}}});
+    loop.advance(1ms);
+    announce("i-2", 200);
+    reports.clear();
+    canSend = true;
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.size());
+    STRCMP_EQUAL("i-1/100", reports[0].incarnation.c_str());
+    CHECK(reports[0].isFinal);
+    LONGS_EQUAL(1, reports[0].ended.size());
+    STRCMP_EQUAL("i-2/200", reports[1].incarnation.c_str());
+    CHECK(!reports[1].isFinal);
+}
+
 // A start without an answer may still reach the next incarnation.
 TEST(run_agent, departureLeavesUnansweredStartsUnresolved)
 {
@@ -190,7 +237,7 @@
         answer(makeFailure(code::BackendUnavailable, "connection refused"));
         loop.advance(200ms);
     }
-    CHECK(reports.back().hasLeft);
+    CHECK(reports.back().isFinal);
     LONGS_EQUAL(1, reports.back().unresolved.size());
 }
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -397,7 +397,8 @@
     planner.onReport(reportOf("w2"), wall, now);
     report = reportOf("w1");
     report.draining = true;
-    report.hasLeft = true;
+    report.isFinal = true;
+    report.hasEndedRuns = true;
     report.unresolved.push_back({"a.0.0.1", 1});
     planner.onReport(report, wall, now);
     planAndStore();
@@ -406,6 +407,26 @@
     STRCMP_EQUAL("a.0.0.0", ordersOf("w2").starts[0].run.task.c_str());
 }
 
+TEST(run_planner, taskThatADepartedServerCompletedIsNotStartedAgain)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({ordersOf("w1").starts.at(0).run, {}, 90, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    report = reportOf("w1");
+    report.draining = true;
+    report.isFinal = true;
+    report.hasEndedRuns = true;
+    report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Done, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    CHECK(*planner.stateOf("a") == graph_job_state::Completed);
+    CHECK(ordersOf("w2").starts.empty());
+}
+
 // Load pattern: workers taken away at short notice. A gang that would lose a member before its end
 // is stopped as a whole, one that ends in time goes on.
 TEST(run_planner, stopsAGangThatALeavingWorkerWouldBreak)
