--- a/goldcrest/run_time_model.cc
+++ b/goldcrest/run_time_model.cc
@@ -62,8 +62,7 @@
     const auto past = m_histories.find(queue);
     if (past == m_histories.end() || declared <= 0ms)
         return declared;
-    return duration(
-        static_cast<duration::rep>(std::exp(predict(past->second, logOf(declared))) + 0.5));
+    return duration(std::llround(std::exp(predict(past->second, logOf(declared)))));
 }
 
 } // namespace goldcrest
