Extrapolate only the progress of the current run

Cause, found by reading: the end of a run that resumed from a checkpoint was extrapolated as if it had made all its progress since then; a run at 65% of which 5% were new seemed to end in half a second. Preemption, reservations and leaving workers use that time. Change: the progress at the first report is left out. Result: the new test fails before and passes now.

--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -198,10 +198,11 @@
         return now + m_options.stopTime;
     const time_point estimated = task.begunAt + task.runEstimate;
     const std::int32_t least = estimated > now ? leastPercent : 1;
-    if (task.isListed && task.percent >= least) {
+    // A run that was resumed starts with the progress of its checkpoint.
+    const std::int32_t progress = task.percent - task.listedPercent;
+    if (task.isListed && progress >= least) {
         const duration elapsed = task.percentChangedAt - task.listedAt;
-        const time_point end
-            = task.percentChangedAt + elapsed * (100 - task.percent) / task.percent;
+        const time_point end = task.percentChangedAt + elapsed * (100 - task.percent) / progress;
         return std::max(end, now + 50ms);
     }
     // Once the estimate has passed, assume that the run takes as long again.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -460,6 +460,27 @@
     LONGS_EQUAL(1, ordersOf("w2").stops.size());
 }
 
+// A run that resumed at 60% and has done 5% since needs 7 s more, not half a second.
+TEST(run_planner, progressBeforeAResumeIsNotExtrapolated)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    const auto report = [this](std::int32_t percent, duration left) {
+        worker_report_message sent = reportOf("w1");
+        sent.running.push_back({{"a.0.0.0", 1}, {}, percent, 0});
+        sent.draining = left > 0ms;
+        sent.drainLeft = left;
+        planner.onReport(sent, wall, now);
+    };
+    report(60, 0ms);
+    now += 1s;
+    report(65, 5s);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
 // A task that saves checkpoints works on until it has to save its last one.
 TEST(run_planner, checkpointingTaskLeavesWithItsCheckpoint)
 {
