Bring comments, glossary and measurements in line with the final code

Cause: the headers did not say what ends a run that a departed backend server had listed. Change: comments and pages only.

--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -14,6 +14,9 @@
 // makes up for a lost one. A start without an answer is repeated until it is answered or no longer
 // ordered. A start that was refused, or that was sent to an earlier incarnation of the backend
 // server, is followed by a stop, after which a delayed copy of it can't take effect.
+//
+// When an incarnation of the backend server is gone, a final report completes it: with the ends
+// that it has listed, and with the starts that may still take effect in the next incarnation.
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/messages.h"
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -15,8 +15,8 @@
 //
 // Two rules keep a task from running twice. A run is stored before it is ordered. And a run that
 // may exist keeps its task and its capacity until one of these holds: its backend server has
-// reported its end, does not list it after having carried out the order, or has restarted; or the
-// lease has certainly ended.
+// reported its end, does not list it after having carried out the order, has restarted, or has left
+// after listing it; or the lease has certainly ended.
 
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -183,8 +183,8 @@
     CHECK(reports.back().unresolved.empty());
 }
 
-// An end that the backend server listed must not be lost with it, even if the planner could not be
-// told at the time (TWICE on trouble-1 of the large site, seed 2).
+// Guards against a task that runs twice: an end that the backend server listed must not be lost
+// with it, even if the planner could not be told at the time.
 TEST(run_agent, endsOfADepartedBackendServerAreReported)
 {
     answerStatusQuery({{someRun, {}, 90, 0}});
