Log crashes of backend servers and the runs that were lost with them

Change: the final report of a backend server says whether its departure was announced and which runs it had started. The planner logs (and counts in run_decisions_total) each crash and each run lost by it. Nothing is decided by it yet.

--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -446,6 +446,10 @@
     // In a final report: all runs have ended with it but for those in `unresolved`. Otherwise the
     // agent does not know which starts may still take effect.
     bool hasEndedRuns = false;
+    // In a final report: the backend server had announced that it leaves. Otherwise it crashed.
+    bool wasAnnounced = false;
+    // In a final report: runs whose start the backend server had confirmed, ended ones included.
+    std::vector<run_id> startedRuns;
 };
 
 // Order to start a run.
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -507,6 +507,7 @@
     message.isFinal = true;
     // An earlier process of this agent may have sent starts that this one does not know.
     message.hasEndedRuns = loop.now() - createdAt >= lateOrderLimit;
+    message.wasAnnounced = message.draining;
     message.draining = true;
     for (const auto &[number, ended] : listedEnds)
         message.ended.push_back(ended);
@@ -514,6 +515,8 @@
     for (const auto &[run, ordered] : runs) {
         if (ordered.mayTakeEffectLate)
             unresolved.insert(run);
+        if (ordered.isStarted)
+            message.startedRuns.push_back(run);
     }
     for (const auto &[run, until] : unconfirmedStarts) {
         if (loop.now() <= until)
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -204,6 +204,8 @@
     void updateWorker(pool_worker &worker, const worker_report_message &report, time_point now);
     void fenceRecentStarts(pool_worker &worker, time_point now);
     void stopRunsOfOtherIncarnations(pool_worker &worker);
+    void noteCrash(pool_worker &worker, const worker_report_message &report);
+    void noteCrashedRun(pool_worker &worker, const task_key &key);
     void releaseFences(pool_worker &worker, const worker_report_message &report);
     static void forgetOldStarts(pool_worker &worker, time_point now);
     void processEnds(pool_worker &worker, const worker_report_message &report, unix_ms wall,
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -40,6 +40,8 @@
         return true;
     processEnds(worker, report, wall, now);
     if (report.isFinal) {
+        if (!report.wasAnnounced)
+            noteCrash(worker, report);
         if (report.hasEndedRuns)
             endRunsOfDepartedServer(worker, report, wall);
         return true;
@@ -63,6 +65,7 @@
         worker.endsSeen = 0;
         worker.endsStored = 0;
         worker.pendingEnds.clear();
+        worker.crashedIncarnation = worker.draining ? std::string() : worker.incarnation;
         worker.failedJobs.clear();
         worker.avoidUntil = {};
         fenceRecentStarts(worker, now);
@@ -86,6 +89,8 @@
     worker.clock = report.clock;
     worker.isReported = true;
     worker.reportedAt = now;
+    if (!report.isFinal)
+        worker.listedAt = now;
     worker.unresolved.clear();
     worker.unresolved.insert(report.unresolved.begin(), report.unresolved.end());
 }
@@ -141,9 +146,39 @@
         task.stopWanted = true;
         m_changedWorkers.insert(worker.id);
         recordDecision("run stopped", key, run.number, worker.id, "the backend server restarted");
+        if (task.isListed && task.record.workerIncarnation == worker.crashedIncarnation)
+            noteCrashedRun(worker, key);
     }
 }
 
+// A backend server has crashed: finds the runs that it had started.
+void run_planner::noteCrash(pool_worker &worker, const worker_report_message &report)
+{
+    const std::set<run_id> started(report.startedRuns.begin(), report.startedRuns.end());
+    std::vector<task_key> lost;
+    for (const task_key &key : worker.active) {
+        const tracked_task &task = *m_jobs.at(key.job).find(key);
+        const bool isLost
+            = task.isListed || started.count({formatTask(key), task.record.lastRun}) > 0;
+        if (isLost && task.record.workerIncarnation == report.incarnation)
+            lost.push_back(key);
+    }
+    recordDecision("backend server crashed", {}, 0, worker.id,
+                   "it had not announced that it leaves",
+                   fmt::format("life={} runs={}", report.incarnation, lost.size()));
+    for (const task_key &key : lost)
+        noteCrashedRun(worker, key);
+}
+
+void run_planner::noteCrashedRun(pool_worker &worker, const task_key &key)
+{
+    const tracked_task &task = *m_jobs.at(key.job).find(key);
+    const duration seen = std::max<duration>(0ms, worker.listedAt - task.begunAt);
+    recordDecision(
+        "run lost in a crash", key, task.record.lastRun, worker.id, "its backend server crashed",
+        fmt::format("seen_for_ms={} failed_runs={}", seen.count(), task.record.failedRuns));
+}
+
 void run_planner::noteHealth(pool_worker &worker, const task_key &task, run_end how, time_point now)
 {
     if (how == run_end::Done) {
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -48,6 +48,9 @@
 
     bool isReported = false; // has reported in this planner's epoch
     time_point reportedAt{};
+    time_point listedAt{}; // last report that listed the runs
+    // Incarnation before the current one, if its backend server left without an announcement.
+    std::string crashedIncarnation;
     std::int64_t clock = 0; // of the backend server at the last report, ms
     time_point leaseEnds{}; // no granted lease ends later
     std::map<run_id, running_task> running; // as reported
