Reproduce BUDGET and LIMIT in the cell model, failing

Change: the simulated backend servers crash under registered tasks and change their capacity; the checker counts starts after three crashes, and checks capacity once a shrink must be known.

--- a/standins/run_world.cc
+++ b/standins/run_world.cc
@@ -19,6 +19,14 @@
 // them are lost and repeated.
 constexpr duration stopDeliveryTime = 3s;
 constexpr std::int64_t maxLeaseMs = 10'000;
+constexpr duration crashDelay = 10ms; // from the start of a crashing task
+constexpr duration crashDownTime = 3s;
+// After this many crashes, a task may be started fewer than this many times more.
+constexpr int toleratedCrashes = 3;
+constexpr int startsTooMany = 3;
+// A capacity that has shrunk is checked once the planner must have learned of it: after the time in
+// which a process counts as disconnected, and one announcement.
+constexpr duration shrinkNoticeTime = 4500ms;
 // Time from an acknowledged cancel until no task may start any more. The planner is notified within
 // 4 s, even if the store's history is lost, and an order sent before that may be carried out late.
 constexpr duration cancelEffectTime = 4s + maxLateDelay;
@@ -66,10 +74,42 @@
     m_ended.clear();
     m_pendingQueries.clear();
     m_draining = false;
+    m_isDown = false;
     for (const auto &[run, active] : runs)
         m_world.endGang(run.task, run.number, run_end::GangMemberEnded);
 }
 
+void model_host::crash()
+{
+    restart(m_id);
+    m_isDown = true;
+    after(crashDownTime, [this, incarnation = m_incarnation] {
+        if (incarnation == m_incarnation)
+            restart(m_id);
+    });
+}
+
+void model_host::setCapacity(const resources &capacity)
+{
+    m_earlierCapacities.emplace_back(m_world.m_loop.now(), m_capacity);
+    m_capacity = capacity;
+}
+
+// Returns the largest capacity that the planner may have assumed when it sent an order, which may
+// be carried out late.
+resources model_host::toleratedCapacity(time_point sentAt) const
+{
+    resources tolerated = m_capacity;
+    for (const auto &[until, earlier] : m_earlierCapacities) {
+        if (sentAt - until > shrinkNoticeTime)
+            continue;
+        tolerated.cores = std::max(tolerated.cores, earlier.cores);
+        tolerated.memory = std::max(tolerated.memory, earlier.memory);
+        tolerated.accelerators = std::max(tolerated.accelerators, earlier.accelerators);
+    }
+    return tolerated;
+}
+
 host_announcement model_host::announcement()
 {
     host_announcement announced;
@@ -89,6 +129,8 @@
                        const std::string &id, std::function<void(result<start_reply>)> callback)
 {
     std::uniform_real_distribution<double> share(0, 1);
+    if (m_isDown)
+        return after(callDelay, [callback] { callback(noAnswer()); });
     if (m_faults.isUnreachable)
         return after(callTimeout, [callback] { callback(noAnswer()); });
     if (share(m_world.m_random) < m_faults.lateOrderRate) {
@@ -98,12 +140,13 @@
         // in a new incarnation before the planner can have stopped the run there, because the
         // planner could not prevent that start.
         after(duration(delay(m_world.m_random)),
-              [this, order, token, holdUntil, id, incarnation = m_incarnation] {
+              [this, order, token, holdUntil, id, incarnation = m_incarnation,
+               sentAt = m_world.m_loop.now()] {
                   const bool mayApply = incarnation == m_incarnation
                       || (m_firstQueryAt
                           && m_world.m_loop.now() > *m_firstQueryAt + stopDeliveryTime);
                   if (id == m_id && mayApply)
-                      applyStart(order, token, holdUntil);
+                      applyStart(order, token, holdUntil, sentAt);
               });
         return after(callTimeout, [callback] { callback(noAnswer()); });
     }
@@ -112,7 +155,7 @@
             return callback(noAnswer()); // the connection ended with the earlier incarnation
         start_reply reply;
         if (id == m_id) {
-            reply = applyStart(order, token, holdUntil);
+            reply = applyStart(order, token, holdUntil, m_world.m_loop.now());
         } else {
             reply.refused = start_refusal::Invalid;
             reply.isOtherIncarnation = true;
@@ -124,7 +167,8 @@
     });
 }
 
-start_reply model_host::applyStart(const start_order &order, epoch token, std::int64_t holdUntil)
+start_reply model_host::applyStart(const start_order &order, epoch token, std::int64_t holdUntil,
+                                   time_point sentAt)
 {
     start_reply reply;
     if (token < m_token) {
@@ -152,7 +196,15 @@
     std::uniform_real_distribution<double> share(0, 1);
     run.willFail = share(m_world.m_random) < m_faults.failureRate;
     m_runs.emplace(order.run, std::move(run));
-    m_world.onStart(*this, order.run);
+    m_world.onStart(*this, order.run, sentAt);
+    const auto crashes = m_world.m_crashes.find(order.run.task);
+    if (crashes != m_world.m_crashes.end())
+        after(crashDelay, [this, crashes, incarnation = m_incarnation] {
+            if (incarnation != m_incarnation)
+                return;
+            ++crashes->second;
+            crash();
+        });
     if (spec && spec->gang) {
         m_world.startGangIfComplete(order.run.task, order.run.number);
         after(gangTimeout, [this, run = order.run, incarnation = m_incarnation] {
@@ -200,6 +252,8 @@
 
 void model_host::stop(const run_id &run, epoch token, std::function<void(result<done>)> callback)
 {
+    if (m_isDown)
+        return after(callDelay, [callback] { callback(noAnswer()); });
     if (m_faults.isUnreachable)
         return after(callTimeout, [callback] { callback(noAnswer()); });
     std::uniform_real_distribution<double> share(0, 1);
@@ -240,6 +294,8 @@
 void model_host::queryStatus(epoch token, std::int64_t endsStored, std::int64_t holdUntil,
                              duration wait, std::function<void(result<host_status>)> callback)
 {
+    if (m_isDown)
+        return after(callDelay, [callback] { callback(noAnswer()); });
     if (m_faults.isUnreachable)
         return after(wait + callTimeout, [callback] { callback(noAnswer()); });
     after(callDelay,
@@ -355,7 +411,7 @@
                            + " ms: " + std::move(what));
 }
 
-void run_world::onStart(model_host &host, const run_id &run)
+void run_world::onStart(model_host &host, const run_id &run, time_point sentAt)
 {
     ++m_starts;
     const step_spec *spec = specOf(run.task);
@@ -370,7 +426,8 @@
     resources used;
     for (const auto &[active, state] : host.m_runs)
         used += specOf(active.task)->perTask;
-    if (!host.m_capacity.covers(used)) {
+    checkCrashingTask(run);
+    if (!host.toleratedCapacity(sentAt).covers(used)) {
         std::string activeRuns;
         for (const auto &[other, state] : host.m_runs)
             activeRuns += ' ' + other.task + '/' + std::to_string(other.number);
@@ -386,6 +443,15 @@
     }
 }
 
+void run_world::checkCrashingTask(const run_id &run)
+{
+    const auto crashes = m_crashes.find(run.task);
+    if (crashes == m_crashes.end() || crashes->second < toleratedCrashes)
+        return;
+    if (++m_startsAfterCrashes[run.task] == startsTooMany)
+        addViolation("started again and again though it crashes hosts: " + run.task);
+}
+
 void run_world::noteCancelled(const std::string &job)
 {
     m_cancelledAt.emplace(job, m_loop.now());
--- a/standins/run_world.h
+++ b/standins/run_world.h
@@ -7,11 +7,14 @@
 //   model_host &host = world.add("w1", capacity);
 //   host.faults().hangs = true;          // runs make no progress
 //   world.registerJob(job);
+//   world.addCrashingTask(task);         // crashes each host that starts it
+//   host.setCapacity(less);
 //   CHECK(world.violations().empty());
 //
 // Like the users' backend servers, the hosts start every task that they are ordered to start. The
 // checker sees all hosts. It reports tasks that run twice at the same time, starts after an end
-// `Done` was acknowledged, starts long after a cancel was acknowledged, and workers over capacity.
+// `Done` was acknowledged, starts long after a cancel was acknowledged, workers over capacity, and
+// tasks that are started again and again though they crash the hosts that start them.
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/graph_job.h"
@@ -27,6 +30,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace goldcrest {
@@ -55,6 +59,13 @@
     // Ends all runs and begins a new incarnation, with the same id or another.
     void restart(const std::string &id);
 
+    // Ends all runs. The host does not respond for some seconds, then begins a new incarnation.
+    void crash();
+    bool isDown() const { return m_isDown; }
+
+    // Changes what the host announces. Runs that no longer fit go on.
+    void setCapacity(const resources &capacity);
+
     // Returns the next announcement, with a higher sequence number.
     host_announcement announcement();
     void setDraining(bool draining) { m_draining = draining; }
@@ -88,7 +99,8 @@
         timer_handle timeout;
     };
 
-    start_reply applyStart(const start_order &order, epoch token, std::int64_t holdUntil);
+    start_reply applyStart(const start_order &order, epoch token, std::int64_t holdUntil,
+                           time_point sentAt);
     void applyStop(const run_id &run, epoch token);
     void startWork(const run_id &run);
     void endRun(const run_id &run, run_end how);
@@ -98,12 +110,16 @@
     void answerQueries();
     void after(duration delay, std::function<void()> task);
     std::int64_t clock() const;
+    resources toleratedCapacity(time_point sentAt) const;
 
     run_world &m_world;
     std::string m_id;
     resources m_capacity;
+    std::vector<std::pair<time_point, resources>>
+        m_earlierCapacities; // with the ends of their times
     host_faults m_faults;
     bool m_draining = false;
+    bool m_isDown = false;
     std::int64_t m_startedAtMs = 0;
     std::int64_t m_sequence = 0;
     std::uint64_t m_incarnation = 0; // number of restarts
@@ -132,6 +148,9 @@
     // Registers a job. Its steps are needed to check resource demands and to complete gangs.
     void registerJob(const graph_job &job);
 
+    // Makes a task crash each host that starts it.
+    void addCrashingTask(const task_key &task) { m_crashes.emplace(formatTask(task), 0); }
+
     // Records that the cancel of a job was acknowledged. Starts of its tasks long after that are
     // violations.
     void noteCancelled(const std::string &job);
@@ -147,7 +166,8 @@
     friend class model_host;
 
     const step_spec *specOf(const std::string &task) const;
-    void onStart(model_host &host, const run_id &run);
+    void onStart(model_host &host, const run_id &run, time_point sentAt);
+    void checkCrashingTask(const run_id &run);
     void onEndAcknowledged(const ended_task &end);
     void startGangIfComplete(const std::string &task, std::int32_t run);
     void endGang(const std::string &task, std::int32_t run, run_end how);
@@ -158,6 +178,8 @@
     std::vector<std::unique_ptr<model_host>> m_hosts;
     std::map<std::string, graph_job> m_jobs;
     std::set<std::string> m_acknowledgedDone; // tasks whose end `Done` was acknowledged
+    std::map<std::string, int> m_crashes; // hosts that crashed, by crashing task
+    std::map<std::string, int> m_startsAfterCrashes; // starts after the tolerated crashes, by task
     std::map<std::string, time_point> m_cancelledAt; // time of the acknowledged cancel, by job
     std::vector<std::string> m_violations;
     std::uint64_t m_starts = 0;
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -242,9 +242,11 @@
         finder = std::make_unique<planner_finder>(model.m_loop, store, *network, "main",
                                                   std::move(callbacks), options);
         announce = model.m_loop.every(announcementInterval, [this, &model] {
-            agent.onAnnouncement(model.m_hosts[index]->announcement());
+            if (!model.m_hosts[index]->isDown())
+                agent.onAnnouncement(model.m_hosts[index]->announcement());
         });
-        agent.onAnnouncement(model.m_hosts[index]->announcement());
+        if (!model.m_hosts[index]->isDown())
+            agent.onAnnouncement(model.m_hosts[index]->announcement());
         views = model.m_loop.every(viewInterval, [this, &model] {
             if (planner.isElected() && !plain.faults().down && !plain.faults().unresponsive)
                 planner.setView(model.view());
@@ -318,6 +320,7 @@
     : m_options(options)
     , m_random(options.seed)
     , m_historyRandom(options.seed)
+    , m_hostRandom(options.seed)
     , m_world(m_loop, options.seed)
     , m_network(m_loop, options.seed)
     , m_catalogue(std::make_shared<queue_catalogue>())
@@ -414,6 +417,8 @@
     }
     m_jobs.emplace(job.id, job);
     m_world.registerJob(job);
+    if (m_options.crashingShare > 0)
+        addCrashingTask(job);
     ++m_report.jobs;
     front &chosen = *m_fronts[static_cast<std::size_t>(between(0, frontCount - 1))];
     chosen.core.setView(view());
@@ -437,6 +442,30 @@
                              });
 }
 
+void graph_model::addCrashingTask(const graph_job &job)
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    if (share(m_hostRandom) >= m_options.crashingShare)
+        return;
+    const auto step = static_cast<std::int32_t>(m_hostRandom() % job.steps.size());
+    const std::int32_t count = job.steps[static_cast<std::size_t>(step)].count;
+    const auto index
+        = static_cast<std::int32_t>(m_hostRandom() % static_cast<std::uint64_t>(count));
+    m_world.addCrashingTask({job.id, 0, step, index});
+    m_crashing.insert(job.id);
+}
+
+// Shrinks the capacity of a host to a quarter for some seconds.
+void graph_model::changeCapacity()
+{
+    model_host &host = *m_hosts[m_hostRandom() % sidecarCount];
+    host.setCapacity(
+        {workerCapacity.cores / 4, workerCapacity.memory / 4, workerCapacity.accelerators / 4});
+    constexpr std::int64_t longest = 12'000;
+    m_timers.after(duration(m_hostRandom() % longest),
+                   [&host] { host.setCapacity(workerCapacity); });
+}
+
 // Watches receive no events for a while; then the history is dropped and they are disconnected.
 void graph_model::loseHistory()
 {
@@ -535,6 +564,8 @@
         m_sidecars[i]->plain.faults() = {};
         m_network.setCut(addressOf(i), false);
         m_hosts[i]->faults() = {};
+        if (m_options.changesCapacity)
+            m_hosts[i]->setCapacity(workerCapacity);
     }
 }
 
@@ -604,6 +635,8 @@
             pollStates();
         if (m_options.losesHistory && m_historyRandom() % 100 == 0)
             loseHistory();
+        if (m_options.changesCapacity && m_hostRandom() % 40 == 0)
+            changeCapacity();
         m_loop.advance(step);
         recordElections();
     }
@@ -624,6 +657,8 @@
             m_report.violations.push_back("a job never ended: " + id);
         if (state == graph_job_state::Cancelled && m_cancelled.count(id) == 0)
             m_report.violations.push_back("a job was cancelled without a request: " + id);
+        if (state == graph_job_state::Failed && !m_options.hasFaults && m_crashing.count(id) == 0)
+            m_report.violations.push_back("a job that can be done failed: " + id);
     }
     m_report.violations.insert(m_report.violations.end(), m_world.violations().begin(),
                                m_world.violations().end());
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -56,6 +56,8 @@
     bool hasFaults = true;
     // The store's watches sometimes stall, and the events of that time are lost.
     bool losesHistory = false;
+    double crashingShare = 0; // of the jobs have a task that crashes each host that starts it
+    bool changesCapacity = false; // the hosts' capacities shrink and grow
     duration length = 60s; // of the phase with faults
     duration settleLimit = 90s; // of the phase without faults, in which all jobs must end
 };
@@ -93,6 +95,8 @@
     void injectFault();
     void loseHistory();
     void dropHistory();
+    void addCrashingTask(const graph_job &job);
+    void changeCapacity();
     void healAll();
     void pollStates();
     void recordElections();
@@ -105,7 +109,9 @@
     graph_model_options m_options;
     virtual_event_loop m_loop;
     std::mt19937_64 m_random;
-    std::mt19937_64 m_historyRandom; // separate, so that the other faults of a seed stay the same
+    // Separate, so that the other faults of a seed stay the same.
+    std::mt19937_64 m_historyRandom;
+    std::mt19937_64 m_hostRandom;
     store_model m_store;
     run_world m_world;
     model_network m_network;
@@ -116,6 +122,7 @@
     std::map<std::string, graph_job> m_jobs;
     std::set<std::string> m_accepted;
     std::set<std::string> m_cancelled;
+    std::set<std::string> m_crashing; // jobs with a crashing task
     std::map<std::string, graph_job_state> m_seen;
     one_shot_timers m_timers;
     graph_model_report m_report;
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -92,6 +92,35 @@
     LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
 }
 
+// Guards against a task that is started without end though it crashes each backend server that
+// starts it (violated BUDGET on day deadly), and against giving up tasks that ran beside it.
+TEST(graph_model, crashingTasksAreGivenUpAndNoOthers)
+{
+    graph_model_options options;
+    options.hasFaults = false;
+    options.crashingShare = 0.1;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
+}
+
+// The same beside all other faults: the count survives takeovers and lost reports.
+TEST(graph_model, crashingTasksAreGivenUpUnderFaults)
+{
+    graph_model_options options;
+    options.crashingShare = 0.1;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
+}
+
+// Guards against starts on a backend server whose capacity has shrunk (LIMIT).
+TEST(graph_model, shrinkingCapacityIsNotExceeded)
+{
+    graph_model_options options;
+    options.changesCapacity = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
+}
+
 TEST(graph_model, regressionSeedsPass)
 {
     for (const std::uint64_t seed : regressionSeeds)
