Do not carry out starts on a capacity that has shrunk

Cause: capacity was checked when a run was placed, not when it was ordered or its start repeated. Class of fault: a permission that had run out was acted on.

Change: the planner checks the demand on a worker when it sends starts, and stops those that are not known to have started; the agent refuses its open starts when its backend server announces less.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -45,6 +45,7 @@
     void beginIncarnation(const host_announcement &announcement);
     void takeStarts(const worker_orders_message &orders);
     void takeStops(const worker_orders_message &orders);
+    void refuseOpenStarts();
     void advanceAll();
     void advance(const run_id &run, ordered_run &ordered);
     void sendStart(const run_id &run, ordered_run &ordered);
@@ -159,9 +160,12 @@
     if (announcement.sequence < self.backend->sequence)
         return;
     const bool drainingChanged = announcement.draining != self.backend->draining;
+    const bool hasShrunk = !announcement.capacity.covers(self.backend->capacity);
     self.backend = announcement;
     self.announcedAt = self.loop.now();
-    if (drainingChanged)
+    if (hasShrunk)
+        self.refuseOpenStarts();
+    if (drainingChanged || hasShrunk)
         self.queryNow();
 }
 
@@ -287,6 +291,19 @@
     }
 }
 
+// Refuses the starts that have not been confirmed. They were placed on a larger capacity, and the
+// planner may be out of reach, so that they would be repeated.
+void run_agent::state::refuseOpenStarts()
+{
+    for (auto &[run, ordered] : runs) {
+        if (!ordered.start || ordered.isStarted || ordered.isStopping || ordered.refused)
+            continue;
+        ordered.refused = start_refusal::NoCapacity;
+        ordered.isStopping = true;
+    }
+    advanceAll();
+}
+
 void run_agent::state::advanceAll()
 {
     for (auto &[run, ordered] : runs)
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -184,6 +184,29 @@
         acknowledgeStoredEnds(worker);
 }
 
+// Returns what the runs that may exist on a worker need, those that are being stopped included.
+resources run_planner::demandOn(const pool_worker &worker) const
+{
+    resources demand;
+    for (const task_key &key : worker.active)
+        demand += demandOf(m_jobs.at(key.job).specOf({key.occurrence, key.step}));
+    return demand;
+}
+
+// Stops the runs that are not known to have started. The capacity of their worker has shrunk since
+// they were placed there.
+void run_planner::stopOpenStarts(pool_worker &worker)
+{
+    const std::set<task_key> active = worker.active;
+    for (const task_key &key : active) {
+        tracked_job &job = m_jobs.at(key.job);
+        if (!job.find(key)->isListed)
+            stopRun(job, key, "the capacity of its worker has shrunk",
+                    fmt::format("cores={} accelerators={}", worker.capacity.cores,
+                                worker.capacity.accelerators));
+    }
+}
+
 // ---- orders --------------------------------------------------------------------------------
 
 std::optional<worker_orders_message> run_planner::ordersFor(const worker_id &id, time_point now)
@@ -202,6 +225,8 @@
     const duration longest = scaled(m_options.workerLease, 1 + m_options.clockError);
     worker->leaseEnds
         = std::max(worker->leaseEnds, worker->reportedAt + longest + m_options.leaseSlack);
+    if (!worker->capacity.covers(demandOn(*worker)))
+        stopOpenStarts(*worker);
     for (const task_key &key : worker->active) {
         tracked_job &job = m_jobs.at(key.job);
         tracked_task &task = *job.find(key);
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -223,6 +223,8 @@
     void noteFailure(pool_worker &worker, const std::string &job, time_point now);
     void acknowledgeStoredEnds(pool_worker &worker);
     void syncActive(tracked_job &job);
+    resources demandOn(const pool_worker &worker) const;
+    void stopOpenStarts(pool_worker &worker);
 
     // Planning.
     void endRunsWithExpiredLeases(unix_ms wall, time_point now);
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -249,6 +249,23 @@
     }
 }
 
+// Guards LIMIT: a start that is repeated because it got no answer was placed on the capacity of
+// before, and the planner may be out of reach.
+TEST(run_agent, openStartIsRefusedWhenTheCapacityShrinks)
+{
+    worker_orders_message first = orders(5, 1);
+    first.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(first);
+    host.starts.back().answer(makeFailure(code::BackendUnavailable, "no answer"));
+    host_announcement smaller = *agent.backend();
+    ++smaller.sequence;
+    smaller.capacity.accelerators = -1;
+    agent.onAnnouncement(smaller);
+    loop.advance(1s);
+    LONGS_EQUAL(1, host.starts.size());
+    LONGS_EQUAL(1, host.stops.size());
+}
+
 TEST(run_agent, announcedDepartureIsNoCrash)
 {
     announce("i-1", 100, true);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -814,6 +814,34 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Running);
 }
 
+// Guards LIMIT: a start that was recorded before a capacity shrank must not be ordered after it.
+TEST(run_planner, startOnACapacityThatHasShrunkIsNotOrdered)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    planner.onReport(report, wall, now);
+    const worker_orders_message orders = ordersOf("w1");
+    CHECK(orders.starts.empty());
+    LONGS_EQUAL(1, orders.stops.size());
+}
+
+// Runs that have started go on when the capacity shrinks below them.
+TEST(run_planner, runningTaskSurvivesAShrinkingCapacity)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    ordersOf("w1");
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    report.running.push_back({{"a.0.0.0", 1}, {}, 20, 0});
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").stops.empty());
+}
+
 // Guards EVAC and DRAIN, and starts on an operator view that is too old.
 TEST(run_planner, startsNothingWhereItMustNot)
 {
