Acknowledge an end only when no later run of its task may start

A task was started after its end had been acknowledged (TWICE): its first worker was silent until its lease had ended, the start of the next run had no answer, then the first worker came back with the end 'done'. It was stored and acknowledged while the later start could still take effect.

Change: the end waits until the later run is listed or has certainly not started.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -269,7 +269,7 @@
         if (ended.number <= worker.endsSeen)
             continue;
         worker.endsSeen = ended.number;
-        pending_end pending{ended.number, {}, 0};
+        pending_end pending{ended.number, {}, 0, {}};
         const result<task_key> key = parseTask(ended.run.task);
         if (!failureOf(key)) {
             noteHealth(worker, valueOf(key), ended.how, now);
@@ -279,7 +279,8 @@
                    std::string(names[static_cast<std::size_t>(ended.how)]), wall);
             const auto job = m_jobs.find(valueOf(key).job);
             if (job != m_jobs.end())
-                pending = {ended.number, job->first, job->second.version()};
+                pending = {ended.number, job->first, job->second.version(),
+                           ended.how == run_end::Done ? std::optional(valueOf(key)) : std::nullopt};
         } else {
             recordDecision("end ignored", {}, ended.run.number, worker.id,
                            "the task name is malformed");
@@ -396,7 +397,8 @@
         worker.fenceOrderedIn = 0;
 }
 
-// Acknowledges ends in order, up to the first one whose job version is not stored yet.
+// Acknowledges ends in order, up to the first one whose job version is not stored yet, or whose
+// task has a later run that may still start: an acknowledged task must not start again.
 void run_planner::acknowledgeStoredEnds(pool_worker &worker)
 {
     const std::int64_t before = worker.endsStored;
@@ -405,6 +407,10 @@
         const auto job = m_jobs.find(first.job);
         if (job != m_jobs.end() && job->second.storedVersion() < first.version)
             break;
+        const tracked_task *completed
+            = first.completed && job != m_jobs.end() ? job->second.find(*first.completed) : nullptr;
+        if (completed && completed->isActive() && !completed->isListed)
+            break;
         worker.endsStored = first.number;
         worker.pendingEnds.pop_front();
     }
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -30,6 +30,7 @@
     std::int64_t number = 0; // as numbered by the backend server
     std::string job; // empty: the job is not known
     std::uint64_t version = 0;
+    std::optional<task_key> completed; // the task that the run completed
 };
 
 // A worker with the backend server that its agent last reported.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -814,6 +814,32 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Running);
 }
 
+// Guards against a start after an acknowledged end: the worker of run 1 was silent until its lease
+// had ended, and the start of run 2 has no answer yet when the end of run 1 becomes known (seed 87
+// of the cell model with crashing tasks, in a trial).
+TEST(run_planner, endIsNotAcknowledgedWhileALaterRunMayStart)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    now += 20s;
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    worker_report_message late = reportOf("w1");
+    late.ended.push_back({1, {"a.0.0.0", 1}, run_end::Done, {}});
+    planner.onReport(late, wall, now);
+    store();
+    LONGS_EQUAL(0, ordersOf("w1").endsStored);
+    worker_report_message stopped = reportOf("w2");
+    stopped.ordersSeen = ordersOf("w2").sequence;
+    planner.onReport(stopped, wall, now);
+    store();
+    LONGS_EQUAL(1, ordersOf("w1").endsStored);
+}
+
 // Guards LIMIT: a start that was recorded before a capacity shrank must not be ordered after it.
 TEST(run_planner, startOnACapacityThatHasShrunkIsNotOrdered)
 {
