Name the startup time of a run, and skip the search for suspects if there are none

Cause: startTime read like a point in time; each waiting task was looked up for suspects.

Change: names and one early return; no decision changes.

--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -18,7 +18,7 @@
 
 } // namespace
 
-// Returns the request for capacity for a unit. It refers to `eligible`.
+// Returns the request for capacity for a unit. It keeps a pointer to `eligible`.
 placement_request run_planner::requestFor(const unit &next,
                                           const std::vector<std::size_t> &eligible) const
 {
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -188,7 +188,7 @@
             noteCrashedRun(worker, key, workedTime(worker, task), wall);
     } else if (task.isRestored() && worker.departedIncarnation != task.record.workerIncarnation) {
         // An earlier planner may have started it, and it is not known when the crash came.
-        noteCrashedRun(worker, key, startTime, wall);
+        noteCrashedRun(worker, key, startupTime, wall);
     }
 }
 
--- a/goldcrest/run_planner_trials.cc
+++ b/goldcrest/run_planner_trials.cc
@@ -36,6 +36,8 @@
 
 bool run_planner::isSuspect(const unit &next) const
 {
+    if (m_suspects.empty())
+        return false;
     const tracked_step &step = *next.job->find(next.step);
     return std::any_of(next.indexes.begin(), next.indexes.end(), [&](std::int32_t index) {
         return step.tasks[static_cast<std::size_t>(index)].isSuspect();
@@ -60,7 +62,7 @@
 run_planner::eligibleForGang(const unit &next, std::vector<std::size_t> eligible,
                              const std::vector<worker_capacity> &capacities, time_point now) const
 {
-    if (m_suspects.empty() || !isSuspect(next))
+    if (!isSuspect(next))
         return eligible;
     std::vector<std::size_t> apart = apartFromStarts(eligible, capacities);
     const std::optional<placement> found = bestPlacement(capacities, requestFor(next, apart), now);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -346,7 +346,7 @@
         record.crashes = record.startCrashes = 0;
     else
         ++record.crashes;
-    if (worked < startTime)
+    if (worked < startupTime)
         ++record.startCrashes;
     const bool isAtFault
         = record.startCrashes >= startCrashesToGiveUp || record.crashes >= crashesToGiveUp;
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -30,7 +30,7 @@
 constexpr std::int32_t crashesToGiveUp = 5;
 
 // A run that has worked for less than this may have crashed its backend server by starting there.
-constexpr duration startTime = 1s;
+constexpr duration startupTime = 1s;
 
 // Crashes before a run that worked for this long are no longer held against its task.
 constexpr duration harmlessAfter = 60s;
@@ -55,10 +55,10 @@
     bool isCrashCounted = false; // the crash that ended the current run is in the record
 
     bool isActive() const { return !record.worker.empty(); }
-    // Returns whether the current run has not worked for startTime yet.
+    // Returns whether the current run has not worked for startupTime yet.
     bool isStarting(time_point now) const
     {
-        return isActive() && (!isListed || now - listedAt < startTime);
+        return isActive() && (!isListed || now - listedAt < startupTime);
     }
     // Returns whether the current run was recorded by an earlier planner.
     bool isRestored() const { return isActive() && recordedIn == 0; }
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -760,7 +760,7 @@
         worker_report_message report = reportOf("w2");
         report.running.push_back({{"b.0.0.0", 1}, {}, 20 * (i + 1), 0});
         planner.onReport(report, wall, now);
-        now += startTime / 2;
+        now += startupTime / 2;
     }
     planAndStore();
     STRCMP_EQUAL("a.0.0.0", ordersOf("w2").starts.at(0).run.task.c_str());
