--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -135,6 +135,13 @@
     LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
 }
 
+// Guards against a task that runs twice: its first start had no answer, the lease of that worker
+// ended, and the start is carried out after the next run has begun elsewhere.
+TEST(graph_model, lateStartDoesNotRunBesideTheNextRun)
+{
+    LONGS_EQUAL(0, countFailing({}, 300, 1));
+}
+
 TEST(graph_model, regressionSeedsPass)
 {
     for (const std::uint64_t seed : regressionSeeds)
