--- a/review/stage/plain_http.cc
+++ b/review/stage/plain_http.cc
@@ -142,20 +142,19 @@
 
 void plain_http::accept()
 {
-    m_acceptor.async_accept(
-        [this](const asio::error_code &error, asio::ip::tcp::socket accepted) {
-            if (error)
-                return;
-            accepted.set_option(asio::ip::tcp::no_delay(true));
-            closeOnExec(accepted.native_handle());
-            m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
-                                               [](const auto &opened) { return opened.expired(); }),
-                                m_connections.end());
-            const auto opened = std::make_shared<connection>(std::move(accepted), m_handler);
-            m_connections.push_back(opened);
-            opened->readHeader();
-            accept();
-        });
+    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket accepted) {
+        if (error)
+            return;
+        accepted.set_option(asio::ip::tcp::no_delay(true));
+        closeOnExec(accepted.native_handle());
+        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
+                                           [](const auto &opened) { return opened.expired(); }),
+                            m_connections.end());
+        const auto opened = std::make_shared<connection>(std::move(accepted), m_handler);
+        m_connections.push_back(opened);
+        opened->readHeader();
+        accept();
+    });
 }
 
 } // namespace goldcrest::review
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -100,8 +100,8 @@
         [this](const http_request &request, const plain_http::respond_function &respond) {
             handle(request, respond);
         });
-    m_stage.note(fmt::format("{}: server {} begins a lifetime, born={}", m_worker, m_life.id,
-                             m_born));
+    m_stage.note(
+        fmt::format("{}: server {} begins a lifetime, born={}", m_worker, m_life.id, m_born));
     m_tickTimer = m_stage.loop().every(tickInterval, [this] { tick(); });
     m_registerTimer = m_stage.loop().after(m_life.registersAfter, [this] {
         sendHeartbeat();
@@ -119,8 +119,8 @@
     for (const auto &[task, run] : std::exchange(m_running, {})) {
         run->endedAt = m_stage.loop().now();
         run->how = "the server ended";
-        m_stage.note(fmt::format("{}: run {} of {} ends with the server", m_worker, run->number,
-                                 task));
+        m_stage.note(
+            fmt::format("{}: run {} of {} ends with the server", m_worker, run->number, task));
     }
     m_server.reset();
 }
@@ -138,8 +138,8 @@
     const json body = {{"born", m_born}};
     crash();
     m_stage.timers().after(delayOfDeregistration, [this, id, body] {
-        m_stage.note(m_worker + ": deregistration of " + id + fmt::format(" (born={}) arrives",
-                                                                         body["born"].dump()));
+        m_stage.note(m_worker + ": deregistration of " + id
+                     + fmt::format(" (born={}) arrives", body["born"].dump()));
         http_request request;
         request.method = "POST";
         request.url = "http://" + controlAddress() + "/v1/Instances.Deregister/" + id;
@@ -403,16 +403,15 @@
                                    {"per_worker_ms", 0},
                                    {"validity_ms", ticketValidity.count()}};
     }
-    const json configuration
-        = {{"version", ++m_version},
-           {"routes", std::move(routes)},
-           {"services",
-            {{{"name", serviceName}, {"enforces_capacity", false}, {"standby", false}}}},
-           {"limits", {{"max_body_bytes", 262144}}},
-           {"tenants",
-            {{{"name", "team-1"},
-              {"api_keys", json::array({apiKey})},
-              {"guaranteed", {{"gpus", 0}}}}}}};
+    const json configuration = {
+        {"version", ++m_version},
+        {"routes", std::move(routes)},
+        {"services", {{{"name", serviceName}, {"enforces_capacity", false}, {"standby", false}}}},
+        {"limits", {{"max_body_bytes", 262144}}},
+        {"tenants",
+         {{{"name", "team-1"},
+           {"api_keys", json::array({apiKey})},
+           {"guaranteed", {{"gpus", 0}}}}}}};
     store_transaction write;
     write.put("op/config", configuration.dump());
     m_model.commit(write);
@@ -461,13 +460,10 @@
 
 void stage::startFront()
 {
-    const json settings = {{"name", "front-1"},
-                           {"failureDomain", "north"},
-                           {"frontListen", portOf(1)},
-                           {"readyListen", portOf(2)},
-                           {"metricsListen", portOf(3)},
-                           {"storeAddress", portOf(0)},
-                           {"keyRevocationMs", 5000}};
+    const json settings
+        = {{"name", "front-1"},        {"failureDomain", "north"},   {"frontListen", portOf(1)},
+           {"readyListen", portOf(2)}, {"metricsListen", portOf(3)}, {"storeAddress", portOf(0)},
+           {"keyRevocationMs", 5000}};
     writeFile(m_temporary + "/front-1.json", settings.dump());
     m_processes.start("front-1",
                       {binary("goldcrest-front"), "--settings", m_temporary + "/front-1.json"});
@@ -476,21 +472,21 @@
 void stage::startSidecar(const backend &server)
 {
     json settings = {{"name", server.worker()},
-                           {"failureDomain", "north"},
-                           {"controlListen", server.controlAddress()},
-                           {"linkListen", server.linkAddress()},
-                           {"metricsListen", server.metricsAddress()},
-                           {"storeAddress", portOf(0)},
-                           {"backendAddress", server.address()},
-                           {"service", serviceName},
-                           {"stopTimeMs", 200},
-                           {"gangTimeoutMs", 3000},
-                           {"longestLeaseMs", longestLeaseMs},
-                           {"checkpointIntervalS", 1},
-                           {"reclaimTimeMs", 2700},
-                           {"changeTimeMs", 5000},
-                           {"stateTimeS", 120},
-                           {"remoteFactor", 3}};
+                     {"failureDomain", "north"},
+                     {"controlListen", server.controlAddress()},
+                     {"linkListen", server.linkAddress()},
+                     {"metricsListen", server.metricsAddress()},
+                     {"storeAddress", portOf(0)},
+                     {"backendAddress", server.address()},
+                     {"service", serviceName},
+                     {"stopTimeMs", 200},
+                     {"gangTimeoutMs", 3000},
+                     {"longestLeaseMs", longestLeaseMs},
+                     {"checkpointIntervalS", 1},
+                     {"reclaimTimeMs", 2700},
+                     {"changeTimeMs", 5000},
+                     {"stateTimeS", 120},
+                     {"remoteFactor", 3}};
     if (m_advice)
         settings["adviceAddress"] = portOf(adviceOffset);
     const std::string path = m_temporary + "/" + server.worker() + ".json";
@@ -575,12 +571,13 @@
     }
     http_request request = callTo("POST", "/" + queue + "/" + id);
     request.body = body.dump();
-    m_client->send(std::move(request), [this, id, queue, callback = std::move(callback)](
-                                           const result<http_response> &outcome) {
-        const int status = failureOf(outcome) ? 0 : valueOf(outcome).status;
-        note(fmt::format("caller: job {} for {} is answered {}", id, queue, status));
-        callback(status);
-    });
+    m_client->send(
+        std::move(request),
+        [this, id, queue, callback = std::move(callback)](const result<http_response> &outcome) {
+            const int status = failureOf(outcome) ? 0 : valueOf(outcome).status;
+            note(fmt::format("caller: job {} for {} is answered {}", id, queue, status));
+            callback(status);
+        });
 }
 
 int stage::submit(const std::string &queue, const std::string &id, duration work,
