--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -81,7 +81,7 @@
 
 std::int64_t backend::clock() const
 {
-    return (m_stage.loop().now() - m_startedAt).count();
+    return (m_suspendedAt.value_or(m_stage.loop().now()) - m_startedAt).count();
 }
 
 void backend::begin(const lifetime &next)
@@ -90,6 +90,8 @@
     m_born = unixMs() + next.clockError.count();
     m_startedAt = m_stage.loop().now();
     m_isDraining = false;
+    m_suspendedAt.reset();
+    m_arrived.clear();
     m_sequence = m_token = m_leaseEnds = m_lastEnd = 0;
     m_running.clear();
     m_work.clear();
@@ -102,11 +104,32 @@
         });
     m_stage.note(
         fmt::format("{}: server {} begins a lifetime, born={}", m_worker, m_life.id, m_born));
+    m_registerTimer = m_stage.loop().after(m_life.registersAfter, [this] { sendHeartbeat(); });
+    startTimers();
+}
+
+void backend::startTimers()
+{
     m_tickTimer = m_stage.loop().every(tickInterval, [this] { tick(); });
-    m_registerTimer = m_stage.loop().after(m_life.registersAfter, [this] {
-        sendHeartbeat();
-        m_heartbeatTimer = m_stage.loop().every(heartbeatInterval, [this] { sendHeartbeat(); });
-    });
+    m_heartbeatTimer = m_stage.loop().every(heartbeatInterval, [this] { sendHeartbeat(); });
+}
+
+void backend::suspend()
+{
+    m_stage.note(m_worker + ": the machine is suspended");
+    m_suspendedAt = m_stage.loop().now();
+    m_tickTimer.reset();
+    m_heartbeatTimer.reset();
+}
+
+void backend::resume()
+{
+    m_stage.note(m_worker + ": the machine goes on");
+    m_startedAt += m_stage.loop().now() - *m_suspendedAt;
+    m_suspendedAt.reset();
+    startTimers();
+    for (const waiting_request &one : std::exchange(m_arrived, {}))
+        handle(one.request, one.respond);
 }
 
 void backend::crash()
@@ -190,8 +213,9 @@
 {
     json running = json::array();
     for (const auto &[task, run] : m_running) {
-        const auto work = std::max<std::int64_t>(1, m_work.at(task).count());
-        const auto done = (m_stage.loop().now() - run->startedAt).count() * 100 / work;
+        const work_plan &work = m_work.at(task);
+        const std::int64_t done
+            = (clock() - work.begunAt) * 100 / std::max<std::int64_t>(1, work.length);
         running.push_back({task, run->number, "", std::min<std::int64_t>(done, 99)});
     }
     json ended = json::array();
@@ -205,6 +229,8 @@
 
 void backend::handle(const http_request &request, const plain_http::respond_function &respond)
 {
+    if (m_suspendedAt)
+        return m_arrived.push_back({request, respond});
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return respondTo(respond, {400, json::object()});
@@ -262,7 +288,7 @@
     if (m_leaseEnds <= clock())
         return {409, {{"reason", "late"}}};
     m_running[task] = &m_stage.addRun(m_worker, task, number);
-    m_work[task] = duration(std::atoll(body.value("spec", "0").c_str()));
+    m_work[task] = {clock(), std::atoll(body.value("spec", "0").c_str())};
     return {200, json::object()};
 }
 
@@ -302,7 +328,7 @@
     for (const auto &[task, run] : m_running) {
         if (clock() > m_leaseEnds)
             over.emplace_back(task, "lapsed");
-        else if (now - run->startedAt >= m_work[task])
+        else if (clock() - m_work[task].begunAt >= m_work[task].length)
             over.emplace_back(task, "done");
     }
     for (const auto &[task, how] : over)
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -82,6 +82,9 @@
     void begin(const lifetime &next);
     // Ends the lifetime without a word. All runs end with it.
     void crash();
+    // Suspends the server with its machine: it does nothing, and its steady clock stands still.
+    void suspend();
+    void resume();
     // Announces the departure in a heartbeat.
     void drain();
     // Sends the deregistration of the lifetime after a delay, and ends the lifetime at once.
@@ -95,6 +98,11 @@
     bool isUp() const { return m_server != nullptr; }
 
 private:
+    struct waiting_request
+    {
+        http_request request;
+        plain_http::respond_function respond;
+    };
     struct waiting_hold
     {
         plain_http::respond_function respond;
@@ -119,6 +127,7 @@
     void extendLease(const json &body);
     void endRun(const std::string &task, const std::string &how);
     void tick();
+    void startTimers();
     void sendHeartbeat();
     json statusBody() const;
     std::int64_t clock() const;
@@ -131,13 +140,20 @@
     std::unique_ptr<plain_http> m_server;
     lifetime m_life;
     std::int64_t m_born = 0;
-    time_point m_startedAt{};
+    time_point m_startedAt{}; // moved by the time that the server was suspended
+    std::optional<time_point> m_suspendedAt;
+    std::vector<waiting_request> m_arrived; // while suspended
     bool m_isDraining = false;
     std::int64_t m_sequence = 0;
     std::int64_t m_token = 0;
     std::int64_t m_leaseEnds = 0; // on clock()
     std::map<std::string, task_run *> m_running;
-    std::map<std::string, duration> m_work;
+    struct work_plan
+    {
+        std::int64_t begunAt = 0; // on clock()
+        std::int64_t length = 0; // ms
+    };
+    std::map<std::string, work_plan> m_work;
     std::map<std::string, std::int32_t> m_highestOver; // run that was stopped or has ended, by task
     std::list<ended_run> m_ended;
     std::int64_t m_lastEnd = 0;
