--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -244,6 +244,10 @@
         return respondTo(respond, {200, json::object()});
     extendLease(body);
     const std::int64_t seen = body.value("last_seen", std::int64_t{0});
+    for (const ended_run &one : m_ended) {
+        if (one.number <= seen)
+            m_stage.noteAcknowledged(m_worker, one.number, one.task, one.how);
+    }
     m_ended.remove_if([seen](const ended_run &one) { return one.number <= seen; });
     const duration wait(body.value("wait_ms", std::int64_t{0}));
     if (!m_ended.empty() || wait == 0ms)
@@ -661,6 +665,12 @@
                                 worker, other.number, other.worker);
         note(m_overlap);
     }
+    if (m_acknowledgedDone.count(task) > 0 && m_startAfterDone.empty()) {
+        m_startAfterDone = fmt::format("run {} of {} starts on {} after an earlier run has ended "
+                                       "done, and that end was acknowledged",
+                                       number, task, worker);
+        note(m_startAfterDone);
+    }
     task_run &added = m_runs.emplace_back();
     added.worker = worker;
     added.task = task;
@@ -669,6 +679,14 @@
     return added;
 }
 
+void stage::noteAcknowledged(const std::string &worker, std::int64_t number,
+                             const std::string &task, const std::string &how)
+{
+    note(fmt::format("{}: end {} ({} {}) is acknowledged by last_seen", worker, number, task, how));
+    if (how == "done")
+        m_acknowledgedDone.insert(task);
+}
+
 int stage::finish(verdict outcome, const std::string &why)
 {
     constexpr const char *names[] = {"the rule held", "the rule was broken", "could not run"};
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -226,6 +226,11 @@
     bool hasStarted(const std::string &job) const;
     // Returns the first pair of runs of one task that overlapped, as text; empty: none.
     const std::string &overlap() const { return m_overlap; }
+    // Returns the first start of a task whose end `done` was acknowledged before; empty: none.
+    const std::string &startAfterDone() const { return m_startAfterDone; }
+    // Notes that the end of a run was acknowledged.
+    void noteAcknowledged(const std::string &worker, std::int64_t number, const std::string &task,
+                          const std::string &how);
     task_run &addRun(const std::string &worker, const std::string &task, std::int32_t number);
 
     // Notes the verdict and returns the exit status.
@@ -255,6 +260,8 @@
     std::list<std::unique_ptr<backend>> m_backends;
     std::list<task_run> m_runs;
     std::string m_overlap;
+    std::set<std::string> m_acknowledgedDone; // tasks
+    std::string m_startAfterDone;
     time_point m_startedAt{};
     int m_firstPort = 0;
     int m_nextPort = 0;
