--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,11 +1,9 @@
-// A job of a queue with advice is asked for while the only server that may run it restarts. The
-// planner takes the answer, which names none of the other servers, as final, and never asks about
-// the server that is back.
+// A machine with a running task is suspended for seconds, and its sidecar ends soon after. The
+// lease of the task does not count the time of the suspension, but the planner does: it starts the
+// task again elsewhere while the first run goes on.
 
 #include "review/stage/stage.h"
 
-#include <fmt/format.h>
-
 #include <vector>
 
 using namespace goldcrest;
@@ -13,43 +11,52 @@
 
 namespace {
 
-constexpr duration downTime = 4500ms; // for_s of srv_crash in the users' sites
-constexpr duration untilSubmission = 3000ms; // after the crash
-constexpr duration finishTime = 14s; // finish_s
-constexpr duration watched = 3s; // for which a job has nothing running
+constexpr duration suspension = 5000ms; // of node_freeze, where no other time is given
+constexpr duration downTime = 3500ms; // for_s of node_kill in the users' site
+constexpr duration taskTime = 40s;
+constexpr duration watched = 10s;
 
 int run(const std::string &directory)
 {
     stage scene(directory);
-    scene.publishConfiguration({{"plans", 1}, {"approved", 1, true}});
-    scene.startAdvice({"i-1"});
-    backend &allowed = scene.addBackend("side-1", {64'000, 262'144, 8});
-    backend &other = scene.addBackend("side-2", {64'000, 262'144, 8});
-    scene.startSidecar(allowed);
-    scene.startSidecar(other);
-    allowed.begin({"i-1"});
-    other.begin({"i-2"});
+    scene.publishConfiguration({{"plans", 1}});
+    backend &small = scene.addBackend("side-1", {2'000, 8'192, 0});
+    backend &large = scene.addBackend("side-2", {64'000, 262'144, 0});
+    // The sidecar that starts first is elected, so that the planner is on another machine.
+    scene.startSidecar(large);
     scene.startFront();
+    large.begin({"i-2"});
     if (!scene.waitUntilServing(25s))
         return scene.finish(verdict::CouldNotRun, "the deployment does not serve");
+    scene.startSidecar(small);
+    small.begin({"i-1"});
+    scene.runFor(2s);
 
-    if (hasTrouble())
-        allowed.crash();
-    scene.runFor(untilSubmission);
     const std::string id = scene.newId();
-    if (scene.submit("approved", id, 200ms, {stepOf(1, 1'000, 1'000)}) != 200)
+    if (scene.submit("plans", id, taskTime, {stepOf(1, 1'000, 1'000)}) != 200)
         return scene.finish(verdict::CouldNotRun, "the job was not accepted");
-    scene.runFor(downTime - untilSubmission);
+    scene.runFor(3s);
+    if (!scene.hasStarted(id) || scene.runs().back().worker != "side-1")
+        return scene.finish(verdict::CouldNotRun, "the task did not start on the first machine");
+
+    if (hasTrouble()) {
+        scene.processes().pause("side-1");
+        small.suspend();
+    }
+    scene.runFor(suspension);
     if (hasTrouble())
-        allowed.begin({"i-1"});
-    scene.runUntil([&] { return scene.hasStarted(id); }, finishTime + watched);
-    scene.note(fmt::format("caller: job {} is {}", id, scene.stateOf("approved", id)));
-    if (scene.hasStarted(id))
-        return scene.finish(verdict::Held, "the job has started");
-    return scene.finish(verdict::Broken,
-                        fmt::format("{} s after the server is back the job has not started, and "
-                                    "the server is idle",
-                                    (finishTime + watched) / 1s));
+        small.resume();
+    scene.note("side-1: the sidecar is killed");
+    scene.processes().kill("side-1");
+    scene.runFor(downTime);
+    scene.note("side-1: the sidecar starts again");
+    scene.startSidecar(small);
+
+    scene.runUntil([&] { return !scene.overlap().empty(); }, watched);
+    scene.runFor(2s); // shows in the record for how long both work
+    if (scene.overlap().empty())
+        return scene.finish(verdict::Held, "no two runs of the task at the same time");
+    return scene.finish(verdict::Broken, scene.overlap());
 }
 
 } // namespace
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,9 +1,11 @@
-// The time of day of a machine jumps back between two starts of its server. The sidecar then takes
-// the heartbeats of the second lifetime for late ones of an earlier lifetime, while a start that it
-// repeats runs in it. The planner counts the lease of the worker as over and starts the task again.
+// A job of a queue with advice is asked for while the only server that may run it restarts. The
+// planner takes the answer, which names none of the other servers, as final, and never asks about
+// the server that is back.
 
 #include "review/stage/stage.h"
 
+#include <fmt/format.h>
+
 #include <vector>
 
 using namespace goldcrest;
@@ -11,45 +13,43 @@
 
 namespace {
 
-constexpr duration clockJump = 2400ms; // the size of a jump in the users' sites
-constexpr duration upBeforeCrash = 1000ms;
-constexpr duration downTime = 800ms;
-constexpr duration taskTime = 30s;
-constexpr duration watched = 20s;
+constexpr duration downTime = 4500ms; // for_s of srv_crash in the users' sites
+constexpr duration untilSubmission = 3000ms; // after the crash
+constexpr duration finishTime = 14s; // finish_s
+constexpr duration watched = 3s; // for which a job has nothing running
 
 int run(const std::string &directory)
 {
     stage scene(directory);
-    scene.publishConfiguration({{"plans", 1}});
-    backend &small = scene.addBackend("side-1", {2'000, 8'192, 0});
-    backend &large = scene.addBackend("side-2", {64'000, 262'144, 0});
-    scene.startSidecar(small);
-    scene.startSidecar(large);
+    scene.publishConfiguration({{"plans", 1}, {"approved", 1, true}});
+    scene.startAdvice({"i-1"});
+    backend &allowed = scene.addBackend("side-1", {64'000, 262'144, 8});
+    backend &other = scene.addBackend("side-2", {64'000, 262'144, 8});
+    scene.startSidecar(allowed);
+    scene.startSidecar(other);
+    allowed.begin({"i-1"});
+    other.begin({"i-2"});
     scene.startFront();
-    large.begin({"i-2"});
     if (!scene.waitUntilServing(25s))
         return scene.finish(verdict::CouldNotRun, "the deployment does not serve");
 
-    // A server comes up while the clock of its machine is ahead, and crashes. The clock is right
-    // again when it starts under the same id.
-    lifetime first{"i-1"};
-    first.clockError = hasTrouble() ? clockJump : 0ms;
-    small.begin(first);
-    scene.runFor(upBeforeCrash);
-    small.crash();
+    if (hasTrouble())
+        allowed.crash();
+    scene.runFor(untilSubmission);
     const std::string id = scene.newId();
-    if (scene.submit("plans", id, taskTime, {stepOf(1, 1'000, 1'000)}) != 200)
+    if (scene.submit("approved", id, 200ms, {stepOf(1, 1'000, 1'000)}) != 200)
         return scene.finish(verdict::CouldNotRun, "the job was not accepted");
-    scene.runFor(downTime);
-    small.begin({"i-1"});
-
-    scene.runUntil([&] { return !scene.overlap().empty(); }, watched);
-    scene.runFor(1s); // shows in the record for how long both work
-    if (!scene.hasStarted(id))
-        return scene.finish(verdict::CouldNotRun, "the task never started");
-    if (scene.overlap().empty())
-        return scene.finish(verdict::Held, "no two runs of the task at the same time");
-    return scene.finish(verdict::Broken, scene.overlap());
+    scene.runFor(downTime - untilSubmission);
+    if (hasTrouble())
+        allowed.begin({"i-1"});
+    scene.runUntil([&] { return scene.hasStarted(id); }, finishTime + watched);
+    scene.note(fmt::format("caller: job {} is {}", id, scene.stateOf("approved", id)));
+    if (scene.hasStarted(id))
+        return scene.finish(verdict::Held, "the job has started");
+    return scene.finish(verdict::Broken,
+                        fmt::format("{} s after the server is back the job has not started, and "
+                                    "the server is idle",
+                                    (finishTime + watched) / 1s));
 }
 
 } // namespace
