--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -89,7 +89,7 @@
     m_life = next;
     m_born = unixMs() + next.clockError.count();
     m_startedAt = m_stage.loop().now();
-    m_isDraining = false;
+    m_isDraining = m_isHanging = false;
     m_suspendedAt.reset();
     m_arrived.clear();
     m_sequence = m_token = m_leaseEnds = m_lastEnd = 0;
@@ -148,6 +148,12 @@
     m_server.reset();
 }
 
+void backend::hang()
+{
+    m_stage.note(m_worker + ": server " + m_life.id + " answers no calls from now on");
+    m_isHanging = true;
+}
+
 void backend::drain()
 {
     m_isDraining = true;
@@ -229,6 +235,8 @@
 
 void backend::handle(const http_request &request, const plain_http::respond_function &respond)
 {
+    if (m_isHanging)
+        return;
     if (m_suspendedAt)
         return m_arrived.push_back({request, respond});
     const json body = json::parse(request.body, nullptr, false);
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -85,6 +85,9 @@
     // Suspends the server with its machine: it does nothing, and its steady clock stands still.
     void suspend();
     void resume();
+    // The server answers no calls and does not carry them out, but sends heartbeats. The lifetime
+    // ends it.
+    void hang();
     // Announces the departure in a heartbeat.
     void drain();
     // Sends the deregistration of the lifetime after a delay, and ends the lifetime at once.
@@ -144,6 +147,7 @@
     std::optional<time_point> m_suspendedAt;
     std::vector<waiting_request> m_arrived; // while suspended
     bool m_isDraining = false;
+    bool m_isHanging = false;
     std::int64_t m_sequence = 0;
     std::int64_t m_token = 0;
     std::int64_t m_leaseEnds = 0; // on clock()
