--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -81,17 +81,15 @@
 
 std::int64_t backend::clock() const
 {
-    return (m_suspendedAt.value_or(m_stage.loop().now()) - m_startedAt).count();
+    return (m_stage.loop().now() - m_startedAt).count();
 }
 
 void backend::begin(const lifetime &next)
 {
     m_life = next;
-    m_born = unixMs() + next.clockError.count();
+    m_born = unixMs();
     m_startedAt = m_stage.loop().now();
-    m_isDraining = m_isHanging = false;
-    m_suspendedAt.reset();
-    m_arrived.clear();
+    m_isHanging = false;
     m_sequence = m_token = m_leaseEnds = m_lastEnd = 0;
     m_running.clear();
     m_work.clear();
@@ -104,32 +102,11 @@
         });
     m_stage.note(
         fmt::format("{}: server {} begins a lifetime, born={}", m_worker, m_life.id, m_born));
-    m_registerTimer = m_stage.loop().after(m_life.registersAfter, [this] { sendHeartbeat(); });
-    startTimers();
-}
-
-void backend::startTimers()
-{
     m_tickTimer = m_stage.loop().every(tickInterval, [this] { tick(); });
-    m_heartbeatTimer = m_stage.loop().every(heartbeatInterval, [this] { sendHeartbeat(); });
-}
-
-void backend::suspend()
-{
-    m_stage.note(m_worker + ": the machine is suspended");
-    m_suspendedAt = m_stage.loop().now();
-    m_tickTimer.reset();
-    m_heartbeatTimer.reset();
-}
-
-void backend::resume()
-{
-    m_stage.note(m_worker + ": the machine goes on");
-    m_startedAt += m_stage.loop().now() - *m_suspendedAt;
-    m_suspendedAt.reset();
-    startTimers();
-    for (const waiting_request &one : std::exchange(m_arrived, {}))
-        handle(one.request, one.respond);
+    m_registerTimer = m_stage.loop().after(m_life.registersAfter, [this] {
+        sendHeartbeat();
+        m_heartbeatTimer = m_stage.loop().every(heartbeatInterval, [this] { sendHeartbeat(); });
+    });
 }
 
 void backend::crash()
@@ -154,50 +131,23 @@
     m_isHanging = true;
 }
 
-void backend::drain()
-{
-    m_isDraining = true;
-    m_stage.note(m_worker + ": server " + m_life.id + " says that it leaves");
-    sendHeartbeat();
-}
-
-void backend::leave(duration delayOfDeregistration)
-{
-    const std::string id = m_life.id;
-    const json body = {{"born", m_born}};
-    crash();
-    m_stage.timers().after(delayOfDeregistration, [this, id, body] {
-        m_stage.note(m_worker + ": deregistration of " + id
-                     + fmt::format(" (born={}) arrives", body["born"].dump()));
-        http_request request;
-        request.method = "POST";
-        request.url = "http://" + controlAddress() + "/v1/Instances.Deregister/" + id;
-        request.headers.emplace_back("Content-Type", "application/json");
-        request.body = body.dump();
-        request.timeout = 1s;
-        m_stage.client().send(std::move(request), [](const result<http_response> &) {});
-    });
-}
-
 void backend::sendHeartbeat()
 {
-    json body = {{"service", serviceName},
-                 {"address", address()},
-                 {"zone", "north"},
-                 {"version", "v1"},
-                 {"slots", 8},
-                 {"state", m_isDraining ? "draining" : "ready"},
-                 {"cold_remaining_ms", 0},
-                 {"capacity",
-                  {{"cpu", m_capacity.cores},
-                   {"mem_mb", m_capacity.memory},
-                   {"gpus", m_capacity.accelerators}}},
-                 {"labels", m_labels},
-                 {"clock_ms", clock()},
-                 {"born", m_born},
-                 {"sequence", ++m_sequence}};
-    if (m_isDraining)
-        body["drain_remaining_ms"] = 0;
+    const json body = {{"service", serviceName},
+                       {"address", address()},
+                       {"zone", "north"},
+                       {"version", "v1"},
+                       {"slots", 8},
+                       {"state", "ready"},
+                       {"cold_remaining_ms", 0},
+                       {"capacity",
+                        {{"cpu", m_capacity.cores},
+                         {"mem_mb", m_capacity.memory},
+                         {"gpus", m_capacity.accelerators}}},
+                       {"labels", m_labels},
+                       {"clock_ms", clock()},
+                       {"born", m_born},
+                       {"sequence", ++m_sequence}};
     http_request request;
     request.method = "POST";
     request.url = "http://" + controlAddress() + "/v1/Instances.Heartbeat/" + m_life.id;
@@ -237,8 +187,6 @@
 {
     if (m_isHanging)
         return;
-    if (m_suspendedAt)
-        return m_arrived.push_back({request, respond});
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return respondTo(respond, {400, json::object()});
@@ -644,14 +592,6 @@
     return json::parse(response.body, nullptr, false).value("state", "");
 }
 
-std::int64_t stage::pendingIn(const std::string &queue)
-{
-    const http_response response = exchange(callTo("GET", "/" + queue + "/"));
-    if (response.status != 200)
-        return -1;
-    return json::parse(response.body, nullptr, false).value("pending", std::int64_t{-1});
-}
-
 std::string stage::newId()
 {
     return fmt::format("{:016x}", 0xabc0000000000000ULL + ++m_lastId);
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -66,7 +66,6 @@
 struct lifetime
 {
     std::string id = "i-1";
-    duration clockError = 0ms; // of the time of day of its machine
     duration registersAfter = 100ms; // from listening to the first heartbeat
 };
 
@@ -82,30 +81,15 @@
     void begin(const lifetime &next);
     // Ends the lifetime without a word. All runs end with it.
     void crash();
-    // Suspends the server with its machine: it does nothing, and its steady clock stands still.
-    void suspend();
-    void resume();
-    // The server answers no calls and does not carry them out, but sends heartbeats. The lifetime
-    // ends it.
+    // From now on the lifetime answers no calls and does not carry them out, but sends heartbeats.
     void hang();
-    // Announces the departure in a heartbeat.
-    void drain();
-    // Sends the deregistration of the lifetime after a delay, and ends the lifetime at once.
-    void leave(duration delayOfDeregistration);
-
     const std::string &worker() const { return m_worker; }
     std::string address() const;
     std::string controlAddress() const;
     std::string linkAddress() const;
     std::string metricsAddress() const;
-    bool isUp() const { return m_server != nullptr; }
 
 private:
-    struct waiting_request
-    {
-        http_request request;
-        plain_http::respond_function respond;
-    };
     struct waiting_hold
     {
         plain_http::respond_function respond;
@@ -130,7 +114,6 @@
     void extendLease(const json &body);
     void endRun(const std::string &task, const std::string &how);
     void tick();
-    void startTimers();
     void sendHeartbeat();
     json statusBody() const;
     std::int64_t clock() const;
@@ -143,10 +126,7 @@
     std::unique_ptr<plain_http> m_server;
     lifetime m_life;
     std::int64_t m_born = 0;
-    time_point m_startedAt{}; // moved by the time that the server was suspended
-    std::optional<time_point> m_suspendedAt;
-    std::vector<waiting_request> m_arrived; // while suspended
-    bool m_isDraining = false;
+    time_point m_startedAt{};
     bool m_isHanging = false;
     std::int64_t m_sequence = 0;
     std::int64_t m_token = 0;
@@ -188,7 +168,6 @@
     asio_event_loop &loop() { return m_loop; }
     http_client &client() { return *m_client; }
     one_shot_timers &timers() { return m_timers; }
-    process_group &processes() { return m_processes; }
 
     // Writes a line to record.txt, with the milliseconds since the start.
     void note(const std::string &text);
@@ -219,9 +198,6 @@
                      const std::vector<json> &steps, std::function<void(int)> callback);
     // Returns the state of a job, or the status if it is not 200.
     std::string stateOf(const std::string &queue, const std::string &id);
-    // Returns the number of waiting jobs of a queue, or -1.
-    std::int64_t pendingIn(const std::string &queue);
-
     // Returns a new id of a job.
     std::string newId();
 
