--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -604,6 +604,9 @@
         converted.headers.emplace_back(lowerCase(field.name()), field.value());
     });
     converted.body = request.body();
+    std::ostringstream peer;
+    const auto remote = request.remote_endpoint();
+    converted.peer = fmt::format("{}:{}", remote.address().to_string(), remote.port());
     return converted;
 }
 
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -34,6 +34,7 @@
     std::vector<std::pair<std::string, std::string>> query; // decoded
     std::vector<std::pair<std::string, std::string>> headers; // names in lower case
     std::string body;
+    std::string peer; // host:port of the client, for the log
 
     // Returns the first header or query parameter of this name, or std::nullopt if there is none.
     std::optional<std::string> header(std::string_view lowerCaseName) const;
--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -89,6 +89,8 @@
      "Processor time that the scheduler uses for one event."},
     {metric::RunDecisions, "run_decisions_total", counterKind, "event", "sidecar",
      "Decisions of the planner of graph jobs, by kind."},
+    {metric::AnnouncementsRefused, "announcements_refused_total", counterKind, "reason", "sidecar",
+     "Announcements that were not taken as the backend server's own, by reason."},
     {metric::AgentParts, "agent_parts", gaugeKind, "state", "agent",
      "Gang parts on the worker: held, running or finished."},
     {metric::AgentMessagesFenced, "agent_messages_fenced_total", counterKind, "", "agent",
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -60,6 +60,7 @@
     DecisionTime,
     // Sidecars.
     RunDecisions,
+    AnnouncementsRefused,
     // Agents.
     AgentParts,
     AgentMessagesFenced,
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -186,6 +186,10 @@
         .field("life", announcement.incarnation())
         .field("before", backend ? backend->incarnation() : std::string())
         .field("service", announcement.service)
+        .field("address", announcement.address)
+        .field("sender", announcement.sender)
+        .field("runs", static_cast<std::int64_t>(runs.size()))
+        .field("ends_listed", static_cast<std::int64_t>(listedEnds.size()))
         .write();
     // The new incarnation shows that the earlier one is gone.
     if (backend)
--- a/goldcrest/run_host.h
+++ b/goldcrest/run_host.h
@@ -34,6 +34,8 @@
     resources capacity;
     bool draining = false;
     duration drainLeft = 0ms; // while draining: minimum time until it leaves
+    std::string address; // host:port of the backend server, as announced
+    std::string sender; // host:port that the announcement came from, for the log
 
     // Identifies the incarnation. The id alone does not, since it may be reused after a restart.
     std::string incarnation() const { return id + "/" + std::to_string(startedAtMs); }
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -218,7 +218,7 @@
                                  unix_ms wall);
     void endRunsNotListed(pool_worker &worker, const worker_report_message &report, unix_ms wall);
     void endRun(const task_key &task, std::int32_t run, run_end how, const std::string &saved,
-                const worker_id &worker, std::string reason, unix_ms wall);
+                const worker_id &worker, std::string reason, unix_ms wall, std::string inputs = {});
     void noteHealth(pool_worker &worker, const task_key &task, run_end how, time_point now);
     void noteFailure(pool_worker &worker, const std::string &job, time_point now);
     void acknowledgeStoredEnds(pool_worker &worker);
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -47,6 +47,13 @@
     processEnds(worker, report, wall, now);
     if (report.isFinal) {
         worker.departedIncarnation = report.incarnation;
+        recordDecision("final report of a backend server", {}, 0, worker.id,
+                       report.wasAnnounced ? "it had announced that it leaves"
+                                           : "another incarnation has taken its place",
+                       fmt::format("life={} has_ended_runs={} started={} ended={} unresolved={}",
+                                   report.incarnation, report.hasEndedRuns,
+                                   report.startedRuns.size(), report.ended.size(),
+                                   report.unresolved.size()));
         if (!report.wasAnnounced)
             noteCrash(worker, report, wall);
         if (report.hasEndedRuns)
@@ -104,7 +111,7 @@
 
 void run_planner::endRun(const task_key &key, std::int32_t run, run_end how,
                          const std::string &saved, const worker_id &worker, std::string reason,
-                         unix_ms wall)
+                         unix_ms wall, std::string inputs)
 {
     const auto found = m_jobs.find(key.job);
     if (found == m_jobs.end())
@@ -114,7 +121,7 @@
     if (!job.endRun(key, run, how, saved, wall))
         return;
     m_needsPass = true;
-    recordDecision("run ended", key, run, worker, std::move(reason));
+    recordDecision("run ended", key, run, worker, std::move(reason), std::move(inputs));
     if (job.state() != before)
         recordDecision("job ended", {key.job, 0, 0, 0}, 0, {}, std::string(nameOf(job.state())));
     noteChanged(job);
@@ -361,7 +368,7 @@
         const run_id run{formatTask(key), task->record.lastRun};
         if (worker.unresolved.count(run) == 0)
             endRun(key, run.number, run_end::Lapsed, {}, worker.id, "its backend server has left",
-                   wall);
+                   wall, fmt::format("life={}", report.incarnation));
     }
 }
 
@@ -382,7 +389,12 @@
         const bool isCarriedOut = listed != 0 && listed <= report.ordersSeen;
         const bool hasAllEnds = report.ended.size() < endsPerView;
         if (isCarriedOut || (task->isListed && hasAllEnds))
-            endRun(key, run.number, run_end::Lapsed, {}, worker.id, "no longer listed", wall);
+            endRun(key, run.number, run_end::Lapsed, {}, worker.id, "no longer listed", wall,
+                   fmt::format("life={} was_listed={} stop_ordered={} ordered_in={} orders_seen={} "
+                               "clock_ms={} running={} ended={}",
+                               report.incarnation, task->isListed, task->stopWanted, listed,
+                               report.ordersSeen, report.clock, report.running.size(),
+                               report.ended.size()));
     }
 }
 
