--- a/standins/run_world.cc
+++ b/standins/run_world.cc
@@ -334,6 +334,8 @@
     status.clock = clock();
     status.ended = m_ended;
     for (const auto &[run, active] : m_runs) {
+        if (active.isStopping && m_world.m_hidesStoppingRuns)
+            continue;
         running_task running;
         running.run = run;
         if (active.isWorking && !m_faults.hangs) {
--- a/standins/run_world.h
+++ b/standins/run_world.h
@@ -151,6 +151,10 @@
     // Makes a task crash each host that starts it.
     void addCrashingTask(const task_key &task) { m_crashes.emplace(formatTask(task), 0); }
 
+    // From now on, hosts list a run that is being stopped neither as running nor as ended until it
+    // has ended.
+    void hideStoppingRuns() { m_hidesStoppingRuns = true; }
+
     // Records that the cancel of a job was acknowledged. Starts of its tasks long after that are
     // violations.
     void noteCancelled(const std::string &job);
@@ -182,6 +186,7 @@
     std::map<std::string, int> m_startsAfterCrashes; // starts after the tolerated crashes, by task
     std::map<std::string, time_point> m_cancelledAt; // time of the acknowledged cancel, by job
     std::vector<std::string> m_violations;
+    bool m_hidesStoppingRuns = false;
     std::uint64_t m_starts = 0;
     std::array<std::uint64_t, 6> m_ends{};
     one_shot_timers m_timers;
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -553,6 +553,24 @@
     }
 }
 
+// Sends a copy of a host's announcement under another id, with another start of the incarnation, or
+// with both.
+void graph_model::sendForeignAnnouncement()
+{
+    const std::size_t index = m_hostRandom() % sidecarCount;
+    if (!m_sidecars[index] || m_hosts[index]->isDown())
+        return;
+    host_announcement foreign = m_hosts[index]->announcement();
+    const std::uint64_t kind = m_hostRandom() % 4;
+    if (kind != 0)
+        foreign.id += "-copy";
+    if (kind != 1)
+        foreign.startedAtMs += static_cast<std::int64_t>(m_hostRandom() % 4000) - 2000;
+    if (kind == 3)
+        foreign.service = "unknown";
+    m_sidecars[index]->agent.onAnnouncement(foreign);
+}
+
 void graph_model::healAll()
 {
     m_timers.clear();
@@ -622,6 +640,8 @@
 graph_model_report graph_model::run()
 {
     constexpr duration step = 50ms;
+    if (m_options.hidesStoppingRuns)
+        m_world.hideStoppingRuns();
     m_loop.advance(5s);
     const time_point end = m_loop.now() + m_options.length;
     while (m_loop.now() < end) {
@@ -637,6 +657,8 @@
             loseHistory();
         if (m_options.changesCapacity && m_hostRandom() % 40 == 0)
             changeCapacity();
+        if (m_options.hasForeignAnnouncements && m_hostRandom() % 20 == 0)
+            sendForeignAnnouncement();
         m_loop.advance(step);
         recordElections();
     }
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -58,6 +58,9 @@
     bool losesHistory = false;
     double crashingShare = 0; // of the jobs have a task that crashes each host that starts it
     bool changesCapacity = false; // the hosts' capacities shrink and grow
+    bool hidesStoppingRuns = false; // the hosts don't list runs that are being stopped
+    // Another writer sends announcements of servers that do not exist to the sidecars.
+    bool hasForeignAnnouncements = false;
     duration length = 60s; // of the phase with faults
     duration settleLimit = 90s; // of the phase without faults, in which all jobs must end
 };
@@ -97,6 +100,7 @@
     void dropHistory();
     void addCrashingTask(const graph_job &job);
     void changeCapacity();
+    void sendForeignAnnouncement();
     void healAll();
     void pollStates();
     void recordElections();
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -135,6 +135,34 @@
     LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
 }
 
+// Guards against runs that are replaced while they are at work because another writer's
+// announcement was taken for a new incarnation of their backend server (TWICE on tawe-loft).
+TEST(graph_model, foreignAnnouncementsBreakNoPromise)
+{
+    graph_model_options options;
+    options.hasForeignAnnouncements = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", faultFreeSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
+
+// Guards against runs that are replaced while they are being stopped, on backend servers that list
+// them in neither list meanwhile (TWICE, LIMIT).
+TEST(graph_model, unlistedStoppingRunsBreakNoPromise)
+{
+    graph_model_options options;
+    options.hidesStoppingRuns = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", faultFreeSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
+
 // Guards against a task that runs twice: its first start had no answer, the lease of that worker
 // ended, and the start is carried out after the next run has begun elsewhere.
 TEST(graph_model, lateStartDoesNotRunBesideTheNextRun)
