Take a new incarnation only once the backend server confirms it

The agent took any readable check-in with another id or a later start for a new incarnation of its backend server, also one of another writer. It reported that the old one was gone, and the planner started its runs elsewhere while they were at work; the next genuine check-in did it again. With a later start, the agent ignored the backend server from then on.

The agent now asks the backend server: the query names the announced id, which any other refuses, and the answer must have the announced start. All status queries name their incarnation, so that lists can't be taken for those of another one. A lower start counts once it is confirmed, and a lower sequence number once the highest one has not been followed up for 5 s, so that neither hides a backend server for good.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -42,6 +42,9 @@
         , host(backendHost)
     { }
 
+    void updateAnnouncement(const host_announcement &announcement);
+    void confirmCandidate();
+    void onConfirmation(const result<host_status> &outcome);
     void beginIncarnation(const host_announcement &announcement);
     void takeStarts(const worker_orders_message &orders);
     void takeStops(const worker_orders_message &orders);
@@ -85,6 +88,11 @@
     std::function<bool(const worker_report_message &)> send;
 
     std::optional<host_announcement> backend;
+    // Announcement of another incarnation that the backend server has not confirmed yet.
+    std::optional<host_announcement> candidate;
+    time_point candidateSeenAt{};
+    std::uint64_t candidateNumber = 0; // of the last query for a confirmation
+    std::uint64_t unconfirmedAnnouncements = 0;
     std::uint64_t incarnationCount = 0;
     time_point createdAt = loop.now();
     time_point announcedAt{};
@@ -113,6 +121,7 @@
     bool isReachable = false;
     timer_handle queryTimer;
     timer_handle retryTimer;
+    timer_handle confirmationTimer;
 };
 
 run_agent::run_agent(event_loop &loop, run_host &host, std::string worker,
@@ -129,6 +138,7 @@
 {
     m_state->queryTimer.reset();
     m_state->retryTimer.reset();
+    m_state->confirmationTimer.reset();
     m_state->send = nullptr;
 }
 
@@ -147,26 +157,21 @@
     return m_state->isReachable;
 }
 
+std::uint64_t run_agent::unconfirmedAnnouncements() const
+{
+    return m_state->unconfirmedAnnouncements;
+}
+
 void run_agent::onAnnouncement(const host_announcement &announcement)
 {
     state &self = *m_state;
-    if (!self.backend || self.backend->incarnation() != announcement.incarnation()) {
-        // Ignore a delayed announcement of an earlier incarnation.
-        if (self.backend && announcement.startedAtMs < self.backend->startedAtMs)
-            return;
-        self.beginIncarnation(announcement);
+    if (self.backend && self.backend->incarnation() == announcement.incarnation()) {
+        self.updateAnnouncement(announcement);
         return;
     }
-    if (announcement.sequence < self.backend->sequence)
-        return;
-    const bool drainingChanged = announcement.draining != self.backend->draining;
-    const bool hasShrunk = !announcement.capacity.covers(self.backend->capacity);
-    self.backend = announcement;
-    self.announcedAt = self.loop.now();
-    if (hasShrunk)
-        self.refuseOpenStarts();
-    if (drainingChanged || hasShrunk)
-        self.queryNow();
+    self.candidate = announcement;
+    self.candidateSeenAt = self.loop.now();
+    self.confirmCandidate();
 }
 
 void run_agent::onDeparture(const std::string &id)
@@ -179,6 +184,66 @@
     }
 }
 
+void run_agent::state::updateAnnouncement(const host_announcement &announcement)
+{
+    if (announcement.sequence < backend->sequence
+        && loop.now() - announcedAt < options.sequenceLimit)
+        return;
+    const bool drainingChanged = announcement.draining != backend->draining;
+    const bool hasShrunk = !announcement.capacity.covers(backend->capacity);
+    backend = announcement;
+    announcedAt = loop.now();
+    if (hasShrunk)
+        refuseOpenStarts();
+    if (drainingChanged || hasShrunk)
+        queryNow();
+}
+
+// Asks the backend server whether it is the candidate. The query acknowledges no ends and extends
+// no lease.
+void run_agent::state::confirmCandidate()
+{
+    confirmationTimer.reset();
+    host.queryStatus(
+        token, 0, 0, 0ms, candidate->id,
+        [weak = weak_from_this(), number = ++candidateNumber](const result<host_status> &outcome) {
+            const std::shared_ptr<state> self = weak.lock();
+            if (self && self->candidate && self->candidateNumber == number)
+                self->onConfirmation(outcome);
+        });
+}
+
+void run_agent::state::onConfirmation(const result<host_status> &outcome)
+{
+    if (failureOf(outcome)) {
+        // There was no answer, or the backend server has seen the token of a newer planner.
+        if (loop.now() - candidateSeenAt < options.confirmationLimit)
+            confirmationTimer = loop.after(options.retryPause, [this] { confirmCandidate(); });
+        else
+            candidate.reset();
+        return;
+    }
+    const host_announcement announced = *std::exchange(candidate, std::nullopt);
+    const host_status &status = valueOf(outcome);
+    if (!status.isOtherIncarnation && status.startedAtMs == announced.startedAtMs) {
+        beginIncarnation(announced);
+        return;
+    }
+    ++unconfirmedAnnouncements;
+    log_line(log_level::Warning, "announcement not confirmed")
+        .field("worker", worker)
+        .field("life", announced.incarnation())
+        .field("current", backend ? backend->incarnation() : std::string())
+        .field("service", announced.service)
+        .field("address", announced.address)
+        .field("sender", announced.sender)
+        .field("why",
+               status.isOtherIncarnation ? "the backend server has another id"
+                                         : "the backend server has another start")
+        .limit(worker)
+        .write();
+}
+
 void run_agent::state::beginIncarnation(const host_announcement &announcement)
 {
     log_line(log_level::Info, "backend server announced")
@@ -238,6 +303,8 @@
         self.token = number;
         self.ordersSeen = 0;
     }
+    if (self.candidate)
+        self.confirmCandidate();
     self.queryNow();
 }
 
@@ -451,7 +518,7 @@
         return;
     isQuerying = true;
     const std::uint64_t number = ++queryNumber;
-    host.queryStatus(token, endsStored, holdUntil, wait,
+    host.queryStatus(token, endsStored, holdUntil, wait, backend->id,
                      guarded([this, number, sentAt = loop.now(), sentToken = token,
                               orders = ordersSeen](const result<host_status> &status) {
                          if (number == queryNumber)
@@ -468,9 +535,16 @@
 void run_agent::state::onStatus(const result<host_status> &outcome, time_point sentAt,
                                 std::int64_t ordersAtSend)
 {
-    if (const failure *error = failureOf(outcome)) {
-        if (isReachable)
-            log_line(log_level::Warning, "backend server unreachable").error(*error).write();
+    const bool isOther = !failureOf(outcome) && valueOf(outcome).isOtherIncarnation;
+    if (failureOf(outcome) || isOther) {
+        if (isReachable) {
+            log_line line(log_level::Warning, "backend server unreachable");
+            if (isOther)
+                line.field("why", "another incarnation answers");
+            else
+                line.error(*failureOf(outcome));
+            line.write();
+        }
         isReachable = false;
         if (hasLeft && loop.now() - lastAnswerAt >= options.departureProof)
             reportDeparture();
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -15,6 +15,10 @@
 // ordered. A start that was refused, or that was sent to an earlier incarnation of the backend
 // server, is followed by a stop, after which a delayed copy of it can't take effect.
 //
+// An announcement of another incarnation counts only once the backend server itself confirms its id
+// and its start, since other processes may announce servers that do not exist, and announcements
+// may be delayed.
+//
 // When an incarnation of the backend server is gone, a final report completes it: with the ends
 // that it has listed, and with the starts that may still take effect in the next incarnation.
 
@@ -43,6 +47,13 @@
     duration departureProof = 1s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
+    // For how long a backend server is asked whether it is the announced incarnation. Announcements
+    // come every 1.5 s.
+    duration confirmationLimit = 3s;
+    // A lower sequence number counts once the highest one has not been followed up for this long,
+    // so that one from another writer does not hide the backend server's own announcements for
+    // good.
+    duration sequenceLimit = 5s;
 };
 
 class run_agent
@@ -56,8 +67,8 @@
     run_agent(const run_agent &) = delete;
     run_agent &operator=(const run_agent &) = delete;
 
-    // Handles the backend server's announcement of itself. Announcements that are older than the
-    // last one are ignored.
+    // Handles an announcement of the backend server. Delayed announcements, and those that the
+    // backend server does not confirm, are ignored.
     void onAnnouncement(const host_announcement &announcement);
 
     // The backend server has announced that it shuts down. It gets no further starts.
@@ -70,7 +81,7 @@
     // @return whether the orders were accepted
     bool onOrders(const worker_orders_message &orders);
 
-    // Returns the last announcement of the backend server; empty if there was none.
+    // Returns the last confirmed announcement of the backend server; empty if there was none.
     const std::optional<host_announcement> &backend() const;
 
     // Returns the highest planner epoch seen; 0 if none.
@@ -79,6 +90,9 @@
     // Returns whether the last status query succeeded.
     bool isBackendReachable() const;
 
+    // Returns the number of announcements that the backend server did not confirm.
+    std::uint64_t unconfirmedAnnouncements() const;
+
 private:
     struct state;
     std::shared_ptr<state> m_state;
--- a/goldcrest/run_host.h
+++ b/goldcrest/run_host.h
@@ -4,7 +4,8 @@
 // Adapters for a platform implement it; run_agent.h uses it.
 //
 //   host.start(order, token, holdUntil, id, [](result<start_reply> reply) { ... });
-//   host.queryStatus(token, endsStored, holdUntil, wait, [](result<host_status> status) { ... });
+//   host.queryStatus(token, endsStored, holdUntil, wait, id,
+//                    [](result<host_status> status) { ... });
 //
 // `token` is the planner's epoch, which fences off older planners. Callbacks run on the event loop.
 // A call that fails with BackendUnavailable may have taken effect, or may do so later.
@@ -51,6 +52,7 @@
 // All runs on a backend server, and the ended runs that were not acknowledged yet.
 struct host_status
 {
+    bool isOtherIncarnation = false; // refused by a server with another id; nothing else is set
     std::int64_t startedAtMs = 0; // as in the announcement
     std::int64_t clock = 0; // of the backend server, ms
     std::vector<running_task> running;
@@ -81,8 +83,10 @@
     // Returns the status of all runs. Extends the lease, acknowledges ends up to `endsStored`, and
     // waits at most `wait` for an end that is not acknowledged.
     // @param holdUntil end of the lease; 0: leaves it unchanged
+    // @param id intended backend server; any other refuses the query
     virtual void queryStatus(epoch token, std::int64_t endsStored, std::int64_t holdUntil,
-                             duration wait, std::function<void(result<host_status>)> callback)
+                             duration wait, const std::string &id,
+                             std::function<void(result<host_status>)> callback)
         = 0;
 };
 
--- a/standins/run_world.cc
+++ b/standins/run_world.cc
@@ -292,16 +292,22 @@
 }
 
 void model_host::queryStatus(epoch token, std::int64_t endsStored, std::int64_t holdUntil,
-                             duration wait, std::function<void(result<host_status>)> callback)
+                             duration wait, const std::string &id,
+                             std::function<void(result<host_status>)> callback)
 {
     if (m_isDown)
         return after(callDelay, [callback] { callback(noAnswer()); });
     if (m_faults.isUnreachable)
         return after(wait + callTimeout, [callback] { callback(noAnswer()); });
     after(callDelay,
-          [this, token, endsStored, holdUntil, wait, callback, incarnation = m_incarnation] {
+          [this, token, endsStored, holdUntil, wait, id, callback, incarnation = m_incarnation] {
               if (incarnation != m_incarnation)
                   return callback(noAnswer());
+              if (id != m_id) {
+                  host_status refused;
+                  refused.isOtherIncarnation = true;
+                  return callback(refused);
+              }
               if (token < m_token)
                   return callback(makeFailure(code::StaleEpoch, "fenced"));
               m_token = token;
--- a/standins/run_world.h
+++ b/standins/run_world.h
@@ -76,6 +76,7 @@
     void pace(const pace_order &order, epoch token,
               std::function<void(result<done>)> callback) override;
     void queryStatus(epoch token, std::int64_t endsStored, std::int64_t holdUntil, duration wait,
+                     const std::string &id,
                      std::function<void(result<host_status>)> callback) override;
 
 private:
--- a/testing/decoder_fuzz_test.cc
+++ b/testing/decoder_fuzz_test.cc
@@ -157,7 +157,7 @@
     http_run_host host{client, "10.0.0.8:8529"};
     fuzzAnswers(200, R"({"clock_ms":482113,"born":5,"running":[["5c0e.0.1.17",2,"0000",41,7]],
                          "ended":[[58,"5c0e.0.1.9",1,"done",""]]})",
-                [&] { host.queryStatus(1, 2, 3, 0ms, [](const result<host_status> &) {}); });
+                [&] { host.queryStatus(1, 2, 3, 0ms, "i-1", [](const result<host_status> &) {}); });
 }
 
 TEST(decoder_fuzz, answersToStarts)
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -154,7 +154,7 @@
         "ended":[[58,"c.0.0.0",1,"done",""],[59,"d.0.0.0",1,"vanished",""],
                  [60,"e.0.0.0",3,"broken","s"]]})");
     host_status view;
-    host.queryStatus(7, 57, 486000, 1s,
+    host.queryStatus(7, 57, 486000, 1s, "i-1",
                      [&](const result<host_status> &answer) { view = valueOf(answer); });
     LONGS_EQUAL(482113, view.clock);
     LONGS_EQUAL(2, view.running.size());
@@ -165,11 +165,24 @@
     respond(409, R"({"reason":"fence"})");
     const failure *why = nullptr;
     result<host_status> refused = host_status{};
-    host.queryStatus(7, 57, 0, 0ms, [&](const result<host_status> &answer) { refused = answer; });
+    host.queryStatus(7, 57, 0, 0ms, "i-1",
+                     [&](const result<host_status> &answer) { refused = answer; });
     why = failureOf(refused);
     CHECK(why && why->number == code::StaleEpoch);
 }
 
+// Guards against the lists of one backend server that are taken for those of another.
+TEST(platform_codec, namesTheServerThatAStatusIsWantedOf)
+{
+    respond(421, R"({"clock_ms":1})");
+    host_status refused;
+    host.queryStatus(7, 0, 0, 0ms, "i-7",
+                     [&](const result<host_status> &answer) { refused = valueOf(answer); });
+    CHECK(refused.isOtherIncarnation);
+    STRCMP_EQUAL("Expected-Instance", client.requests.back().headers.back().first.c_str());
+    STRCMP_EQUAL("i-7", client.requests.back().headers.back().second.c_str());
+}
+
 // Guards against a queue matched by the wrong host or prefix, and errors without the path of the
 // field.
 TEST(platform_codec, decodesCatalogues)
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -1,9 +1,13 @@
 // The daemons of the users' platform as real processes without a store.
 
+#include "goldcrest/asio_event_loop.h"
+#include "goldcrest/http_server.h"
 #include "testing/process_support.h"
 
 #include <csignal>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -68,9 +72,28 @@
     CHECK(hasLogged("front", "event=\"front stopped\""));
 }
 
-// Guards against a sidecar that needs the store to accept announcements or to shut down cleanly.
+// Guards against a sidecar that needs the store to accept announcements or to shut down cleanly,
+// and against one that takes the announcement of another writer for that of its backend server.
 TEST(platform_process, sidecarTakesAnnouncementsAndShutsDownCleanly)
 {
+    asio_event_loop loop;
+    auto backend = makeHttpServer(
+        loop, addressOf(4), http_limits{},
+        [](const server_request &request, const std::shared_ptr<responder> &respond) {
+            const bool isIntended = request.header("expected-instance") == "i-1";
+            server_response status;
+            status.status = isIntended ? 200 : 421;
+            status.body = R"({"clock_ms":1000,"born":5,"running":[],"ended":[]})";
+            respond->respond(std::move(status));
+        });
+    CHECK(!failureOf(backend));
+    const auto logsWhileServing = [&](const std::string &text) {
+        return loop.runUntil(
+            [&] {
+                return readFile(processes.outputPath("sidecar")).find(text) != std::string::npos;
+            },
+            conditionLimit);
+    };
     writeFile(directory + "/sidecar.json",
               R"({"name": "side-1", "failureDomain": "north", "controlListen": ")" + addressOf(0)
                   + R"(", "linkListen": ")" + addressOf(1) + R"(", "metricsListen": ")"
@@ -84,7 +107,13 @@
         "capacity":{"cpu":1000,"mem_mb":1000,"gpus":1},"sequence":1,"born":5})";
     const std::string url = "http://" + addressOf(0) + "/v1/Instances.Heartbeat/i-1";
     LONGS_EQUAL(200, valueOf(client.call("POST", url, announcement)).status);
-    CHECK(hasLogged("sidecar", "life=i-1/5"));
+    CHECK(logsWhileServing("event=\"backend server announced\" worker=side-1 life=i-1/5"));
+    LONGS_EQUAL(
+        200,
+        valueOf(client.call("POST", "http://" + addressOf(0) + "/v1/Instances.Heartbeat/i-2",
+                            announcement))
+            .status);
+    CHECK(logsWhileServing("event=\"announcement not confirmed\" worker=side-1 life=i-2/5"));
     announcement.body = "{}";
     LONGS_EQUAL(400, valueOf(client.call("POST", url, announcement)).status);
     processes.terminate("sidecar");
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -33,6 +33,7 @@
         epoch token;
         std::int64_t endsStored;
         std::int64_t holdUntil;
+        std::string id;
         std::function<void(result<host_status>)> answer;
     };
 
@@ -51,9 +52,10 @@
         callback(done{});
     }
     void queryStatus(epoch token, std::int64_t endsStored, std::int64_t holdUntil, duration,
+                     const std::string &id,
                      std::function<void(result<host_status>)> callback) override
     {
-        statusQueries.push_back({token, endsStored, holdUntil, std::move(callback)});
+        statusQueries.push_back({token, endsStored, holdUntil, id, std::move(callback)});
     }
 
     std::vector<start_call> starts;
@@ -80,17 +82,40 @@
     std::int64_t clock = 1000;
     std::int64_t sequence = 0;
 
-    void announce(const std::string &id, std::int64_t startedAtMs, bool draining = false)
+    host_announcement makeAnnouncement(const std::string &id, std::int64_t startedAtMs)
     {
         host_announcement announcement;
         announcement.id = id;
         announcement.startedAtMs = startedAtMs;
         announcement.sequence = ++sequence;
+        return announcement;
+    }
+
+    // Announces an incarnation, which the backend server confirms if the agent asks.
+    void announce(const std::string &id, std::int64_t startedAtMs, bool draining = false)
+    {
+        host_announcement announcement = makeAnnouncement(id, startedAtMs);
         announcement.draining = draining;
+        const std::size_t asked = host.statusQueries.size();
         agent.onAnnouncement(announcement);
+        if (host.statusQueries.size() > asked)
+            answerConfirmation(id, startedAtMs);
         loop.advance(1ms);
     }
 
+    // Answers the query for a confirmation as the backend server with this id and start does.
+    void answerConfirmation(const std::string &id, std::int64_t startedAtMs)
+    {
+        const recording_host::status_query query = host.statusQueries.back();
+        host.statusQueries.pop_back();
+        LONGS_EQUAL(0, query.endsStored);
+        LONGS_EQUAL(0, query.holdUntil);
+        host_status status;
+        status.isOtherIncarnation = query.id != id;
+        status.startedAtMs = status.isOtherIncarnation ? 0 : startedAtMs;
+        query.answer(status);
+    }
+
     worker_orders_message orders(epoch from, std::int64_t number)
     {
         worker_orders_message message;
@@ -428,8 +453,70 @@
 TEST(run_agent, delayedAnnouncementOfAnEarlierIncarnationIsIgnored)
 {
     announce("i-2", 300);
-    announce("i-1", 100);
+    agent.onAnnouncement(makeAnnouncement("i-1", 100));
+    answerConfirmation("i-2", 300);
     STRCMP_EQUAL("i-2/300", agent.backend()->incarnation().c_str());
+    agent.onAnnouncement(makeAnnouncement("i-2", 100));
+    answerConfirmation("i-2", 300);
+    STRCMP_EQUAL("i-2/300", agent.backend()->incarnation().c_str());
+}
+
+// Guards against running work that is reported as gone and replaced, since another writer announced
+// a copy of the backend server under another id or with a later start (TWICE on tawe-loft).
+TEST(run_agent, announcementOfAnotherWriterEndsNoRuns)
+{
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    loop.advance(1ms);
+    reports.clear();
+    agent.onAnnouncement(makeAnnouncement("i-copy", 100));
+    answerConfirmation("i-1", 100);
+    agent.onAnnouncement(makeAnnouncement("i-1", 500));
+    answerConfirmation("i-1", 100);
+    loop.advance(1s);
+    answerStatusQuery({{someRun, {}, 20, 0}});
+    LONGS_EQUAL(1, reports.size());
+    CHECK(!reports[0].isFinal);
+    STRCMP_EQUAL("i-1/100", reports[0].incarnation.c_str());
+    LONGS_EQUAL(2, agent.unconfirmedAnnouncements());
+}
+
+// Guards against a backend server that gets no work after a restart because its clock, which its
+// start is taken from, was ahead before.
+TEST(run_agent, confirmedRestartWithAnEarlierStartIsTaken)
+{
+    announce("i-1", 90);
+    STRCMP_EQUAL("i-1/90", agent.backend()->incarnation().c_str());
+}
+
+// Guards against an incarnation that stays unknown because the first query for its confirmation got
+// no answer, or was refused for an old planner's token after a restart of the agent.
+TEST(run_agent, confirmationIsAskedForAgain)
+{
+    agent.onAnnouncement(makeAnnouncement("i-2", 200));
+    const auto unanswered = host.statusQueries.back().answer;
+    host.statusQueries.pop_back();
+    unanswered(makeFailure(code::StaleEpoch, "fenced"));
+    loop.advance(200ms);
+    answerConfirmation("i-2", 200);
+    STRCMP_EQUAL("i-2/200", agent.backend()->incarnation().c_str());
+    agent.onAnnouncement(makeAnnouncement("i-3", 300));
+    agent.onPlanner(6);
+    answerConfirmation("i-3", 300);
+    STRCMP_EQUAL("i-3/300", agent.backend()->incarnation().c_str());
+}
+
+// Guards against a drain that is never seen because another writer announced the backend server
+// with a sequence number far ahead of its own.
+TEST(run_agent, sequenceOfAnotherWriterHidesNoAnnouncementForGood)
+{
+    host_announcement foreign = makeAnnouncement("i-1", 100);
+    foreign.sequence = 1'000'000;
+    agent.onAnnouncement(foreign);
+    announce("i-1", 100, true);
+    CHECK(!agent.backend()->draining);
+    loop.advance(6s);
+    announce("i-1", 100, true);
+    CHECK(agent.backend()->draining);
 }
 
 // Guards DRAIN: a backend server that is leaving gets no start, whatever the planner knows.
