Keep starts away from suspects also in small cells

Workers on which a suspect was starting counted as faulty, and once half of the workers seemed so, none was left out. A gang of one task did not wait for a worker of its own.

Such workers are now left out unless none remains, and a gang of one task waits as other tasks do.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -233,6 +233,8 @@
     bool isSuspect(const unit &next) const;
     std::vector<std::size_t> apartFromStarts(const std::vector<std::size_t> &eligible,
                                              const std::vector<worker_capacity> &capacities) const;
+    std::vector<std::size_t> apartFromTrials(const std::vector<std::size_t> &eligible,
+                                             const std::vector<worker_capacity> &capacities) const;
     std::vector<std::size_t> eligibleForGang(const unit &next, std::vector<std::size_t> eligible,
                                              const std::vector<worker_capacity> &capacities,
                                              time_point now) const;
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -333,7 +333,8 @@
 }
 
 // Returns the indexes of the workers on which the unit may run. Leaves out workers on which runs
-// fail, on which this job failed, or where a suspect is starting, unless too few would remain.
+// fail or on which this job failed, unless too few would remain, and those where a suspect is
+// starting, unless none would remain.
 std::vector<std::size_t>
 run_planner::eligibleCapacities(const unit &next, const std::vector<worker_capacity> &capacities,
                                 time_point now) const
@@ -350,13 +351,15 @@
             continue;
         allowed.push_back(i);
         const bool hasFailed = failed != m_failedOn.end() && failed->second.count(worker.id) > 0;
-        const bool isAvoided = now < std::max(worker.avoidUntil, worker.slowUntil)
-            || m_trialsOn.count(worker.id) > 0;
+        const bool isAvoided = now < std::max(worker.avoidUntil, worker.slowUntil);
         if (!isAvoided && !hasFailed)
             healthy.push_back(i);
     }
     // If half of the workers or more appear faulty, the fault is probably elsewhere.
-    return healthy.size() * 2 > allowed.size() ? healthy : allowed;
+    const std::vector<std::size_t> &chosen
+        = healthy.size() * 2 > allowed.size() ? healthy : allowed;
+    const std::vector<std::size_t> apart = apartFromTrials(chosen, capacities);
+    return apart.empty() ? chosen : apart;
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_trials.cc
+++ b/goldcrest/run_planner_trials.cc
@@ -56,8 +56,21 @@
     return apart;
 }
 
+// Returns the workers on which no suspect is starting.
+std::vector<std::size_t>
+run_planner::apartFromTrials(const std::vector<std::size_t> &eligible,
+                             const std::vector<worker_capacity> &capacities) const
+{
+    std::vector<std::size_t> apart;
+    std::copy_if(
+        eligible.begin(), eligible.end(), std::back_inserter(apart),
+        [&](std::size_t index) { return m_trialsOn.count(capacities[index].worker) == 0; });
+    return apart;
+}
+
 // Narrows the workers for a gang with a suspect to those on which nothing else is starting, if it
-// can start there at once: a gang needs several workers, so it does not wait for that.
+// can start there at once: a gang needs several workers, so it does not wait for that. A gang of
+// one task waits as other tasks do.
 std::vector<std::size_t>
 run_planner::eligibleForGang(const unit &next, std::vector<std::size_t> eligible,
                              const std::vector<worker_capacity> &capacities, time_point now) const
@@ -65,6 +78,8 @@
     if (!isSuspect(next))
         return eligible;
     std::vector<std::size_t> apart = apartFromStarts(eligible, capacities);
+    if (next.indexes.size() == 1)
+        return apart;
     const std::optional<placement> found = bestPlacement(capacities, requestFor(next, apart), now);
     return found && found->start <= now ? apart : eligible;
 }
