Measure the work of a lost run by the reports of its own incarnation

BUDGET: a task was started a third time after three crashes. A crash that the planner learned of by the report of the next incarnation counted the time without a backend server as work of the run, so that the crash did not count as one at the start.

The last report of the earlier incarnation is kept for that.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -24,9 +24,10 @@
 constexpr std::size_t endsPerView = 500;
 
 // Returns for how long a run was seen to work.
-duration workedTime(const pool_worker &worker, const tracked_task &task)
+// @param listedAt last report that listed the runs of its incarnation
+duration workedTime(const tracked_task &task, time_point listedAt)
 {
-    return task.isListed ? std::max<duration>(0ms, worker.listedAt - task.listedAt) : 0ms;
+    return task.isListed ? std::max<duration>(0ms, listedAt - task.listedAt) : 0ms;
 }
 
 } // namespace
@@ -76,6 +77,7 @@
         recordDecision("worker incarnation changed", {}, 0, worker.id,
                        "its backend server started a new incarnation",
                        fmt::format("life={} before={}", report.incarnation, worker.incarnation));
+        worker.earlierListedAt = worker.listedAt;
         worker.endsSeen = 0;
         worker.endsStored = 0;
         worker.pendingEnds.clear();
@@ -180,7 +182,7 @@
                    "it had not announced that it leaves",
                    fmt::format("life={} runs={}", report.incarnation, lost.size()));
     for (const task_key &key : lost) {
-        const duration worked = workedTime(worker, *m_jobs.at(key.job).find(key));
+        const duration worked = workedTime(*m_jobs.at(key.job).find(key), worker.listedAt);
         noteCrashedRun(worker, key, worked, wall);
     }
 }
@@ -192,7 +194,7 @@
     const tracked_task &task = *m_jobs.at(key.job).find(key);
     if (task.record.workerIncarnation == worker.crashedIncarnation) {
         if (task.isListed)
-            noteCrashedRun(worker, key, workedTime(worker, task), wall);
+            noteCrashedRun(worker, key, workedTime(task, worker.earlierListedAt), wall);
     } else if (task.isRestored() && worker.departedIncarnation != task.record.workerIncarnation) {
         // An earlier planner may have started it, and it is not known when the crash came.
         noteCrashedRun(worker, key, startupTime, wall);
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -50,6 +50,7 @@
     bool isReported = false; // has reported in this planner's epoch
     time_point reportedAt{};
     time_point listedAt{}; // last report that listed the runs
+    time_point earlierListedAt{}; // the same of the incarnation before the current one
     // Incarnation before the current one, if its backend server left without an announcement.
     std::string crashedIncarnation;
     std::string departedIncarnation; // of the last final report
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -791,6 +791,58 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Failed);
 }
 
+// Guards against tasks that are given up for the crashes of another: in a cell in which half of the
+// workers or more have crashed, the others started beside them (issue 20).
+TEST(run_planner, startsKeepAwayFromASuspectInASmallCell)
+{
+    addJob("a", 1, makeStep(1, 1));
+    startAndCrash("w1", {{"a.0.0.0", 1}});
+    planner.onReport(reportOf("w2"), wall, now);
+    planner.onReport(reportOf("w3"), wall, now);
+    planAndStore();
+    const std::string trial = ordersOf("w2").starts.empty() ? "w3" : "w2";
+    for (const char *id : {"b", "c", "d"})
+        addJob(id, 1, makeStep(1, 1));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf(trial).starts.size());
+    LONGS_EQUAL(3, ordersOf(trial == "w2" ? "w3" : "w2").starts.size());
+}
+
+// Guards against the same for a gang of one task, which did not wait for a worker of its own.
+TEST(run_planner, suspectGangOfOneTaskWaitsForOtherStarts)
+{
+    step_spec gang = makeStep(1, 1);
+    gang.gang = true;
+    addJob("a", 1, gang);
+    startAndCrash("w1", {{"a.0.0.0", 1}});
+    addJob("b", 0, makeStep(1, 1));
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+}
+
+// Guards BUDGET: the time in which a crashed backend server was down counted as work of the tasks
+// that it was lost with, so that their crashes did not count as crashes at the start.
+TEST(run_planner, timeWithoutABackendServerIsNoWork)
+{
+    addJob("a", 1, makeStep(1, 1));
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    ordersOf("w1");
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 1, 0});
+    planner.onReport(report, wall, now);
+    now += 6s;
+    planner.takeDecisions();
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    std::string inputs;
+    for (const run_decision &decision : planner.takeDecisions()) {
+        if (decision.event == "run lost in a crash")
+            inputs = decision.inputs;
+    }
+    STRCMP_EQUAL("worked_ms=0 crashes=1 at_start=1", inputs.c_str());
+}
+
 // A crash long after the start is weaker evidence; one after a minute of work is none.
 TEST(run_planner, taskThatWorkedForLongIsNotGivenUp)
 {
