Count a crash after an unanswered start beside certain ones

BUDGET: where answers are lost, a task that crashes backend servers was started a third time after three crashes, since a crash whose run had not been confirmed as started was not counted at all. Such a crash now counts as a possible one. It ends the job together with two certain crashes at the start, which is what the users allow; alone it proves nothing.

--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -142,6 +142,7 @@
     std::string saved; // latest checkpoint; empty: none
     std::int32_t crashes = 0; // backend servers that crashed while they ran the task
     std::int32_t startCrashes = 0; // of these, soon after they had started it
+    std::int32_t possibleCrashes = 0; // backend servers that crashed and may have started it
 };
 
 struct step_record
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -206,7 +206,8 @@
     void stopRunsOfOtherIncarnations(pool_worker &worker, unix_ms wall);
     void noteCrash(pool_worker &worker, const worker_report_message &report, unix_ms wall);
     void noteRunOfEarlierIncarnation(pool_worker &worker, const task_key &key, unix_ms wall);
-    void noteCrashedRun(pool_worker &worker, const task_key &key, duration worked, unix_ms wall);
+    void noteCrashedRun(pool_worker &worker, const task_key &key, std::optional<duration> worked,
+                        unix_ms wall);
     void releaseFences(pool_worker &worker, const worker_report_message &report);
     static void forgetOldStarts(pool_worker &worker, time_point now);
     void processEnds(pool_worker &worker, const worker_report_message &report, unix_ms wall,
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -166,25 +166,26 @@
     }
 }
 
-// A backend server has crashed: finds the runs that it had started.
+// A backend server has crashed: finds the runs that it had started, or may have started.
 void run_planner::noteCrash(pool_worker &worker, const worker_report_message &report, unix_ms wall)
 {
     const std::set<run_id> started(report.startedRuns.begin(), report.startedRuns.end());
-    std::vector<task_key> lost;
+    std::vector<std::pair<task_key, std::optional<duration>>> lost;
     for (const task_key &key : worker.active) {
         const tracked_task &task = *m_jobs.at(key.job).find(key);
-        const bool isLost
-            = task.isListed || started.count({formatTask(key), task.record.lastRun}) > 0;
-        if (isLost && task.record.workerIncarnation == report.incarnation)
-            lost.push_back(key);
+        const run_id run{formatTask(key), task.record.lastRun};
+        if (task.record.workerIncarnation != report.incarnation)
+            continue;
+        if (task.isListed || started.count(run) > 0)
+            lost.emplace_back(key, workedTime(task, worker.listedAt));
+        else if (worker.unresolved.count(run) > 0)
+            lost.emplace_back(key, std::nullopt);
     }
     recordDecision("backend server crashed", {}, 0, worker.id,
                    "it had not announced that it leaves",
                    fmt::format("life={} runs={}", report.incarnation, lost.size()));
-    for (const task_key &key : lost) {
-        const duration worked = workedTime(*m_jobs.at(key.job).find(key), worker.listedAt);
+    for (const auto &[key, worked] : lost)
         noteCrashedRun(worker, key, worked, wall);
-    }
 }
 
 // Counts a crash of which the agent no longer knew, because its own process ended too.
@@ -202,25 +203,27 @@
 }
 
 // Counts a crash against a task that ran on the crashed backend server, whose fault it may be.
-void run_planner::noteCrashedRun(pool_worker &worker, const task_key &key, duration worked,
-                                 unix_ms wall)
+void run_planner::noteCrashedRun(pool_worker &worker, const task_key &key,
+                                 std::optional<duration> worked, unix_ms wall)
 {
     tracked_job &job = m_jobs.at(key.job);
     const graph_job_state before = job.state();
     const tracked_task &task = *job.find(key);
     if (!job.noteCrash(key, worked, wall))
         return;
-    recordDecision("run lost in a crash", key, task.record.lastRun, worker.id,
-                   "its backend server crashed",
-                   fmt::format("worked_ms={} crashes={} at_start={}", worked.count(),
-                               task.record.crashes, task.record.startCrashes));
+    recordDecision(
+        "run lost in a crash", key, task.record.lastRun, worker.id, "its backend server crashed",
+        fmt::format("worked_ms={} crashes={} at_start={} possible={}",
+                    worked ? std::to_string(worked->count()) : "unknown", task.record.crashes,
+                    task.record.startCrashes, task.record.possibleCrashes));
     m_suspects.insert(key);
     noteChanged(job);
     if (job.state() == before)
         return;
     recordDecision("job ended", {key.job, 0, 0, 0}, 0, {}, std::string(nameOf(job.state())),
-                   fmt::format("crashing_task={} crashes={} at_start={}", formatTask(key),
-                               task.record.crashes, task.record.startCrashes));
+                   fmt::format("crashing_task={} crashes={} at_start={} possible={}",
+                               formatTask(key), task.record.crashes, task.record.startCrashes,
+                               task.record.possibleCrashes));
     job.forEachActive([&](const task_key &, const step_spec &, tracked_task &other) {
         m_changedWorkers.insert(other.record.worker);
     });
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -334,7 +334,7 @@
     return true;
 }
 
-bool tracked_job::noteCrash(const task_key &key, duration worked, unix_ms wall)
+bool tracked_job::noteCrash(const task_key &key, std::optional<duration> worked, unix_ms wall)
 {
     tracked_task *task = find(key);
     if (!task || !task->isActive() || task->isCrashCounted)
@@ -342,15 +342,17 @@
     ++m_version;
     task->isCrashCounted = true;
     task_record &record = task->record;
-    if (worked >= harmlessAfter)
-        record.crashes = record.startCrashes = 0;
+    if (!worked)
+        ++record.possibleCrashes;
+    else if (*worked >= harmlessAfter)
+        record.crashes = record.startCrashes = record.possibleCrashes = 0;
     else
         ++record.crashes;
-    if (worked < startupTime)
+    if (worked && *worked < startupTime)
         ++record.startCrashes;
-    const bool isAtFault
-        = record.startCrashes >= startCrashesToGiveUp || record.crashes >= crashesToGiveUp;
-    if (isAtFault && !record.isDone && !isFinished())
+    const bool crashesAtStart = record.startCrashes >= certainCrashesToGiveUp
+        && record.startCrashes + record.possibleCrashes >= startCrashesToGiveUp;
+    if ((crashesAtStart || record.crashes >= crashesToGiveUp) && !record.isDone && !isFinished())
         finish(graph_job_state::Failed, wall);
     return true;
 }
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -25,9 +25,11 @@
 
 // A task is given up once this many backend servers have crashed soon after they started it, or
 // while they ran it at all. The second limit is higher, since a task that had been running for a
-// while is seldom at fault.
+// while is seldom at fault. A crash after a start without an answer counts towards the first limit
+// only beside enough crashes that are certain.
 constexpr std::int32_t startCrashesToGiveUp = 3;
 constexpr std::int32_t crashesToGiveUp = 5;
+constexpr std::int32_t certainCrashesToGiveUp = 2;
 
 // A run that has worked for less than this may have crashed its backend server by starting there.
 constexpr duration startupTime = 1s;
@@ -63,7 +65,7 @@
     // Returns whether the current run was recorded by an earlier planner.
     bool isRestored() const { return isActive() && recordedIn == 0; }
     // Returns whether the task may crash backend servers that start it.
-    bool isSuspect() const { return record.crashes > 0; }
+    bool isSuspect() const { return record.crashes > 0 || record.possibleCrashes > 0; }
 };
 
 struct tracked_step
@@ -155,9 +157,10 @@
 
     // The backend server of the current run of a task has crashed. A task that crashes backend
     // servers again and again is given up, which ends the job as failed.
-    // @param worked for how long the run had been seen to work
+    // @param worked for how long the run had been seen to work; empty: it is not known whether it
+    // had started
     // @return false if that was recorded before, or if the task has no current run
-    bool noteCrash(const task_key &task, duration worked, unix_ms wall);
+    bool noteCrash(const task_key &task, std::optional<duration> worked, unix_ms wall);
 
     // Returns the tasks that may crash backend servers that start them.
     std::vector<task_key> suspects() const;
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -840,7 +840,34 @@
         if (decision.event == "run lost in a crash")
             inputs = decision.inputs;
     }
-    STRCMP_EQUAL("worked_ms=0 crashes=1 at_start=1", inputs.c_str());
+    STRCMP_EQUAL("worked_ms=0 crashes=1 at_start=1 possible=0", inputs.c_str());
+}
+
+// Guards BUDGET: a crash after a start without an answer was not counted at all, so that a task
+// that crashes backend servers was started too often where answers are lost. Alone it proves
+// nothing.
+TEST(run_planner, crashAfterAnUnansweredStartCountsBesideCertainOnes)
+{
+    addJob("a", 1, makeStep(1, 1));
+    for (std::int32_t run = 1; run <= startCrashesToGiveUp; ++run) {
+        planner.onReport(reportOf("w1"), wall, now);
+        planAndStore();
+        ordersOf("w1");
+        worker_report_message report = reportOf("w1");
+        report.isFinal = report.hasEndedRuns = true;
+        report.unresolved = {{"a.0.0.0", run}};
+        planner.onReport(report, wall, now);
+        restartWorker("w1");
+        store();
+        CHECK(*planner.stateOf("a") == graph_job_state::Running);
+    }
+    for (std::int32_t certain = 1; certain <= certainCrashesToGiveUp; ++certain) {
+        CHECK(*planner.stateOf("a") == graph_job_state::Running);
+        startAndCrash("w" + std::to_string(certain + 1),
+                      {{"a.0.0.0", startCrashesToGiveUp + certain}});
+        store();
+    }
+    CHECK(*planner.stateOf("a") == graph_job_state::Failed);
 }
 
 // A crash long after the start is weaker evidence; one after a minute of work is none.
