Infer the end of a run only from complete lists, and not while a stop may last

A backend server may list a run neither as running nor as ended from its stop to its end, up to stop_timeout_ms; the users' page promises only that the capacity is free once the end is listed. The planner took such a run for ended and used its task and its capacity again (LIMIT, TWICE). The same inference acted on lists that are short for other reasons: rows that could not be decoded, an absent list, a full list of 500 ends.

The agent reports a run that it stopped as unresolved until the stop must have ended it, unless the run can't have started there. A run that was listed and is missing without a stop counts as gone after the same time, by the backend server's clock. Partial and full lists end nothing, and an absent list makes the answer unreadable.

--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -596,8 +596,9 @@
                 "capacity", value.capacity)("draining", value.draining)("clock", value.clock)(
                 "running", value.running)("ended", value.ended)("refused", value.refused)(
                 "unresolved", value.unresolved)("drainLeft", value.drainLeft)(
-                "isFinal", value.isFinal)("hasEndedRuns", value.hasEndedRuns)(
-                "wasAnnounced", value.wasAnnounced)("startedRuns", value.startedRuns);
+                "isFinal", value.isFinal)("hasEndedRuns", value.hasEndedRuns)("wasAnnounced",
+                                                                              value.wasAnnounced)(
+                "startedRuns", value.startedRuns)("isPartial", value.isPartial);
     }
 };
 
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -450,6 +450,9 @@
     bool wasAnnounced = false;
     // In a final report: runs whose start the backend server had confirmed, ended ones included.
     std::vector<run_id> startedRuns;
+    // Entries of the backend server's lists are missing, so that a run that is not listed may
+    // exist.
+    bool isPartial = false;
 };
 
 // Order to start a run.
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -27,6 +27,7 @@
     bool mayTakeEffectLate = false; // a start was sent and its outcome is unknown
     bool isStarted = false;
     bool isStopped = false; // a stop succeeded
+    bool mayHaveStarted = false; // in this incarnation, so that its stop may take time
     bool isWanted = true; // the last orders list it
     std::optional<start_refusal> refused;
     time_point settledAt{}; // when the last call ended
@@ -57,6 +58,9 @@
     void sendStop(const run_id &run, ordered_run &ordered);
     void onStarted(const run_id &run, const result<start_reply> &reply);
     void noteUnconfirmedStart(const run_id &run);
+    bool mayHaveStartedBefore(const run_id &run) const;
+    bool isSettled(const ordered_run &ordered, time_point at) const;
+    void scheduleSettlement();
     void scheduleRetry();
     void applyPaces();
     void queryStatus(duration wait);
@@ -127,6 +131,7 @@
     timer_handle queryTimer;
     timer_handle retryTimer;
     timer_handle confirmationTimer;
+    timer_handle settlementTimer;
 };
 
 run_agent::run_agent(event_loop &loop, run_host &host, std::string worker,
@@ -144,6 +149,7 @@
     m_state->queryTimer.reset();
     m_state->retryTimer.reset();
     m_state->confirmationTimer.reset();
+    m_state->settlementTimer.reset();
     m_state->send = nullptr;
 }
 
@@ -294,6 +300,7 @@
         ordered_run &late = runs[run];
         late.isStopping = true;
         late.mayTakeEffectLate = true;
+        late.mayHaveStarted = true;
     }
     advanceAll();
     queryNow();
@@ -379,7 +386,10 @@
 void run_agent::state::takeStops(const worker_orders_message &orders)
 {
     for (const run_id &run : orders.stops) {
-        ordered_run &ordered = runs[run];
+        const auto [found, isNew] = runs.try_emplace(run);
+        ordered_run &ordered = found->second;
+        if (isNew)
+            ordered.mayHaveStarted = mayHaveStartedBefore(run);
         ordered.isWanted = true;
         ordered.isStopping = true;
     }
@@ -438,6 +448,7 @@
     if (const failure *error = failureOf(reply)) {
         ordered.retryAt = loop.now() + options.retryPause;
         noteUnanswered();
+        ordered.mayHaveStarted = true;
         noteUnconfirmedStart(run);
         log_line(log_level::Warning, "start unanswered, outcome unknown")
             .error(*error)
@@ -447,6 +458,7 @@
             .write();
     } else if (const start_reply &answer = valueOf(reply); !answer.refused) {
         ordered.isStarted = true;
+        ordered.mayHaveStarted = true;
         ordered.mayTakeEffectLate = false;
     } else if (answer.isFenced || answer.isOtherIncarnation) {
         // There is a newer planner or a newer incarnation, which is about to be announced.
@@ -486,11 +498,46 @@
                       stopped.isStopped = true;
                       stopped.mayTakeEffectLate = false;
                   }
+                  scheduleSettlement();
                   advanceAll();
                   queryNow();
               }));
 }
 
+// Returns whether a run that was not ordered since may have started in this incarnation: it was
+// listed, or a start of it may have taken effect late.
+bool run_agent::state::mayHaveStartedBefore(const run_id &run) const
+{
+    const bool isYoung = loop.now() - createdAt < lateOrderLimit;
+    return isYoung || paceSet.count(run) > 0 || unconfirmedStarts.count(run) > 0;
+}
+
+// Returns whether a status that was queried at this time shows the outcome of all calls for a run.
+bool run_agent::state::isSettled(const ordered_run &ordered, time_point at) const
+{
+    if (ordered.inFlight || ordered.mayTakeEffectLate)
+        return false;
+    const bool takesTime = ordered.isStopped && ordered.mayHaveStarted;
+    return at >= ordered.settledAt + (takesTime ? options.stopTime : 0ms);
+}
+
+// Queries the status as soon as it shows the outcome of the next stop.
+void run_agent::state::scheduleSettlement()
+{
+    std::optional<time_point> next;
+    for (const auto &[run, ordered] : runs) {
+        const time_point at = ordered.settledAt + options.stopTime;
+        if (ordered.isStopped && ordered.mayHaveStarted && at > loop.now())
+            next = std::min(next.value_or(at), at);
+    }
+    if (!next)
+        return;
+    settlementTimer = loop.after(*next - loop.now(), [this] {
+        queryStatus(0ms);
+        scheduleSettlement();
+    });
+}
+
 void run_agent::state::noteUnconfirmedStart(const run_id &run)
 {
     for (auto it = unconfirmedStarts.begin(); it != unconfirmedStarts.end();)
@@ -687,6 +734,7 @@
     message.ordersSeen = ordersAtSend;
     message.running = status.running;
     message.ended = status.ended;
+    message.isPartial = status.isPartial;
     std::set<run_id> listed;
     std::map<run_id, std::int32_t> paces;
     for (const running_task &running : status.running) {
@@ -697,6 +745,8 @@
         paces[running.run] = set == paceSet.end() ? initial : set->second;
         // The start took effect, though its answer was lost or has not arrived yet.
         const auto known = runs.find(running.run);
+        if (known != runs.end())
+            known->second.mayHaveStarted = true;
         if (known != runs.end() && !known->second.isStopping) {
             known->second.isStarted = true;
             known->second.mayTakeEffectLate = known->second.inFlight;
@@ -705,9 +755,7 @@
     paceSet = std::move(paces);
     applyPaces();
     for (const auto &[run, ordered] : runs) {
-        const bool isSettled
-            = !ordered.inFlight && !ordered.mayTakeEffectLate && ordered.settledAt <= sentAt;
-        if (!isSettled)
+        if (!isSettled(ordered, sentAt))
             message.unresolved.push_back(run);
         else if (ordered.refused && listed.count(run) == 0)
             message.refused.push_back({run, *ordered.refused});
@@ -719,10 +767,8 @@
 void run_agent::state::forgetSettled(time_point sentAt)
 {
     for (auto it = runs.begin(); it != runs.end();) {
-        const ordered_run &ordered = it->second;
-        const bool isSettled
-            = !ordered.inFlight && !ordered.mayTakeEffectLate && ordered.settledAt <= sentAt;
-        it = isSettled && !ordered.isWanted ? runs.erase(it) : std::next(it);
+        const bool isOver = isSettled(it->second, sentAt) && !it->second.isWanted;
+        it = isOver ? runs.erase(it) : std::next(it);
     }
 }
 
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -51,6 +51,9 @@
     duration departureProof = 1s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
+    // Maximum time from a stop to the end of a run; must match the setting of the platform. A
+    // backend server may leave a run out of its lists during that time.
+    duration stopTime = 500ms;
     // For how long a backend server is asked whether it is the announced incarnation. Announcements
     // come every 1.5 s.
     duration confirmationLimit = 3s;
--- a/goldcrest/run_host.h
+++ b/goldcrest/run_host.h
@@ -57,6 +57,7 @@
     std::int64_t clock = 0; // of the backend server, ms
     std::vector<running_task> running;
     std::vector<ended_task> ended;
+    bool isPartial = false; // entries of the lists could not be decoded and are left out
 };
 
 class run_host
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -218,6 +218,8 @@
     void endRunsOfDepartedServer(pool_worker &worker, const worker_report_message &report,
                                  unix_ms wall);
     void endRunsNotListed(pool_worker &worker, const worker_report_message &report, unix_ms wall);
+    bool isGone(const tracked_task &task, std::int64_t missingSince,
+                const worker_report_message &report) const;
     void endRun(const task_key &task, std::int32_t run, run_end how, const std::string &saved,
                 const worker_id &worker, std::string reason, unix_ms wall, std::string inputs = {});
     void noteHealth(pool_worker &worker, const task_key &task, run_end how, time_point now);
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -78,6 +78,7 @@
                        "its backend server started a new incarnation",
                        fmt::format("life={} before={}", report.incarnation, worker.incarnation));
         worker.earlierListedAt = worker.listedAt;
+        worker.missingSince.clear();
         worker.endsSeen = 0;
         worker.endsStored = 0;
         worker.pendingEnds.clear();
@@ -382,25 +383,43 @@
 void run_planner::endRunsNotListed(pool_worker &worker, const worker_report_message &report,
                                    unix_ms wall)
 {
+    if (report.isPartial || report.ended.size() >= endsPerView)
+        return;
+    std::map<run_id, std::int64_t> missingSince;
     const std::set<task_key> active = worker.active;
     for (const task_key &key : active) {
-        tracked_task *task = m_jobs.at(key.job).find(key);
+        const tracked_task *task = m_jobs.at(key.job).find(key);
         if (!task->isActive() || task->record.worker != worker.id)
             continue;
         const run_id run{formatTask(key), task->record.lastRun};
         if (worker.running.count(run) > 0 || worker.unresolved.count(run) > 0)
             continue;
-        const std::int64_t listed = task->stopWanted ? task->stopOrderedIn : task->startOrderedIn;
-        const bool isCarriedOut = listed != 0 && listed <= report.ordersSeen;
-        const bool hasAllEnds = report.ended.size() < endsPerView;
-        if (isCarriedOut || (task->isListed && hasAllEnds))
-            endRun(key, run.number, run_end::Lapsed, {}, worker.id, "no longer listed", wall,
-                   fmt::format("life={} was_listed={} stop_ordered={} ordered_in={} orders_seen={} "
-                               "clock_ms={} running={} ended={}",
-                               report.incarnation, task->isListed, task->stopWanted, listed,
-                               report.ordersSeen, report.clock, report.running.size(),
-                               report.ended.size()));
+        const auto known = worker.missingSince.find(run);
+        missingSince[run] = known == worker.missingSince.end() ? report.clock : known->second;
+        if (!isGone(*task, missingSince[run], report))
+            continue;
+        endRun(key, run.number, run_end::Lapsed, {}, worker.id, "no longer listed", wall,
+               fmt::format("life={} was_listed={} stop_ordered={} start_in={} stop_in={} "
+                           "orders_seen={} clock_ms={} missing_since_ms={} running={} ended={}",
+                           report.incarnation, task->isListed, task->stopWanted,
+                           task->startOrderedIn, task->stopOrderedIn, report.ordersSeen,
+                           report.clock, missingSince[run], report.running.size(),
+                           report.ended.size()));
     }
+    worker.missingSince = std::move(missingSince);
+}
+
+// Returns whether a run that is missing from complete lists does not exist. The agent waits until a
+// stop has ended its run before it reports it as carried out. A run that was listed may be missing
+// for as long while the backend server ends it for another reason.
+bool run_planner::isGone(const tracked_task &task, std::int64_t missingSince,
+                         const worker_report_message &report) const
+{
+    const std::int64_t orderedIn = task.stopWanted ? task.stopOrderedIn : task.startOrderedIn;
+    const bool isCarriedOut = orderedIn != 0 && orderedIn <= report.ordersSeen;
+    if (isCarriedOut && (task.stopWanted || !task.isListed))
+        return true;
+    return task.isListed && duration(report.clock - missingSince) > m_options.stopTime;
 }
 
 // Forgets fenced starts once the orders to stop them have been carried out.
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -60,6 +60,8 @@
     // Tasks of the reported runs; without a value: the name could not be parsed.
     std::vector<std::optional<task_key>> runningTasks;
     std::set<run_id> unresolved; // calls without an answer, as reported
+    // Runs that were reported once and are missing from the lists since this time of `clock`.
+    std::map<run_id, std::int64_t> missingSince;
     // Reported runs that are not the current run of a task on this worker; they are to be stopped.
     std::set<run_id> unassignedRuns;
 
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -162,6 +162,13 @@
     LONGS_EQUAL(7, view.running[0].load);
     LONGS_EQUAL(2, view.ended.size());
     CHECK(view.ended[1].how == run_end::GangMemberEnded);
+    // A run of a skipped row may exist.
+    CHECK(view.isPartial);
+    respond(200, R"({"clock_ms":482113,"born":5,"ended":[]})");
+    result<host_status> absent = host_status{};
+    host.queryStatus(7, 57, 0, 0ms, "i-1",
+                     [&](const result<host_status> &answer) { absent = answer; });
+    CHECK(failureOf(absent));
     respond(409, R"({"reason":"fence"})");
     const failure *why = nullptr;
     result<host_status> refused = host_status{};
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -208,6 +208,29 @@
     CHECK(reports.back().unresolved.empty());
 }
 
+// Guards against a run that is replaced while it is being stopped: a backend server may list it
+// neither as running nor as ended until the stop has ended it (TWICE, LIMIT).
+TEST(run_agent, stoppedRunIsUnresolvedUntilItsEndMustBeListed)
+{
+    loop.advance(20s); // an agent that has just started may not know all starts
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    worker_orders_message stop = orders(5, 1);
+    stop.stops = {someRun, {"5c0e7a21d94b36f8.0.0.1", 1}};
+    agent.onOrders(stop);
+    for (const recording_host::stop_call &call : std::vector(host.stops))
+        call.answer(done{});
+    loop.advance(1ms);
+    reports.clear();
+    answerStatusQuery();
+    // The other run was never there.
+    LONGS_EQUAL(1, reports.at(0).unresolved.size());
+    STRCMP_EQUAL(someRun.task.c_str(), reports.at(0).unresolved[0].task.c_str());
+    reports.clear();
+    loop.advance(run_agent_options{}.stopTime);
+    answerStatusQuery();
+    CHECK(reports.at(0).unresolved.empty());
+}
+
 // Guards against a task that runs twice: an end that the backend server listed must not be lost
 // with it, even if the planner could not be told at the time.
 TEST(run_agent, endsOfADepartedBackendServerAreReported)
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -595,6 +595,47 @@
     CHECK(ordersOf("w2").starts.empty());
 }
 
+// Guards against a run that is replaced while it is at work, as a list was short of it: one whose
+// backend server is ending it, a row that could not be decoded, or ends beyond the largest list
+// (TWICE).
+TEST(run_planner, runThatAListIsShortOfIsNotReplaced)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const std::int64_t ordered = ordersOf("w1").sequence;
+    worker_report_message report = reportOf("w1");
+    report.ordersSeen = ordered;
+    report.isPartial = true;
+    planner.onReport(report, wall, now);
+    report = reportOf("w1");
+    report.ordersSeen = ordered;
+    report.ended.assign(500, {1, {"b.0.0.0", 1}, run_end::Done, {}});
+    planner.onReport(report, wall, now);
+    report = reportOf("w1");
+    report.ordersSeen = ordered;
+    report.running.push_back({{"a.0.0.0", 1}, {}, 50, 0});
+    planner.onReport(report, wall, now);
+    clock += 10;
+    report = reportOf("w1");
+    report.ordersSeen = ordered;
+    planner.onReport(report, wall, now);
+    clock += run_planner_options{}.stopTime.count() - 10;
+    report = reportOf("w1");
+    report.ordersSeen = ordered;
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    CHECK(ordersOf("w2").starts.empty());
+    // Longer than a stop takes: the run is gone.
+    clock += 20;
+    report = reportOf("w1");
+    report.ordersSeen = ordered;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size() + ordersOf("w2").starts.size());
+}
+
 // A worker that is only silent keeps its gang: the progress of the others shows that it is
 // complete.
 TEST(run_planner, silentMemberOfAWorkingGangIsLeftAlone)
