--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -32,6 +32,9 @@
     std::optional<start_refusal> refused;
     time_point settledAt{}; // when the last call ended
     time_point retryAt{};
+
+    // Returns whether a start is still to be sent.
+    bool isPending() const { return start && isWanted && !isStarted && !isStopping && !refused; }
 };
 
 } // namespace
@@ -424,7 +427,7 @@
             sendStop(run, ordered);
         return;
     }
-    if (!ordered.isStarted && !ordered.refused && ordered.start && ordered.isWanted && isConfirmed)
+    if (ordered.isPending() && isConfirmed)
         sendStart(run, ordered);
 }
 
@@ -515,7 +518,7 @@
 // Returns whether a status that was queried at this time shows the outcome of all calls for a run.
 bool run_agent::state::isSettled(const ordered_run &ordered, time_point at) const
 {
-    if (ordered.inFlight || ordered.mayTakeEffectLate)
+    if (ordered.inFlight || ordered.mayTakeEffectLate || ordered.isPending())
         return false;
     const bool takesTime = ordered.isStopped && ordered.mayHaveStarted;
     return at >= ordered.settledAt + (takesTime ? options.stopTime : 0ms);
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -2,6 +2,7 @@
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
@@ -565,6 +566,28 @@
     LONGS_EQUAL(1, host.starts.size());
 }
 
+// Guards against a run that is replaced and started all the same: its start waited for the
+// incarnation to be confirmed, and a report showed it as carried out and not listed (TWICE and
+// LIMIT on a hunted day with late orders).
+TEST(run_agent, startThatWaitsForAConfirmationIsUnresolved)
+{
+    host.statusQueries.back().answer(makeFailure(code::BackendUnavailable, "no answer"));
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    message.stops.push_back({"5c0e7a21d94b36f8.0.0.1", 1});
+    agent.onOrders(message);
+    loop.advance(200ms);
+    LONGS_EQUAL(0, host.starts.size());
+    // A call fails after the query was sent, so that its answer confirms nothing.
+    loop.advance(1ms);
+    host.stops.back().answer(makeFailure(code::BackendUnavailable, "no answer"));
+    answerStatusQuery();
+    LONGS_EQUAL(0, host.starts.size());
+    LONGS_EQUAL(1, reports.back().ordersSeen);
+    CHECK(std::count(reports.back().unresolved.begin(), reports.back().unresolved.end(), someRun)
+          == 1);
+}
+
 // Guards against an incarnation that stays in doubt once it has answered again.
 TEST(run_agent, ordersGoOnOnceTheIncarnationIsConfirmed)
 {
