Limit the nesting depth of JSON from outside

The JSON library parses and destroys values without recursion, but copies and formats them with it. parseCatalogue() copies the entries of a document, so that a catalogue or configuration with a value of 200,000 levels (400 kB, below the size limit) ended the process by a stack overflow: an entry that was sent it, and each process that read it from the store.

No other decoder crashed on such input, but announcements, jobs and answers with it were accepted.

--- a/goldcrest/burn_report.cc
+++ b/goldcrest/burn_report.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/burn_report.h"
 
+#include "goldcrest/json_text.h"
 #include "goldcrest/text_table.h"
 
 #include <nlohmann/json.hpp>
@@ -252,7 +253,7 @@
 
 result<burn_report> burn_report::parse(std::string_view text)
 {
-    const goldcrest::json document = goldcrest::json::parse(text, nullptr, false);
+    const auto document = parseJson<goldcrest::json>(text);
     if (document.is_discarded() || !document.is_object())
         return makeFailure(code::MalformedJson, "the burn report is not a JSON object");
     const auto invalidField = [](std::string field) -> result<burn_report> {
--- a/goldcrest/catalogue_codec.cc
+++ b/goldcrest/catalogue_codec.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/catalogue_codec.h"
 
+#include "goldcrest/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -351,7 +353,10 @@
     }
     std::vector<std::set<std::string>> keysOfOpenObjects;
     std::string duplicateKey;
-    const auto detectDuplicateKeys = [&](int, json::parse_event_t event, json &parsed) {
+    // The depth is taken from the parser, because isNestedTooDeeply() does not know comments.
+    bool isTooDeep = false;
+    const auto checkStructure = [&](int depth, json::parse_event_t event, json &parsed) {
+        isTooDeep = isTooDeep || opensTooDeepLevel(depth, event);
         if (event == json::parse_event_t::object_start)
             keysOfOpenObjects.emplace_back();
         else if (event == json::parse_event_t::object_end)
@@ -363,9 +368,11 @@
         }
         return true;
     };
-    json document = json::parse(text, detectDuplicateKeys, false, true);
+    json document = json::parse(text, checkStructure, false, true);
     if (document.is_discarded())
         state.fail(code::MalformedJson, {}, "the document is not valid JSON");
+    else if (isTooDeep)
+        state.fail(code::MalformedJson, {}, "the document is nested too deeply");
     else if (!duplicateKey.empty())
         state.fail(code::InvalidValue, duplicateKey, "is given twice in one object");
     return document;
--- a/goldcrest/ctl_commands.cc
+++ b/goldcrest/ctl_commands.cc
@@ -4,6 +4,7 @@
 #include "goldcrest/catalogue_codec.h"
 #include "goldcrest/catalogue_diff.h"
 #include "goldcrest/ctl_table.h"
+#include "goldcrest/json_text.h"
 #include "goldcrest/text_table.h"
 
 #include <cxxopts.hpp>
@@ -327,7 +328,7 @@
 
 json ctl_session::parse(const entry_reply &reply) const
 {
-    json parsed = json::parse(reply.body, nullptr, false);
+    auto parsed = parseJson<json>(reply.body);
     if (!parsed.is_object()) {
         m_environment.err
             << "goldcrestctl: " << reply.entry
--- a/goldcrest/entry_client.cc
+++ b/goldcrest/entry_client.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/entry_client.h"
 
+#include "goldcrest/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <memory>
@@ -31,7 +33,7 @@
 
 std::optional<failure> parseError(const std::string &body)
 {
-    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json parsed = parseJson(body);
     if (!parsed.is_object() || !parsed.contains("error"))
         return std::nullopt;
     const auto &error = parsed["error"];
--- a/goldcrest/entry_http.cc
+++ b/goldcrest/entry_http.cc
@@ -2,6 +2,7 @@
 
 #include "goldcrest/base64.h"
 #include "goldcrest/catalogue_codec.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -593,7 +594,7 @@
 
 void entry_http::impl::putLinkBlocks(const routed_request &routed)
 {
-    const json parsed = json::parse(routed.request.body, nullptr, false);
+    const auto parsed = parseJson<json>(routed.request.body);
     std::vector<std::string> blocks;
     bool valid = parsed.is_array();
     for (std::size_t i = 0; valid && i < parsed.size(); ++i) {
--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/etcd_store.h"
 
 #include "goldcrest/base64.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -113,7 +114,7 @@
 // Returns the failure for a response with a status other than 200.
 failure responseFailure(const http_response &response, effect kind)
 {
-    const json parsed = json::parse(response.body, nullptr, false);
+    const json parsed = parseJson(response.body);
     const json &body = parsed.is_object() ? parsed : objectOf(parsed, "");
     const std::string text = textOf(body, "message");
     const std::string reason = "the store answered with status " + std::to_string(response.status)
@@ -155,7 +156,7 @@
     const http_response &response = valueOf(outcome);
     if (response.status != statusOk)
         return responseFailure(response, kind);
-    json answer = json::parse(response.body, nullptr, false);
+    json answer = parseJson(response.body);
     if (!answer.is_object())
         return malformedAnswer(kind);
     return answer;
@@ -274,7 +275,7 @@
     {
         if (line.find_first_not_of(" \t\r") == std::string_view::npos)
             return;
-        const json parsed = json::parse(line, nullptr, false);
+        const json parsed = parseJson(line);
         const auto found = parsed.is_object() ? parsed.find("result") : parsed.end();
         if (!parsed.is_object() || found == parsed.end() || !found->is_object()
             || flagOf(*found, "canceled"))
--- a/goldcrest/http_backend.cc
+++ b/goldcrest/http_backend.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/http_backend.h"
 
 #include "goldcrest/base64.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -144,9 +145,9 @@
 
 result<json> parseText(std::string_view body)
 {
-    json parsed = json::parse(body, nullptr, false);
+    json parsed = parseJson(body);
     if (parsed.is_discarded())
-        return makeFailure(code::MalformedJson, "the body is not JSON");
+        return makeFailure(code::MalformedJson, "the body is not JSON or is nested too deeply");
     return parsed;
 }
 
--- a/goldcrest/job_request.cc
+++ b/goldcrest/job_request.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/job_request.h"
 
 #include "goldcrest/digest.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -292,9 +293,9 @@
 result<job_request> parseJobRequest(std::string_view body, const catalogue &entries,
                                     const request_limits &limits)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parseJson(body);
     if (parsed.is_discarded())
-        return makeFailure(code::MalformedJson, "the body is not JSON");
+        return makeFailure(code::MalformedJson, "the body is not JSON or is nested too deeply");
     if (!parsed.is_object())
         return makeFailure(code::MalformedJson, "the body is not a JSON object");
     for (const auto &[name, value] : parsed.items()) {
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/membership.h"
 
 #include "goldcrest/job_record.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,7 +33,7 @@
 
 result<leader_record> decodeLeader(std::string_view value)
 {
-    const nlohmann::json record = nlohmann::json::parse(value, nullptr, false);
+    const nlohmann::json record = parseJson(value);
     if (!record.is_object())
         return makeFailure(code::MalformedMessage, "the leader record is not a JSON object");
     leader_record leader;
--- a/goldcrest/message_codec.cc
+++ b/goldcrest/message_codec.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/message_codec.h"
 
+#include "goldcrest/json_text.h"
 #include "goldcrest/message_fields.h"
 
 #include <array>
@@ -95,10 +96,9 @@
 
 result<gang_info> decodeGangInfo(std::string_view bytes)
 {
-    // The library's JSON parser is iterative, so the nesting depth needs no check.
     if (bytes.size() > maxFrameBytes)
         return malformed("the metadata is larger than the limit");
-    const nlohmann::json items = nlohmann::json::parse(bytes, nullptr, false);
+    const nlohmann::json items = parseJson(bytes);
     if (items.is_discarded() || !items.is_array())
         return malformed("the metadata is not a JSON array");
     std::optional<failure> error;
--- a/goldcrest/settings_table.cc
+++ b/goldcrest/settings_table.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/settings_table.h"
 
+#include "goldcrest/json_text.h"
 #include "goldcrest/settings.h"
 
 #include <algorithm>
@@ -12,14 +13,17 @@
 
 using nlohmann::json;
 
-// Parser callback that records duplicate fields, of which nlohmann::json keeps only the last.
-struct duplicate_finder
+// Parser callback that checks the depth and records duplicate fields, of which nlohmann::json keeps
+// only the last.
+struct structure_check
 {
     std::vector<std::set<std::string>> keysOfOpenObjects; // outermost first
     std::vector<std::string> duplicateFields;
+    bool isTooDeep = false;
 
-    bool operator()(int, json::parse_event_t event, json &value)
+    bool operator()(int depth, json::parse_event_t event, json &value)
     {
+        isTooDeep = isTooDeep || opensTooDeepLevel(depth, event);
         if (event == json::parse_event_t::object_start)
             keysOfOpenObjects.emplace_back();
         else if (event == json::parse_event_t::object_end)
@@ -241,19 +245,23 @@
 
 bool parseSettingsJson(std::string_view text, json &out, std::vector<failure> &errors)
 {
-    duplicate_finder finder;
+    structure_check check;
     try {
         out = json::parse(
             text,
             [&](int depth, json::parse_event_t event, json &value) {
-                return finder(depth, event, value);
+                return check(depth, event, value);
             },
             true, true);
     } catch (const json::exception &error) {
         addSettingError(errors, "", std::string("is not JSON: ") + error.what());
         return false;
     }
-    for (const std::string &name : finder.duplicateFields)
+    if (check.isTooDeep) {
+        addSettingError(errors, "", "is nested too deeply");
+        return false;
+    }
+    for (const std::string &name : check.duplicateFields)
         addSettingError(errors, name, "occurs twice in one object");
     if (!out.is_object()) {
         addSettingError(errors, "", "must be an object");
--- a/testing/catalogue_codec_test.cc
+++ b/testing/catalogue_codec_test.cc
@@ -188,6 +188,17 @@
     CHECK(failureOf(parseCatalogue(std::string(2 * 1024 * 1024, ' '))) != nullptr);
 }
 
+// Guards against a document whose copy overflows the stack: it may be nested 500,000 levels deep
+// within the size limit. Brackets in comments do not count.
+TEST(catalogue_codec, refusesDeepNesting)
+{
+    const std::string levels(100, '[');
+    const std::string deep = R"({"teams":)" + levels + std::string(100, ']') + "}";
+    const result<catalogue> refused = parseCatalogue(deep);
+    CHECK(failureOf(refused) && failureOf(refused)->number == code::MalformedJson);
+    CHECK(!failureOf(parseCatalogue("/* " + levels + " */" + formatCatalogue(parsedValid()))));
+}
+
 // Guards against a change that the list of differences, which operators review, leaves out.
 TEST(catalogue_codec, differencesAreListedByPath)
 {
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -106,6 +106,20 @@
     CHECK(failureOf(decodeAnnouncement("i-1", "")));
 }
 
+// Guards against announcements and jobs whose nesting overflows the stack of a later step, and
+// against answers that are read in spite of it.
+TEST(platform_codec, refusesDeepNesting)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string odd = replaced(goodAnnouncement, "{", R"({"extra":)" + deep + ",");
+    const result<host_announcement> announcement = decodeAnnouncement("i-1", odd);
+    CHECK(failureOf(announcement) && failureOf(announcement)->number == code::MalformedJson);
+    CHECK(failureOf(decodeAnnouncement("i-1", deep)));
+    CHECK(failureOf(decodeAnnouncement("i-1", std::string(1'000'000, '['))));
+    const std::string job = R"({"steps":[{"extra":)" + deep + "}]}";
+    CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", job)));
+}
+
 // Guards against a status or reason of a refused start that maps to the wrong refusal, and against
 // a 500 that is taken for a known outcome.
 TEST(platform_codec, decodesRefusalsOfStarts)
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -118,6 +118,14 @@
     CHECK(!parseAgentSettings("{\"capacity\": 5, \"entries\": {}}").errors.empty());
 }
 
+// Guards against values whose copy or format overflows the stack.
+TEST(settings, refusesDeepNesting)
+{
+    const std::string deep = std::string(100, '[') + std::string(100, ']');
+    const auto parsed = parseEntrySettings(replaced(entryText, "\"entry-1\"", deep));
+    STRCMP_EQUAL("is nested too deeply", reasonOf(parsed.errors, "").c_str());
+}
+
 // Guards against a documentation page that does not list all settings.
 TEST(settings, pageListsAllSettings)
 {
