Refuse jobs and operator documents with fields out of range

decodeJob() accepted jobs that the planner can't read or calculate with: a text above 64 KiB or more than 256 Ki items make the record undecodable, so that a job that was acknowledged never ran. The number of an earlier step was cut to 32 bits, so that named step 0. Due times and resources near 2^63 overflow sums.

In a configuration, errors in the nested fields of `advice` and `guaranteed` were dropped and the field was read as 0. A negative slack factor made the records of all jobs of the queue undecodable, a large one and a wave of 1e300 s were converted to an integer, which is undefined behaviour.

All of these are now refused with the path of the field. As before, the last readable configuration stays in force, and an unreadable wave hides no other.

--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -311,3 +311,77 @@
           R"({"steps":[{"cpu":"1"}]})", R"({"steps":"x"})"})
         CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", bad)) != nullptr);
 }
+
+// Guards against jobs that are accepted and lost, because the planner can't read their record or
+// their numbers overflow, and against a dependency that is cut to the number of another step.
+TEST(platform_codec, refusesJobsOutOfRange)
+{
+    const std::string longText(70'000, 'x');
+    for (const std::string &bad :
+         {std::string(R"({"steps":[{},{"after":[4294967296]}]})"),
+          std::string(R"({"steps":[{},{"after":[18446744069414584320]}]})"),
+          std::string(R"({"steps":[{"cpu":9223372036854775807}]})"),
+          std::string(R"({"steps":[{"mem_mb":9223372036854775807}]})"),
+          std::string(R"({"steps":[{"gpus":1000000}]})"),
+          std::string(R"({"steps":[{"estimated_ms":9223372036854775807}]})"),
+          std::string(R"({"steps":[{}],"first_run_ms":9223372036854775807})"),
+          std::string(R"({"steps":[{}],"repeat_count":2147483647,"interval_ms":300000000000})"),
+          R"({"steps":[{"affinity":")" + longText + "\"}]}",
+          R"({"steps":[{"required_label":")" + longText + "\"}]}",
+          R"({"steps":[{"image":")" + longText + "\"}]}"}) {
+        CHECK_TEXT(failureOf(decodeJob("5c0e7a21d94b36f8", bad)), bad.substr(0, 90).c_str());
+    }
+    std::string steps = "{}";
+    std::string after = "0";
+    for (int i = 1; i < 600; ++i) {
+        steps += ",{\"after\":[" + after + "]}";
+        after += "," + std::to_string(i);
+    }
+    CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", "{\"steps\":[" + steps + "]}")));
+    CHECK(!failureOf(
+        decodeJob("5c0e7a21d94b36f8",
+                  R"({"steps":[{"cpu":1}],"repeat_count":2147483647,"interval_ms":86400000})")));
+}
+
+// Guards against a wrong type or range of a nested field that gives a default: a guarantee of 0, or
+// advice that is needed at once.
+TEST(platform_codec, refusesBadNestedFieldsOfCatalogues)
+{
+    const std::string route = R"({"name":"r","host":"h","prefix":"/p/","service":"s")";
+    for (const auto &[text, field] : std::vector<std::pair<std::string, std::string>>{
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":"16"}}])",
+              "tenants[0].guaranteed.gpus"},
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":-1}}])", "tenants[0].guaranteed.gpus"},
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":1e300}}])",
+              "tenants[0].guaranteed.gpus"},
+             {"\"routes\":[" + route + R"(,"advice":{"decision_ms":"5"}}])",
+              "routes[0].advice.decision_ms"},
+             {"\"routes\":[" + route + R"(,"advice":{"validity_ms":-5}}])",
+              "routes[0].advice.validity_ms"},
+             {"\"routes\":[" + route + R"(,"slack_factor":1e300}])", "routes[0].slack_factor"},
+             {"\"routes\":[" + route + R"(,"slack_factor":-1}])", "routes[0].slack_factor"},
+             {"\"routes\":[" + route + R"(,"target_completion_ms":9223372036854775807}])",
+              "routes[0].target_completion_ms"}}) {
+        store_entry entry;
+        entry.value = R"({"version":7,)" + text + "}";
+        const result<queue_catalogue> decoded = decodeCatalogue(entry);
+        CHECK_TEXT(failureOf(decoded), text.c_str());
+        STRCMP_EQUAL_TEXT(field.c_str(), failureOf(decoded)->field.c_str(), text.c_str());
+    }
+}
+
+// Guards against a time that overflows, and against one odd wave that hides the others.
+TEST(platform_codec, leavesOutWavesOutOfRange)
+{
+    std::vector<store_entry> entries(4);
+    const std::string machines = R"("machines":["m"],"cap":1)";
+    entries[0].value = R"({"wave":1,"duration_s":1e300,)" + machines + "}";
+    entries[1].value = R"({"wave":2,"duration_s":-5,)" + machines + "}";
+    entries[2].value = R"({"wave":3,"duration_s":60.5,)" + machines + "}";
+    entries[3].value = std::string(100'000, '[');
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        entries[i].key = "op/wave/" + std::to_string(i + 1);
+    const operator_items items = sortOperatorItems(entries);
+    LONGS_EQUAL(1, items.waves.size());
+    LONGS_EQUAL(60'500, items.waves[0].time.count());
+}
