--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -5,8 +5,11 @@
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,6 +17,42 @@
 
 using namespace goldcrest;
 
+namespace {
+
+// Answers requests with prepared bodies, one after the other, and then no longer.
+class scripted_store final : public http_client
+{
+public:
+    void send(http_request request, std::function<void(result<http_response>)> callback) override
+    {
+        urls.push_back(request.url);
+        if (bodies.empty())
+            return;
+        http_response response;
+        response.status = 200;
+        response.body = bodies.front();
+        bodies.erase(bodies.begin());
+        callback(std::move(response));
+    }
+    std::unique_ptr<http_stream> stream(http_request, std::function<void(std::string_view)>,
+                                        std::function<void(result<done>)>) override
+    {
+        return nullptr;
+    }
+
+    std::vector<std::string> bodies;
+    std::vector<std::string> urls;
+};
+
+std::string pageOf(const std::string &first, const std::string &second, bool hasMore)
+{
+    std::string page = R"({"as_of":9,"has_more":)";
+    page.append(hasMore ? "true" : "false").append(R"(,"items":[)");
+    return page.append(first).append(",").append(second).append("]}");
+}
+
+} // namespace
+
 TEST_GROUP(platform_store)
 {
     virtual_event_loop loop;
@@ -246,3 +285,75 @@
     loop.advance(2s);
     LONGS_EQUAL(before, views);
 }
+
+// Guards against a list that one odd item ends for good, at whatever place of a page it is, and
+// against one that never ends because its pages do not advance.
+TEST(platform_store, listsPastUnreadableItems)
+{
+    scripted_store client;
+    platform::kv_store odd{client, loop, "10.0.0.7:8524"};
+    const auto list = [&] {
+        return finish<std::vector<store_entry>>(
+            [&](auto callback) { odd.list("gc/", 0, options, callback); });
+    };
+    const std::string first = R"({"key":"gc/a","value":"eA==","revision":7,"created":3})";
+    const std::string second = R"({"key":"gc/c","value":"eA==","revision":8,"created":4})";
+    for (const std::string &item :
+         {std::string("7"), std::string("[]"), std::string("{}"), std::string(R"({"key":5})"),
+          std::string(R"({"key":"gc/b","value":"eA==","revision":9223372036854775808})")}) {
+        client.urls.clear();
+        client.bodies = {pageOf(first, item, true), pageOf(item, second, false)};
+        const auto entries = list();
+        CHECK_TEXT(!failureOf(entries), item.c_str());
+        LONGS_EQUAL_TEXT(2, valueOf(entries).size(), item.c_str());
+        LONGS_EQUAL(2, client.urls.size());
+    }
+    const std::string same = pageOf(first, first, true);
+    client.urls.clear();
+    client.bodies = {same, same, same, same};
+    CHECK(failureOf(list())->number == code::StoreProtocol);
+    LONGS_EQUAL(2, client.urls.size());
+}
+
+// Guards against a watch that one odd event stops, and against an event that is taken for a write
+// because its flag can't be read.
+TEST(platform_store, watchesPastUnreadableEvents)
+{
+    scripted_store client;
+    platform::kv_store odd{client, loop, "10.0.0.7:8524"};
+    const std::string good = R"({"key":"gc/a","value":"eA==","revision":8,"created":3})";
+    client.bodies = {R"({"as_of":8,"events":[7,{"key":"gc/b","revision":7,"deleted":"yes"},
+                         {"key":"gc/c","revision":18446744073709551615},)"
+                         + good + "]}",
+                     R"({"as_of":9,"events":[{"key":"gc/a","revision":9,"deleted":true}]})"};
+    std::vector<watch_event> events;
+    const auto watch = odd.watch("gc/", 7, [&](const watch_batch &batch) {
+        events.insert(events.end(), batch.events.begin(), batch.events.end());
+    });
+    LONGS_EQUAL(2, events.size());
+    CHECK(!events[0].deleted);
+    CHECK(events[1].deleted);
+    LONGS_EQUAL(3, client.urls.size());
+    CHECK(client.urls[2].find("after=9") != std::string::npos);
+}
+
+// Guards against lease 0, which stands for no lease: keys that are written with it would stay for
+// good. A renewal counts whatever its body is, since the store promises only its status.
+TEST(platform_store, refusesLeasesThatAreNone)
+{
+    scripted_store client;
+    platform::kv_store odd{client, loop, "10.0.0.7:8524"};
+    for (const char *body : {"{}", R"({"lease":0})", R"({"lease":-5})", R"({"lease":1e300})",
+                             R"({"lease":18446744073709551615})"}) {
+        client.bodies = {body};
+        const auto granted
+            = finish<lease_id>([&](auto callback) { odd.grantLease(1s, options, callback); });
+        CHECK_TEXT(failureOf(granted), body);
+    }
+    for (const char *body : {"{}", "[", R"({"ttl_ms":-1})", R"({"ttl_ms":1600})"}) {
+        client.bodies = {body};
+        CHECK_TEXT(!failureOf(finish<duration>(
+                       [&](auto callback) { odd.renewLease(5, options, callback); })),
+                   body);
+    }
+}
