Check the range of numbers that other servers send

Integers from outside were cast without a check in the adapters of gang jobs: a number of slots was cut to 32 bits, a capacity or time near 2^63 overflows sums, a revision or lease of etcd above 2^63 became negative, a remaining time in seconds overflowed when it was converted to milliseconds, and an error number was cut to that of another error. The address of an announced backend server was not looked at. A listening port above 65535 meant any free port.

The limits on a machine and on times are shared with the platform adapter (largestMachine, longestTime).

--- a/goldcrest/clock.h
+++ b/goldcrest/clock.h
@@ -19,6 +19,9 @@
 using std::chrono_literals::operator""min;
 using std::chrono_literals::operator""h;
 
+// Longest time that is accepted from outside. Sums and multiples of such times fit in 64 bits.
+constexpr duration longestTime = 24h * 3650;
+
 // Returns a time multiplied by a factor, in whole milliseconds, rounded towards 0.
 inline duration scaled(duration time, double factor)
 {
--- a/goldcrest/entry_client.cc
+++ b/goldcrest/entry_client.cc
@@ -37,8 +37,9 @@
     if (!parsed.is_object() || !parsed.contains("error"))
         return std::nullopt;
     const auto &error = parsed["error"];
-    const bool valid
-        = error.is_object() && error.contains("code") && error["code"].is_number_integer();
+    constexpr int maxCode = 999; // a larger one would be cut to the number of another code
+    const bool valid = error.is_object() && error.contains("code")
+        && error["code"].is_number_unsigned() && error["code"].get<std::uint64_t>() <= maxCode;
     if (!valid)
         return std::nullopt;
     const auto text = [&](const char *name) {
--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace goldcrest {
@@ -33,6 +34,10 @@
     const auto field = object.find(name);
     if (field == object.end())
         return 0;
+    if (field->is_number_unsigned()
+        && field->get<std::uint64_t>()
+            > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
+        return std::nullopt;
     if (field->is_number_integer())
         return field->get<std::int64_t>();
     if (!field->is_string())
@@ -462,17 +467,18 @@
                             store_callback<duration> callback)
 {
     const json body = {{"ID", std::to_string(lease)}};
-    exchange<duration>(makeRequest("/v3/lease/keepalive", body.dump(), options.deadline), true,
-                       std::move(callback),
-                       [](const json &answer) -> std::optional<result<duration>> {
-                           const json &found = objectOf(answer, "result");
-                           const std::optional<std::int64_t> seconds = integerOf(found, "TTL");
-                           if (found.empty() || !seconds)
-                               return std::nullopt;
-                           if (*seconds <= 0)
-                               return makeFailure(code::LeaseLost, "the lease has ended");
-                           return duration(std::chrono::seconds(*seconds));
-                       });
+    exchange<duration>(
+        makeRequest("/v3/lease/keepalive", body.dump(), options.deadline), true,
+        std::move(callback), [](const json &answer) -> std::optional<result<duration>> {
+            const json &found = objectOf(answer, "result");
+            const std::optional<std::int64_t> seconds = integerOf(found, "TTL");
+            constexpr auto longest = std::chrono::duration_cast<std::chrono::seconds>(longestTime);
+            if (found.empty() || !seconds || *seconds > longest.count())
+                return std::nullopt;
+            if (*seconds <= 0)
+                return makeFailure(code::LeaseLost, "the lease has ended");
+            return duration(std::chrono::seconds(*seconds));
+        });
 }
 
 void etcd_store::revokeLease(lease_id lease, const call_options &options,
--- a/goldcrest/http_backend.cc
+++ b/goldcrest/http_backend.cc
@@ -2,6 +2,7 @@
 
 #include "goldcrest/base64.h"
 #include "goldcrest/json_text.h"
+#include "goldcrest/settings.h"
 
 #include <nlohmann/json.hpp>
 
@@ -67,19 +68,23 @@
     }
 
     template<typename number>
-    void integer(const char *name, number &value)
+    void integer(const char *name, number &value,
+                 std::int64_t max = std::numeric_limits<number>::max())
     {
         const json *field = find(name);
-        if (field && (!field->is_number_integer() || field->get<std::int64_t>() < 0))
-            fail(code::InvalidValue, name, "expected a non-negative integer");
-        else if (field)
+        if (!field)
+            return;
+        // nlohmann::json holds all integers from 0 on as unsigned.
+        if (!field->is_number_unsigned() || field->get<std::uint64_t>() > std::uint64_t(max))
+            fail(code::InvalidValue, name, "expected an integer from 0 to " + std::to_string(max));
+        else
             value = static_cast<number>(field->get<std::int64_t>());
     }
 
     void time(const char *name, duration &value)
     {
         std::int64_t milliseconds = 0;
-        integer(name, milliseconds);
+        integer(name, milliseconds, longestTime.count());
         value = duration(milliseconds);
     }
 
@@ -111,9 +116,9 @@
         if (!field)
             return;
         object_reader inner(*field);
-        inner.integer("millicores", value.cores);
-        inner.integer("memoryMiB", value.memory);
-        inner.integer("accelerators", value.accelerators);
+        inner.integer("millicores", value.cores, largestMachine.cores);
+        inner.integer("memoryMiB", value.memory, largestMachine.memory);
+        inner.integer("accelerators", value.accelerators, largestMachine.accelerators);
         if (inner.m_error)
             fail(inner.m_error->number, std::string(name) + "." + inner.m_error->field,
                  inner.m_error->reason);
@@ -121,6 +126,12 @@
 
     const std::optional<failure> &error() const { return m_error; }
 
+    void fail(code number, std::string field, std::string reason)
+    {
+        if (!m_error)
+            m_error = makeFailure(number, std::move(reason), std::move(field));
+    }
+
 private:
     const json *find(const char *name)
     {
@@ -133,12 +144,6 @@
         return nullptr;
     }
 
-    void fail(code number, std::string field, std::string reason)
-    {
-        if (!m_error)
-            m_error = makeFailure(number, std::move(reason), std::move(field));
-    }
-
     const json &m_object;
     std::optional<failure> m_error;
 };
@@ -192,6 +197,8 @@
     backend_announcement announcement;
     object_reader reader(valueOf(parsed));
     reader.text("address", announcement.address);
+    if (!isConnectableHostPort(announcement.address))
+        reader.fail(code::InvalidValue, "address", "is no host:port with a port from 1 to 65535");
     reader.integer("slots", announcement.slots);
     reader.resourceVector("capacity", announcement.capacity);
     if (reader.error())
--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -781,10 +781,11 @@
     const std::size_t colon = address.rfind(':');
     std::uint16_t port = 0;
     const char *end = address.data() + address.size();
-    const bool parsed = colon != std::string_view::npos && colon > 0
-        && std::from_chars(address.data() + colon + 1, end, port).ptr == end
-        && colon + 1 < address.size();
-    if (!parsed)
+    const bool hasPort = colon != std::string_view::npos && colon > 0 && colon + 1 < address.size();
+    const std::from_chars_result parsed
+        = std::from_chars(hasPort ? address.data() + colon + 1 : end, end, port);
+    // A port above 65535 leaves 0, which would mean any free port.
+    if (parsed.ec != std::errc() || parsed.ptr != end)
         return makeFailure(code::SettingsInvalid, "not a host:port: " + std::string(address));
     std::string host(address.substr(0, colon));
     if (host.size() > 2 && host.front() == '[' && host.back() == ']')
--- a/goldcrest/model.h
+++ b/goldcrest/model.h
@@ -51,6 +51,11 @@
     }
 };
 
+// Largest resources of one machine that are accepted from outside: a million cores, 10^9 MiB and
+// 10,000 accelerators, far more than any machine has. Sums over all machines or tasks fit in 64
+// bits.
+constexpr resources largestMachine{1'000'000'000, 1'000'000'000, 10'000};
+
 inline resources operator*(const resources &one, std::int64_t count)
 {
     return {one.cores * count, one.memory * count, one.accelerators * count};
--- a/goldcrest/positional_fields.h
+++ b/goldcrest/positional_fields.h
@@ -43,7 +43,7 @@
 constexpr std::size_t maxDepth = 16;
 
 // Longest duration on the wire. Senders clamp to it, so that duration::max() may mean "never".
-constexpr duration maxWireDuration = 24h * 3650;
+constexpr duration maxWireDuration = longestTime;
 
 // The fields of a struct in wire order. Each encoded struct has a specialization with visit().
 template<typename Struct>
--- a/testing/ctl_commands_test.cc
+++ b/testing/ctl_commands_test.cc
@@ -168,6 +168,19 @@
     CHECK(contains(out.str(), "Example:"));
 }
 
+// Guards against an error number that is cut to 32 bits and named as another error.
+TEST(ctl_commands, namesNoErrorForANumberOutOfRange)
+{
+    entry_reply reply;
+    reply.status = 500;
+    for (const char *number : {"4294967397", "-1", "1e300", "18446744073709551615"}) {
+        reply.body = R"({"error":{"code":)" + std::string(number) + "}}";
+        CHECK_TEXT(reply.error().number == code::Internal, number);
+    }
+    reply.body = R"({"error":{"code":101}})";
+    LONGS_EQUAL(101, static_cast<int>(reply.error().number));
+}
+
 // Guards against an operator's change that is lost because one entry is down, and a token that is
 // not sent.
 TEST(ctl_commands, triesTheNextEntry)
--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -4,6 +4,7 @@
 #include "goldcrest/http_client.h"
 #include "goldcrest/store_client.h"
 #include "standins/store_server.h"
+#include "testing/fuzz_support.h"
 
 #include <nlohmann/json.hpp>
 
@@ -397,3 +398,59 @@
     for (const char *text : {"A", "AA", "AAA", "A===", "AA=A", "====", "AA A", "AA-_"})
         CHECK_FALSE(decodeBase64(text).has_value());
 }
+
+// The adapter with prepared answers.
+TEST_GROUP(etcd_answers)
+{
+    fixed_client client;
+    std::unique_ptr<asio_event_loop> loop = std::make_unique<asio_event_loop>();
+
+    void respond(const std::string &body)
+    {
+        client.answer.status = 200;
+        client.answer.body = body;
+        client.answersLeft = 1;
+    }
+
+    result<std::optional<store_entry>> get(const std::string &item)
+    {
+        respond(R"({"header":{"revision":9},"kvs":[)" + item + "]}");
+        etcd_store store(client, *loop, "http://10.0.0.7:2379");
+        result<std::optional<store_entry>> entry = std::optional<store_entry>();
+        store.get("a", defaultOptions,
+                  [&](const result<std::optional<store_entry>> &answer) { entry = answer; });
+        return entry;
+    }
+
+    template<typename T, typename Call>
+    bool fails(const std::string &body, Call call)
+    {
+        respond(body);
+        etcd_store store(client, *loop, "http://10.0.0.7:2379");
+        bool hasFailed = false;
+        call(store, [&](const result<T> &answer) { hasFailed = failureOf(answer) != nullptr; });
+        return hasFailed;
+    }
+};
+
+// Guards against a revision or lease above 2^63 that is taken for a negative number, and against a
+// remaining time whose conversion to milliseconds overflows.
+TEST(etcd_answers, refusesNumbersOutOfRange)
+{
+    CHECK(!failureOf(get(R"({"key":"YQ==","create_revision":3,"mod_revision":"7"})")));
+    for (const char *number : {"18446744073709551615", "9223372036854775808", "1e300",
+                               "\"9223372036854775808\"", "[]"}) {
+        const std::string item = R"({"key":"YQ==","create_revision":)" + std::string(number) + "}";
+        CHECK_TEXT(failureOf(get(item)), number);
+    }
+    for (const char *time : {"9223372036854775807", "\"9223372036854775807\"", "1e300"}) {
+        CHECK_TEXT(fails<duration>(R"({"result":{"TTL":)" + std::string(time) + "}}",
+                                   [](etcd_store &store, auto callback) {
+                                       store.renewLease(5, defaultOptions, callback);
+                                   }),
+                   time);
+    }
+    CHECK(fails<lease_id>(R"({"ID":18446744073709551615})", [](etcd_store &store, auto callback) {
+        store.grantLease(3s, defaultOptions, callback);
+    }));
+}
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -359,4 +359,9 @@
     pending[0]->respond({});
     pending.clear();
     CHECK(failureOf(makeHttpServer(loop, "nowhere", {}, nullptr)) != nullptr);
+    // Not port 0, which means any free port.
+    for (const char *port : {"65536", "99999999999999999999", "-1", ""}) {
+        const std::string address = std::string("127.0.0.1:") + port;
+        CHECK_TEXT(failureOf(makeHttpServer(loop, address, {}, nullptr)) != nullptr, port);
+    }
 }
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -1,3 +1,4 @@
+#include "platform/advice_client.h"
 #include "platform/http_run_host.h"
 #include "platform/operator_codec.h"
 
@@ -343,6 +344,27 @@
                   R"({"steps":[{"cpu":1}],"repeat_count":2147483647,"interval_ms":86400000})")));
 }
 
+// Guards against a ticket that makes the orders undecodable for the agent, and against one odd row
+// that hides the others.
+TEST(platform_codec, leavesOutOddRowsOfAdvice)
+{
+    advice_client advisor{client, "10.0.0.9:8530"};
+    const auto advise = [&] {
+        result<placement_advice> advice = placement_advice{};
+        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms},
+                       [&](const result<placement_advice> &answer) { advice = answer; });
+        return advice;
+    };
+    respond(200,
+            R"({"validity_ms":900,"good":[["i-1",")" + std::string(70'000, 'x')
+                + R"("],7,["i-2"],["i-3",4],["i-4","t"]]})");
+    LONGS_EQUAL(1, valueOf(advise()).tickets.size());
+    for (const char *time : {"-1", "9223372036854775807", "18446744073709551615", "1e300"}) {
+        respond(200, R"({"good":[],"validity_ms":)" + std::string(time) + "}");
+        CHECK_TEXT(failureOf(advise()), time);
+    }
+}
+
 // Guards against a wrong type or range of a nested field that gives a default: a guarantee of 0, or
 // advice that is needed at once.
 TEST(platform_codec, refusesBadNestedFieldsOfCatalogues)
--- a/testing/websocket_link_test.cc
+++ b/testing/websocket_link_test.cc
@@ -197,6 +197,26 @@
     CHECK(wait([&] { return link->isOpen(); }));
 }
 
+// Guards against an address in a record or message that ends the process or its other links.
+TEST(websocket_link, dialsNoInvalidAddress)
+{
+    test_node agent(loop, "agent");
+    std::vector<std::shared_ptr<peer_link>> links;
+    for (const std::string &address :
+         {std::string(), std::string("nowhere"), std::string("127.0.0.1:0"),
+          std::string("127.0.0.1:65536"), std::string("127.0.0.1:99999999999999999999"),
+          std::string("127.0.0.1:-1"), std::string("[::1:80"), std::string("a b:1"),
+          std::string("127.0.0.1:80\r\nX: 1"), std::string(1000, '['),
+          std::string(1000, 'x') + ":1"})
+        links.push_back(agent.network->dial(address));
+    loop.runUntil([] { return false; }, 300ms);
+    for (const auto &link : links)
+        CHECK(!link->isOpen());
+    test_node planner(loop, "planner");
+    const auto link = agent.network->dial(planner.address());
+    CHECK(wait([&] { return link->isOpen(); }));
+}
+
 // Guards against almost valid input that crashes the process or leaks a connection slot.
 TEST(websocket_link, survivesMutatedConnections)
 {
