--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -1,10 +1,12 @@
 #include "goldcrest/etcd_store.h"
 
 #include "goldcrest/base64.h"
+#include "goldcrest/json_text.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace goldcrest {
@@ -32,6 +34,10 @@
     const auto field = object.find(name);
     if (field == object.end())
         return 0;
+    if (field->is_number_unsigned()
+        && field->get<std::uint64_t>()
+            > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
+        return std::nullopt;
     if (field->is_number_integer())
         return field->get<std::int64_t>();
     if (!field->is_string())
@@ -113,7 +119,7 @@
 // Returns the failure for a response with a status other than 200.
 failure responseFailure(const http_response &response, effect kind)
 {
-    const json parsed = json::parse(response.body, nullptr, false);
+    const json parsed = parseJson(response.body);
     const json &body = parsed.is_object() ? parsed : objectOf(parsed, "");
     const std::string text = textOf(body, "message");
     const std::string reason = "the store answered with status " + std::to_string(response.status)
@@ -155,7 +161,7 @@
     const http_response &response = valueOf(outcome);
     if (response.status != statusOk)
         return responseFailure(response, kind);
-    json answer = json::parse(response.body, nullptr, false);
+    json answer = parseJson(response.body);
     if (!answer.is_object())
         return malformedAnswer(kind);
     return answer;
@@ -274,7 +280,7 @@
     {
         if (line.find_first_not_of(" \t\r") == std::string_view::npos)
             return;
-        const json parsed = json::parse(line, nullptr, false);
+        const json parsed = parseJson(line);
         const auto found = parsed.is_object() ? parsed.find("result") : parsed.end();
         if (!parsed.is_object() || found == parsed.end() || !found->is_object()
             || flagOf(*found, "canceled"))
@@ -461,17 +467,18 @@
                             store_callback<duration> callback)
 {
     const json body = {{"ID", std::to_string(lease)}};
-    exchange<duration>(makeRequest("/v3/lease/keepalive", body.dump(), options.deadline), true,
-                       std::move(callback),
-                       [](const json &answer) -> std::optional<result<duration>> {
-                           const json &found = objectOf(answer, "result");
-                           const std::optional<std::int64_t> seconds = integerOf(found, "TTL");
-                           if (found.empty() || !seconds)
-                               return std::nullopt;
-                           if (*seconds <= 0)
-                               return makeFailure(code::LeaseLost, "the lease has ended");
-                           return duration(std::chrono::seconds(*seconds));
-                       });
+    exchange<duration>(
+        makeRequest("/v3/lease/keepalive", body.dump(), options.deadline), true,
+        std::move(callback), [](const json &answer) -> std::optional<result<duration>> {
+            const json &found = objectOf(answer, "result");
+            const std::optional<std::int64_t> seconds = integerOf(found, "TTL");
+            constexpr auto longest = std::chrono::duration_cast<std::chrono::seconds>(longestTime);
+            if (found.empty() || !seconds || *seconds > longest.count())
+                return std::nullopt;
+            if (*seconds <= 0)
+                return makeFailure(code::LeaseLost, "the lease has ended");
+            return duration(std::chrono::seconds(*seconds));
+        });
 }
 
 void etcd_store::revokeLease(lease_id lease, const call_options &options,
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -1,9 +1,11 @@
+#include "platform/advice_client.h"
 #include "platform/http_run_host.h"
 #include "platform/operator_codec.h"
 
 #include "goldcrest/log_fields.h"
 #include "testing/quiet_log.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -106,6 +108,61 @@
     CHECK(failureOf(decodeAnnouncement("i-1", "")));
 }
 
+// Guards against an odd announcement that is taken for a backend server: the orders would go to a
+// port that does not exist, and the planner would refuse the reports or plan with the capacity.
+TEST(platform_codec, refusesAnnouncementsOutOfRange)
+{
+    const std::string address = R"("address":"10.128.0.9:8080")";
+    const std::string longText(2000, 'x');
+    std::string labels = "[\"a\"";
+    for (int i = 0; i < 100; ++i)
+        labels += ",\"b\"";
+    for (const auto &[from, to, field] : std::vector<std::array<std::string, 3>>{
+             {address + ",", "", "address"},
+             {address, R"("address":"")", "address"},
+             {address, R"("address":"10.128.0.9")", "address"},
+             {address, R"("address":"10.128.0.9:0")", "address"},
+             {address, R"("address":"10.128.0.9:65536")", "address"},
+             {address, R"("address":"10.128.0.9:4294967297")", "address"},
+             {address, R"("address":"10.128.0.9:-1")", "address"},
+             {"\"cpu\":16000", "\"cpu\":-1", "capacity.cpu"},
+             {"\"cpu\":16000", "\"cpu\":9223372036854775807", "capacity.cpu"},
+             {"\"mem_mb\":32768", "\"mem_mb\":18446744073709551615", "capacity.mem_mb"},
+             {"\"mem_mb\":32768", "\"mem_mb\":4000000000", "capacity.mem_mb"},
+             {"\"gpus\":2", "\"gpus\":1e300", "capacity.gpus"},
+             {"\"gpus\":2", "\"gpus\":1000000", "capacity.gpus"},
+             {"\"ready\"", R"("draining","drain_remaining_ms":9223372036854775807)",
+              "drain_remaining_ms"},
+             {"huvo11a", longText, "service"},
+             {"\"z1\"", "\"" + longText + "\"", "zone"},
+             {"r1-3", longText, "labels"},
+             {R"(["a","r1-3")", labels, "labels"}}) {
+        const result<host_announcement> decoded
+            = decodeAnnouncement("i-1", replaced(goodAnnouncement, from, to));
+        const failure *error = failureOf(decoded);
+        CHECK_TEXT(error, to.c_str());
+        STRCMP_EQUAL_TEXT(field.c_str(), error->field.c_str(), to.c_str());
+    }
+    for (const std::string &id : {std::string(), std::string("i-1\r\nX: 1"), longText})
+        CHECK(failureOf(decodeAnnouncement(id, goodAnnouncement)));
+    CHECK(!failureOf(decodeAnnouncement(
+        "i-1", replaced(goodAnnouncement, address, R"("address":"10.128.0.9:65535")"))));
+}
+
+// Guards against announcements and jobs whose nesting overflows the stack of a later step, and
+// against answers that are read in spite of it.
+TEST(platform_codec, refusesDeepNesting)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string odd = replaced(goodAnnouncement, "{", R"({"extra":)" + deep + ",");
+    const result<host_announcement> announcement = decodeAnnouncement("i-1", odd);
+    CHECK(failureOf(announcement) && failureOf(announcement)->number == code::MalformedJson);
+    CHECK(failureOf(decodeAnnouncement("i-1", deep)));
+    CHECK(failureOf(decodeAnnouncement("i-1", std::string(1'000'000, '['))));
+    const std::string job = R"({"steps":[{"extra":)" + deep + "}]}";
+    CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", job)));
+}
+
 // Guards against a status or reason of a refused start that maps to the wrong refusal, and against
 // a 500 that is taken for a known outcome.
 TEST(platform_codec, decodesRefusalsOfStarts)
@@ -178,6 +235,30 @@
     CHECK(why && why->number == code::StaleEpoch);
 }
 
+// Guards against a run number that is cut to 32 bits and names another run, and against numbers
+// that the planner refuses, so that it loses all reports of the worker. Percent and load are only
+// hints: the run is at work whatever they say.
+TEST(platform_codec, leavesOutRowsOutOfRange)
+{
+    respond(200, R"({"clock_ms":482113,"born":5,
+        "running":[["a.0.0.0",4294967298,"",41],["a.0.0.1",-1,"",41],
+                   ["a.0.0.2",9223372036854775809,"",41],["a.0.0.3",1e300,"",41],
+                   ["b.0.0.0",2,"",1e300,1e300],["b.0.0.1",2,"",-1e300,-5]],
+        "ended":[[58,"c.0.0.0",4294967297,"done",""],[-3,"c.0.0.1",1,"done",""],
+                 [18446744073709551615,"c.0.0.2",1,"done",""],[61,"d.0.0.0",1,"done",""]]})");
+    host_status view;
+    host.queryStatus(7, 57, 486000, 1s, "i-1",
+                     [&](const result<host_status> &answer) { view = valueOf(answer); });
+    LONGS_EQUAL(2, view.running.size());
+    STRCMP_EQUAL("b.0.0.0", view.running[0].run.task.c_str());
+    LONGS_EQUAL(100, view.running[0].percent);
+    LONGS_EQUAL(1'000'000'000, view.running[0].load);
+    LONGS_EQUAL(0, view.running[1].percent);
+    LONGS_EQUAL(0, view.running[1].load);
+    LONGS_EQUAL(1, view.ended.size());
+    LONGS_EQUAL(61, view.ended[0].number);
+}
+
 // Guards against the lists of one backend server that are taken for those of another.
 TEST(platform_codec, namesTheServerThatAStatusIsWantedOf)
 {
@@ -238,3 +319,98 @@
           R"({"steps":[{"cpu":"1"}]})", R"({"steps":"x"})"})
         CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", bad)) != nullptr);
 }
+
+// Guards against jobs that are accepted and lost, because the planner can't read their record or
+// their numbers overflow, and against a dependency that is cut to the number of another step.
+TEST(platform_codec, refusesJobsOutOfRange)
+{
+    const std::string longText(70'000, 'x');
+    for (const std::string &bad :
+         {std::string(R"({"steps":[{},{"after":[4294967296]}]})"),
+          std::string(R"({"steps":[{},{"after":[18446744069414584320]}]})"),
+          std::string(R"({"steps":[{"cpu":9223372036854775807}]})"),
+          std::string(R"({"steps":[{"mem_mb":9223372036854775807}]})"),
+          std::string(R"({"steps":[{"gpus":1000000}]})"),
+          std::string(R"({"steps":[{"estimated_ms":9223372036854775807}]})"),
+          std::string(R"({"steps":[{}],"first_run_ms":9223372036854775807})"),
+          std::string(R"({"steps":[{}],"repeat_count":2147483647,"interval_ms":300000000000})"),
+          R"({"steps":[{"affinity":")" + longText + "\"}]}",
+          R"({"steps":[{"required_label":")" + longText + "\"}]}",
+          R"({"steps":[{"image":")" + longText + "\"}]}"}) {
+        CHECK_TEXT(failureOf(decodeJob("5c0e7a21d94b36f8", bad)), bad.substr(0, 90).c_str());
+    }
+    std::string steps = "{}";
+    std::string after = "0";
+    for (int i = 1; i < 600; ++i) {
+        steps += ",{\"after\":[" + after + "]}";
+        after += "," + std::to_string(i);
+    }
+    CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", "{\"steps\":[" + steps + "]}")));
+    CHECK(!failureOf(
+        decodeJob("5c0e7a21d94b36f8",
+                  R"({"steps":[{"cpu":1}],"repeat_count":2147483647,"interval_ms":86400000})")));
+}
+
+// Guards against a ticket that makes the orders undecodable for the agent, and against one odd row
+// that hides the others.
+TEST(platform_codec, leavesOutOddRowsOfAdvice)
+{
+    advice_client advisor{client, "10.0.0.9:8530"};
+    const auto advise = [&] {
+        result<placement_advice> advice = placement_advice{};
+        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms},
+                       [&](const result<placement_advice> &answer) { advice = answer; });
+        return advice;
+    };
+    respond(200,
+            R"({"validity_ms":900,"good":[["i-1",")" + std::string(70'000, 'x')
+                + R"("],7,["i-2"],["i-3",4],["i-4","t"]]})");
+    LONGS_EQUAL(1, valueOf(advise()).tickets.size());
+    for (const char *time : {"-1", "9223372036854775807", "18446744073709551615", "1e300"}) {
+        respond(200, R"({"good":[],"validity_ms":)" + std::string(time) + "}");
+        CHECK_TEXT(failureOf(advise()), time);
+    }
+}
+
+// Guards against a wrong type or range of a nested field that gives a default: a guarantee of 0, or
+// advice that is needed at once.
+TEST(platform_codec, refusesBadNestedFieldsOfCatalogues)
+{
+    const std::string route = R"({"name":"r","host":"h","prefix":"/p/","service":"s")";
+    for (const auto &[text, field] : std::vector<std::pair<std::string, std::string>>{
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":"16"}}])",
+              "tenants[0].guaranteed.gpus"},
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":-1}}])", "tenants[0].guaranteed.gpus"},
+             {R"("tenants":[{"name":"t","guaranteed":{"gpus":1e300}}])",
+              "tenants[0].guaranteed.gpus"},
+             {"\"routes\":[" + route + R"(,"advice":{"decision_ms":"5"}}])",
+              "routes[0].advice.decision_ms"},
+             {"\"routes\":[" + route + R"(,"advice":{"validity_ms":-5}}])",
+              "routes[0].advice.validity_ms"},
+             {"\"routes\":[" + route + R"(,"slack_factor":1e300}])", "routes[0].slack_factor"},
+             {"\"routes\":[" + route + R"(,"slack_factor":-1}])", "routes[0].slack_factor"},
+             {"\"routes\":[" + route + R"(,"target_completion_ms":9223372036854775807}])",
+              "routes[0].target_completion_ms"}}) {
+        store_entry entry;
+        entry.value = R"({"version":7,)" + text + "}";
+        const result<queue_catalogue> decoded = decodeCatalogue(entry);
+        CHECK_TEXT(failureOf(decoded), text.c_str());
+        STRCMP_EQUAL_TEXT(field.c_str(), failureOf(decoded)->field.c_str(), text.c_str());
+    }
+}
+
+// Guards against a time that overflows, and against one odd wave that hides the others.
+TEST(platform_codec, leavesOutWavesOutOfRange)
+{
+    std::vector<store_entry> entries(4);
+    const std::string machines = R"("machines":["m"],"cap":1)";
+    entries[0].value = R"({"wave":1,"duration_s":1e300,)" + machines + "}";
+    entries[1].value = R"({"wave":2,"duration_s":-5,)" + machines + "}";
+    entries[2].value = R"({"wave":3,"duration_s":60.5,)" + machines + "}";
+    entries[3].value = std::string(100'000, '[');
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        entries[i].key = "op/wave/" + std::to_string(i + 1);
+    const operator_items items = sortOperatorItems(entries);
+    LONGS_EQUAL(1, items.waves.size());
+    LONGS_EQUAL(60'500, items.waves[0].time.count());
+}
