Count runs of no task when a start is ordered on a worker

Callers would see a backend server over its capacity (LIMIT).

Cause: the check of the capacity before a start is ordered counted only the current runs of tasks. A run whose own start was late is listed, but is not the current run of a task. If it was first listed after a start had been recorded beside it, or if the capacity shrank while it was being stopped, the start was ordered over the capacity. Placement already counted such runs.

Change: both checks use the same count. Starts that no longer fit are stopped and placed anew, as after a capacity has shrunk.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -184,24 +184,44 @@
         acknowledgeStoredEnds(worker);
 }
 
-// Returns what the runs that may exist on a worker need, those that are being stopped included.
-resources run_planner::demandOn(const pool_worker &worker) const
+// Returns what the listed runs need that are not the current run of a task, or nothing if the size
+// of one of them is not known. They keep their capacity until they have ended.
+std::optional<resources> run_planner::untrackedDemandOn(const pool_worker &worker) const
 {
     resources demand;
-    for (const task_key &key : worker.active)
-        demand += demandOf(m_jobs.at(key.job).specOf({key.occurrence, key.step}));
+    for (const std::optional<task_key> &key : worker.runningTasks) {
+        if (key && worker.active.count(*key) > 0)
+            continue;
+        const auto job = key ? m_jobs.find(key->job) : m_jobs.end();
+        if (job == m_jobs.end())
+            return std::nullopt;
+        if (key->step < static_cast<std::int32_t>(job->second.spec().steps.size()))
+            demand += demandOf(job->second.specOf({key->occurrence, key->step}));
+    }
     return demand;
 }
 
-// Stops the runs that are not known to have started. The capacity of their worker has shrunk since
-// they were placed there.
+// Returns whether a worker has the capacity for all runs that may exist there, those that are being
+// stopped included.
+bool run_planner::hasCapacityForItsRuns(const pool_worker &worker) const
+{
+    std::optional<resources> demand = untrackedDemandOn(worker);
+    if (!demand)
+        return false;
+    for (const task_key &key : worker.active)
+        *demand += demandOf(m_jobs.at(key.job).specOf({key.occurrence, key.step}));
+    return worker.capacity.covers(*demand);
+}
+
+// Stops the runs that are not known to have started. Since they were placed, the capacity of their
+// worker has shrunk, or runs have been listed there that are not the current run of a task.
 void run_planner::stopOpenStarts(pool_worker &worker)
 {
     const std::set<task_key> active = worker.active;
     for (const task_key &key : active) {
         tracked_job &job = m_jobs.at(key.job);
         if (!job.find(key)->isListed)
-            stopRun(job, key, "the capacity of its worker has shrunk",
+            stopRun(job, key, "its worker no longer has the capacity",
                     fmt::format("cores={} accelerators={}", worker.capacity.cores,
                                 worker.capacity.accelerators));
     }
@@ -225,7 +245,7 @@
     const duration longest = scaled(m_options.workerLease, 1 + m_options.clockError);
     worker->leaseEnds
         = std::max(worker->leaseEnds, worker->reportedAt + longest + m_options.leaseSlack);
-    if (!worker->capacity.covers(demandOn(*worker)))
+    if (!hasCapacityForItsRuns(*worker))
         stopOpenStarts(*worker);
     for (const task_key &key : worker->active) {
         tracked_job &job = m_jobs.at(key.job);
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -223,7 +223,8 @@
     void noteFailure(pool_worker &worker, const std::string &job, time_point now);
     void acknowledgeStoredEnds(pool_worker &worker);
     void syncActive(tracked_job &job);
-    resources demandOn(const pool_worker &worker) const;
+    std::optional<resources> untrackedDemandOn(const pool_worker &worker) const;
+    bool hasCapacityForItsRuns(const pool_worker &worker) const;
     void stopOpenStarts(pool_worker &worker);
 
     // Planning.
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -262,17 +262,10 @@
             capacity.free -= run.demand;
             capacity.runs.push_back(run);
         }
-        for (const std::optional<task_key> &key : worker.runningTasks) {
-            if (key && worker.active.count(*key) > 0)
-                continue;
-            const auto job = key ? m_jobs.find(key->job) : m_jobs.end();
-            if (job == m_jobs.end()) {
-                capacity.free = {}; // the size of the run is not known
-                continue;
-            }
-            if (key->step < static_cast<std::int32_t>(job->second.spec().steps.size()))
-                capacity.free -= demandOf(job->second.specOf({key->occurrence, key->step}));
-        }
+        if (const std::optional<resources> untracked = untrackedDemandOn(worker))
+            capacity.free -= *untracked;
+        else
+            capacity.free = {}; // the size of a run is not known
         capacities.push_back(std::move(capacity));
     }
     for (worker_capacity &capacity : capacities) {
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -854,6 +854,106 @@
     LONGS_EQUAL(1, orders.stops.size());
 }
 
+// The same when the capacity shrinks twice: what still fits after the first time may not fit after
+// the second.
+TEST(run_planner, startsOnACapacityThatShrinksTwiceAreNotOrdered)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 4;
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    report = reportOf("w1");
+    report.capacity.accelerators = 3;
+    planner.onReport(report, wall, now);
+    const worker_orders_message orders = ordersOf("w1");
+    CHECK(orders.starts.empty());
+    LONGS_EQUAL(1, orders.stops.size());
+}
+
+// A start that was stopped because the capacity shrank is not ordered again when the capacity grows
+// back, as its stop may be carried out before or after it. Its task keeps the capacity until then.
+TEST(run_planner, startStoppedByAShrinkIsNotOrderedWhenTheCapacityGrowsBack)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("b", 0, makeStep(1, 8));
+    planAndStore();
+    worker_orders_message orders = ordersOf("w1");
+    CHECK(orders.starts.empty());
+    LONGS_EQUAL(1, orders.stops.size());
+    report = reportOf("w1");
+    report.ordersSeen = orders.sequence;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    orders = ordersOf("w1");
+    LONGS_EQUAL(1, orders.starts.size());
+    STRCMP_EQUAL("b.0.0.0", orders.starts[0].run.task.c_str());
+}
+
+// The same around a takeover: the successor finds the record of a start, and a smaller capacity.
+TEST(run_planner, restoredStartOnACapacityThatHasShrunkIsNotOrdered)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planner.plan(wall, now);
+    const job_progress stored = planner.takeChanges(1).at(0).progress;
+    run_planner successor(run_planner_options{}, someEpoch, now);
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(1, 4));
+    successor.addJob(job, stored, wall, now);
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    successor.onReport(report, wall, now);
+    const auto orders = successor.ordersFor("w1", now);
+    CHECK(orders->starts.empty());
+    LONGS_EQUAL(1, orders->stops.size());
+}
+
+// Guards LIMIT: a run that is not the current one of its task keeps its capacity until it has
+// ended. It is listed after a start has been recorded beside it, since its own start was late.
+TEST(run_planner, startBesideAnUnassignedRunIsNotOrderedOverTheCapacity)
+{
+    addJob("late", 1, makeStep(1, 8));
+    planner.cancelJob("late", wall);
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").starts.empty());
+}
+
+// The same when the capacity shrinks while such a run is being stopped.
+TEST(run_planner, shrunkCapacityIsSharedWithAnUnassignedRun)
+{
+    addJob("late", 1, makeStep(1, 4));
+    planner.cancelJob("late", wall);
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    report = reportOf("w1");
+    report.capacity.accelerators = 6;
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").starts.empty());
+}
+
 // Runs that have started go on when the capacity shrinks below them.
 TEST(run_planner, runningTaskSurvivesAShrinkingCapacity)
 {
