Count a crash once when it is reported again to a later planner

A job that can be done could be shown as failed (LOST).

Cause: that the crash of a run had been counted was known to the planner alone, and the count to its record. A planner that was killed after it had stored the count, but before the run had ended in the record, left both to its successor. The agent reports the same crash to each planner, so the successor counted it again.

Change: the record keeps the number of the last run whose crash is counted. This adds a field to the stored progress of a job, as the counts themselves did.

--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -142,6 +142,9 @@
     std::string saved; // latest checkpoint; empty: none
     std::int32_t crashes = 0; // backend servers that crashed while they ran the task
     std::int32_t startCrashes = 0; // of these, soon after they had started it
+    // Last run whose crash is counted. The crash may be reported again to a later planner, before
+    // the run has ended here.
+    std::int32_t countedCrash = 0;
 };
 
 struct step_record
--- a/goldcrest/graph_job_fields.h
+++ b/goldcrest/graph_job_fields.h
@@ -85,7 +85,8 @@
                                                                      value.workerIncarnation)
             .bytes("saved", value.saved)
             .count("crashes", value.crashes)
-            .count("startCrashes", value.startCrashes);
+            .count("startCrashes", value.startCrashes)
+            .count("countedCrash", value.countedCrash);
     }
 };
 
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -337,11 +337,11 @@
 bool tracked_job::noteCrash(const task_key &key, duration worked, unix_ms wall)
 {
     tracked_task *task = find(key);
-    if (!task || !task->isActive() || task->isCrashCounted)
+    if (!task || !task->isActive() || task->record.countedCrash == task->record.lastRun)
         return false;
     ++m_version;
-    task->isCrashCounted = true;
     task_record &record = task->record;
+    record.countedCrash = record.lastRun;
     if (worked >= harmlessAfter)
         record.crashes = record.startCrashes = 0;
     else
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -52,7 +52,6 @@
     // The current run started from the beginning and near its data, so its length tells how long
     // such tasks take.
     bool isTypical = false;
-    bool isCrashCounted = false; // the crash that ended the current run is in the record
 
     bool isActive() const { return !record.worker.empty(); }
     // Returns whether the current run has not worked for startupTime yet.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -139,6 +139,11 @@
         planner.onReport(report, wall, now);
     }
 
+    static const task_record &firstTaskOf(const job_progress &progress)
+    {
+        return progress.occurrences.at(0).steps.at(0).tasks.at(0);
+    }
+
     worker_orders_message ordersOf(const std::string &worker)
     {
         const auto orders = planner.ordersFor(worker, now);
@@ -791,6 +796,40 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Failed);
 }
 
+// Guards a job that can be done against being given up for crashes that were counted twice: the
+// planner is killed after it has stored the count and before the run has ended in its record, and
+// the agent reports the same crash to the successor.
+TEST(run_planner, crashIsCountedOnceWhenItsPlannerIsKilled)
+{
+    addJob("a", 1, makeStep(1, 1));
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    ordersOf("w1");
+    crashWorker("w1", {{"a.0.0.0", 1}});
+    const job_progress stored = planner.takeChanges(1).at(0).progress;
+    LONGS_EQUAL(1, firstTaskOf(stored).crashes);
+
+    run_planner successor(run_planner_options{}, someEpoch, now);
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(1, 1));
+    successor.addJob(job, valueOf(decodeJobProgress(encodeJobProgress(stored))), wall, now);
+    worker_report_message final = reportOf("w1");
+    final.isFinal = final.hasEndedRuns = true;
+    final.startedRuns = {{"a.0.0.0", 1}};
+    successor.onReport(final, wall, now);
+    successor.onReport(reportOf("w1", "l2"), wall, now);
+    worker_report_message stopped = reportOf("w1", "l2");
+    stopped.ordersSeen = successor.ordersFor("w1", now)->sequence;
+    successor.onReport(stopped, wall, now);
+    const job_progress after = successor.takeChanges(1).at(0).progress;
+    CHECK(firstTaskOf(after).worker.empty());
+    LONGS_EQUAL(1, firstTaskOf(after).crashes);
+    LONGS_EQUAL(1, firstTaskOf(after).startCrashes);
+}
+
 // A crash long after the start is weaker evidence; one after a minute of work is none.
 TEST(run_planner, taskThatWorkedForLongIsNotGivenUp)
 {
