Test a capacity that shrinks twice while starts are unanswered

No test covered an agent that refuses starts because the capacity of its backend server shrinks, and then sees the capacity grow back before the stop of the refused start is answered. The test passes on the present code: refused starts are not repeated, and stay unresolved until their stop is confirmed.

--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -116,6 +116,16 @@
         query.answer(status);
     }
 
+    // Announces the current incarnation with this capacity.
+    void announceAccelerators(std::int64_t count)
+    {
+        host_announcement changed = *agent.backend();
+        ++changed.sequence;
+        changed.capacity.accelerators = count;
+        agent.onAnnouncement(changed);
+        loop.advance(1ms);
+    }
+
     worker_orders_message orders(epoch from, std::int64_t number)
     {
         worker_orders_message message;
@@ -291,6 +301,41 @@
     LONGS_EQUAL(1, host.stops.size());
 }
 
+// The same when the capacity has grown back before the start is known to be stopped: the start is
+// refused, not repeated, and its outcome stays open until the stop is confirmed. A start that is
+// ordered in between is refused when the capacity shrinks for the second time.
+TEST(run_agent, refusedStartIsNotRepeatedWhenTheCapacityGrowsBack)
+{
+    const run_id other{"5c0e7a21d94b36f8.0.0.1", 1};
+    worker_orders_message first = orders(5, 1);
+    first.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(first);
+    host.starts[0].answer(makeFailure(code::BackendUnavailable, "no answer"));
+    announceAccelerators(-1);
+    announceAccelerators(0);
+    first.sequence = 2;
+    first.starts.push_back({other, "spec", {}, {}});
+    agent.onOrders(first);
+    LONGS_EQUAL(2, host.starts.size());
+    CHECK(host.starts[1].order.run == other);
+    host.starts[1].answer(makeFailure(code::BackendUnavailable, "no answer"));
+    announceAccelerators(-2);
+    announceAccelerators(0);
+    loop.advance(1s);
+    LONGS_EQUAL(2, host.starts.size());
+    LONGS_EQUAL(2, host.stops.size());
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.back().unresolved.size());
+    CHECK(reports.back().refused.empty());
+    host.stops[0].answer(done{});
+    host.stops[1].answer(done{});
+    loop.advance(1ms);
+    answerStatusQuery();
+    CHECK(reports.back().unresolved.empty());
+    LONGS_EQUAL(2, reports.back().refused.size());
+    LONGS_EQUAL(2, host.starts.size());
+}
+
 TEST(run_agent, announcedDepartureIsNoCrash)
 {
     announce("i-1", 100, true);
