Start guaranteed gangs on the workers that are reserved for them

Cause: a gang that is to run on one rack takes three times as long when it is spread. If one rack was expected to be free in two seconds, the placement preferred to wait for it. That is more than a guaranteed job may wait, so the planner looked for runs to stop, and found free workers on several racks, at no loss. It reserved these, but started only where the placement said. The reservation expired and was made anew up to three times, while the estimate for the rack moved on.

Ruled out: wrong estimates of runs that are about to end.

Change: a unit within a guarantee starts on its reserved workers once it fits there.

Result: guaranteedGangStartsApartRatherThanWaitForARack and guaranteedGangStartsWhereItsReservationIs failed before and pass.

--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -389,6 +389,24 @@
     return best;
 }
 
+std::optional<placement> placementNowOn(const std::vector<worker_capacity> &capacities,
+                                        const placement_request &request, const placement &where,
+                                        time_point now)
+{
+    index_list among = eligibleIndexes(capacities, request);
+    among.erase(std::remove_if(among.begin(), among.end(),
+                               [&where](std::size_t index) {
+                                   return std::find(where.indexes.begin(), where.indexes.end(),
+                                                    index)
+                                       == where.indexes.end();
+                               }),
+                among.end());
+    auto chosen = assign(scratchAt(capacities, among, request, now, where.estimate), request);
+    if (!chosen)
+        return std::nullopt;
+    return placement{now, where.estimate, *std::move(chosen)};
+}
+
 std::optional<eviction> cheapestEviction(const std::vector<worker_capacity> &capacities,
                                          const placement_request &request,
                                          const eviction_rule &rule, time_point now)
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -76,6 +76,12 @@
 std::optional<placement> bestPlacement(const std::vector<worker_capacity> &capacities,
                                        const placement_request &request, time_point now);
 
+// Returns a placement on the workers of another one that can start now, or nothing if the tasks do
+// not fit there now.
+std::optional<placement> placementNowOn(const std::vector<worker_capacity> &capacities,
+                                        const placement_request &request, const placement &where,
+                                        time_point now);
+
 // A placement that becomes possible by stopping other units.
 struct eviction
 {
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -183,6 +183,7 @@
     struct preemption_reservation
     {
         std::vector<worker_id> workers;
+        duration estimate = 0ms; // run time of one task there
         time_point until{};
     };
 
@@ -282,8 +283,17 @@
                                          time_point now) const;
     void startUnit(const unit &next, std::vector<worker_capacity> &capacities,
                    const placement &where, time_point now);
-    bool keepPreemptionReservation(const unit &next, std::vector<worker_capacity> &capacities,
-                                   const placement_request &request, time_point now);
+    unit_outcome startOrReserve(const unit &next, std::vector<worker_capacity> &capacities,
+                                const placement_request &request, const placement &where,
+                                time_point now);
+    unit_outcome startOnReserved(const unit &next, std::vector<worker_capacity> &capacities,
+                                 const placement_request &request, const placement &where,
+                                 time_point now);
+    void makePreemptionReservation(const unit &next, const std::vector<worker_capacity> &capacities,
+                                   const placement &where, time_point now);
+    std::optional<placement> reservedPlacement(const unit &next,
+                                               const std::vector<worker_capacity> &capacities,
+                                               time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
                    const unit &beneficiary, time_point now);
     std::set<std::string> guaranteedJobs() const;
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -45,58 +45,88 @@
 {
     const placement_request request = requestFor(next, eligible);
     const std::optional<placement> found = bestPlacement(capacities, request, now);
-    if (found && found->start <= now) {
-        if (mayStart(next, capacities, *found, now)) {
-            startUnit(next, capacities, *found, now);
-            return unit_outcome::Started;
-        }
-        reserveCapacity(capacities, request, *found);
-        return unit_outcome::Waiting;
-    }
-    if (keepPreemptionReservation(next, capacities, request, now))
-        return unit_outcome::WaitingForStops;
+    if (found && found->start <= now)
+        return startOrReserve(next, capacities, request, *found, now);
+    if (const std::optional<placement> where = reservedPlacement(next, capacities, now))
+        return startOnReserved(next, capacities, request, *where, now);
     if (const std::optional<eviction> evicted
         = findEviction(next, capacities, request, found, now)) {
-        const placement &where = evicted->where;
         stopUnits(evicted->units, capacities, next, now);
-        reserveCapacity(capacities, request, where);
-        preemption_reservation &made
-            = m_preemptionReservations[next.job->keyOf(next.step, next.indexes.front())];
-        made.until = now + m_options.stopTime + preemptionSlack;
-        made.workers.clear();
-        for (const std::size_t index : where.indexes)
-            made.workers.push_back(capacities[index].worker);
-        return unit_outcome::WaitingForStops;
+        makePreemptionReservation(next, capacities, evicted->where, now);
+        return startOnReserved(next, capacities, request, evicted->where, now);
     }
     if (found)
         reserveCapacity(capacities, request, *found);
     return unit_outcome::Waiting;
 }
 
-// Reserves the capacity that others are being stopped for. Returns false if the unit has no
-// preemption reservation or if it has expired.
-bool run_planner::keepPreemptionReservation(const unit &next,
-                                            std::vector<worker_capacity> &capacities,
-                                            const placement_request &request, time_point now)
+// Starts a unit where it can start now. Without permission it waits with its capacity reserved.
+run_planner::unit_outcome run_planner::startOrReserve(const unit &next,
+                                                      std::vector<worker_capacity> &capacities,
+                                                      const placement_request &request,
+                                                      const placement &where, time_point now)
+{
+    if (mayStart(next, capacities, where, now)) {
+        startUnit(next, capacities, where, now);
+        return unit_outcome::Started;
+    }
+    reserveCapacity(capacities, request, where);
+    return unit_outcome::Waiting;
+}
+
+// Reserves the workers on which others are being stopped for a unit. A unit within a guarantee
+// starts there once it can, though it may be faster elsewhere later: it has little time, and the
+// estimates of when that will be are uncertain.
+run_planner::unit_outcome run_planner::startOnReserved(const unit &next,
+                                                       std::vector<worker_capacity> &capacities,
+                                                       const placement_request &request,
+                                                       const placement &where, time_point now)
+{
+    if (next.isGuaranteed) {
+        if (const auto free = placementNowOn(capacities, request, where, now))
+            return startOrReserve(next, capacities, request, *free, now);
+    }
+    reserveCapacity(capacities, request, where);
+    return unit_outcome::WaitingForStops;
+}
+
+void run_planner::makePreemptionReservation(const unit &next,
+                                            const std::vector<worker_capacity> &capacities,
+                                            const placement &where, time_point now)
+{
+    preemption_reservation &made
+        = m_preemptionReservations[next.job->keyOf(next.step, next.indexes.front())];
+    made.until = now + m_options.stopTime + preemptionSlack;
+    made.estimate = where.estimate;
+    made.workers.clear();
+    for (const std::size_t index : where.indexes)
+        made.workers.push_back(capacities[index].worker);
+}
+
+// Returns where others are being stopped for a unit, or nothing if it has no preemption reservation
+// or if that has expired.
+std::optional<placement>
+run_planner::reservedPlacement(const unit &next, const std::vector<worker_capacity> &capacities,
+                               time_point now)
 {
     const auto made
         = m_preemptionReservations.find(next.job->keyOf(next.step, next.indexes.front()));
     if (made == m_preemptionReservations.end())
-        return false;
+        return std::nullopt;
     if (now > made->second.until) {
         m_preemptionReservations.erase(made);
-        return false;
+        return std::nullopt;
     }
     placement where;
     where.start = now;
+    where.estimate = made->second.estimate;
     for (const worker_id &worker : made->second.workers) {
         for (std::size_t i = 0; i < capacities.size(); ++i) {
             if (capacities[i].worker == worker)
                 where.indexes.push_back(i);
         }
     }
-    reserveCapacity(capacities, request, where);
-    return true;
+    return where;
 }
 
 // Returns which units to stop for a unit that would otherwise wait too long, if any.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -49,12 +49,13 @@
         planner.setView(view);
     }
 
-    void addJob(const std::string &id, std::int32_t priority, const step_spec &step)
+    void addJob(const std::string &id, std::int32_t priority, const step_spec &step,
+                const std::string &team = "t")
     {
         graph_job job;
         job.id = id;
         job.queue = "q" + std::to_string(priority);
-        job.team = "t";
+        job.team = team;
         job.policy = catalogue->queues[static_cast<std::size_t>(priority)].policy;
         job.steps.push_back(step);
         job.acceptedAt = wall;
@@ -711,6 +712,68 @@
     STRCMP_EQUAL("urgent.0.0.0", last.starts[0].run.task.c_str());
 }
 
+// Guards RECLAIM: a gang within the guarantee starts on the free workers that were chosen for it,
+// though it would be faster on one rack. It waited there for estimates that moved on, while its
+// reservation kept the free workers from everybody (day deadly-task on the enlarged tawe-loft, seed
+// 1).
+TEST(run_planner, guaranteedGangStartsApartRatherThanWaitForARack)
+{
+    catalogue->teams.push_back({"u", {}, 8});
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("other", 0, makeStep(1, 8), "u");
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"other.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    report = reportOf("w3");
+    report.rack = "r2";
+    planner.onReport(report, wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = gang.sameRack = true;
+    addJob("urgent", 0, gang);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+}
+
+// The same for workers on which other runs had to be stopped first.
+TEST(run_planner, guaranteedGangStartsWhereItsReservationIs)
+{
+    catalogue->teams.push_back({"u", {}, 8});
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("other", 0, makeStep(1, 8), "u");
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"other.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    report = reportOf("w3");
+    report.rack = "r2";
+    planner.onReport(report, wall, now);
+    addJob("low", 2, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+    report.clock = ++clock;
+    report.running.push_back({{"low.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = gang.sameRack = true;
+    addJob("urgent", 0, gang);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w3").stops.size());
+    CHECK(ordersOf("w2").starts.empty());
+    report.clock = ++clock;
+    report.running.clear();
+    report.ended.push_back({1, {"low.0.0.0", 1}, run_end::Stopped, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+}
+
 // Guards against a task that is started without end though it crashes each backend server that
 // starts it (violated BUDGET on day deadly of all sites).
 TEST(run_planner, givesUpATaskThatCrashesBackendServers)
