--- a/goldcrest/graph_job_fields.h
+++ b/goldcrest/graph_job_fields.h
@@ -86,7 +86,8 @@
             .bytes("saved", value.saved)
             .count("crashes", value.crashes)
             .count("startCrashes", value.startCrashes)
-            .count("possibleCrashes", value.possibleCrashes);
+            .count("possibleCrashes", value.possibleCrashes)
+            .count("countedCrash", value.countedCrash);
     }
 };
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -49,12 +49,13 @@
         planner.setView(view);
     }
 
-    void addJob(const std::string &id, std::int32_t priority, const step_spec &step)
+    void addJob(const std::string &id, std::int32_t priority, const step_spec &step,
+                const std::string &team = "t")
     {
         graph_job job;
         job.id = id;
         job.queue = "q" + std::to_string(priority);
-        job.team = "t";
+        job.team = team;
         job.policy = catalogue->queues[static_cast<std::size_t>(priority)].policy;
         job.steps.push_back(step);
         job.acceptedAt = wall;
@@ -139,6 +140,11 @@
         planner.onReport(report, wall, now);
     }
 
+    static const task_record &firstTaskOf(const job_progress &progress)
+    {
+        return progress.occurrences.at(0).steps.at(0).tasks.at(0);
+    }
+
     worker_orders_message ordersOf(const std::string &worker)
     {
         const auto orders = planner.ordersFor(worker, now);
@@ -747,6 +753,68 @@
     STRCMP_EQUAL("urgent.0.0.0", last.starts[0].run.task.c_str());
 }
 
+// Guards RECLAIM: a gang within the guarantee starts on the free workers that were chosen for it,
+// though it would be faster on one rack. It waited there for estimates that moved on, while its
+// reservation kept the free workers from everybody (day deadly-task on the enlarged tawe-loft, seed
+// 1).
+TEST(run_planner, guaranteedGangStartsApartRatherThanWaitForARack)
+{
+    catalogue->teams.push_back({"u", {}, 8});
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("other", 0, makeStep(1, 8), "u");
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"other.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    report = reportOf("w3");
+    report.rack = "r2";
+    planner.onReport(report, wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = gang.sameRack = true;
+    addJob("urgent", 0, gang);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+}
+
+// The same for workers on which other runs had to be stopped first.
+TEST(run_planner, guaranteedGangStartsWhereItsReservationIs)
+{
+    catalogue->teams.push_back({"u", {}, 8});
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("other", 0, makeStep(1, 8), "u");
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"other.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    report = reportOf("w3");
+    report.rack = "r2";
+    planner.onReport(report, wall, now);
+    addJob("low", 2, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+    report.clock = ++clock;
+    report.running.push_back({{"low.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = gang.sameRack = true;
+    addJob("urgent", 0, gang);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w3").stops.size());
+    CHECK(ordersOf("w2").starts.empty());
+    report.clock = ++clock;
+    report.running.clear();
+    report.ended.push_back({1, {"low.0.0.0", 1}, run_end::Stopped, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+    LONGS_EQUAL(1, ordersOf("w3").starts.size());
+}
+
 // Guards against a task that is started without end though it crashes each backend server that
 // starts it (violated BUDGET on day deadly of all sites).
 TEST(run_planner, givesUpATaskThatCrashesBackendServers)
@@ -911,6 +979,40 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Failed);
 }
 
+// Guards a job that can be done against being given up for crashes that were counted twice: the
+// planner is killed after it has stored the count and before the run has ended in its record, and
+// the agent reports the same crash to the successor.
+TEST(run_planner, crashIsCountedOnceWhenItsPlannerIsKilled)
+{
+    addJob("a", 1, makeStep(1, 1));
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    ordersOf("w1");
+    crashWorker("w1", {{"a.0.0.0", 1}});
+    const job_progress stored = planner.takeChanges(1).at(0).progress;
+    LONGS_EQUAL(1, firstTaskOf(stored).crashes);
+
+    run_planner successor(run_planner_options{}, someEpoch, now);
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(1, 1));
+    successor.addJob(job, valueOf(decodeJobProgress(encodeJobProgress(stored))), wall, now);
+    worker_report_message final = reportOf("w1");
+    final.isFinal = final.hasEndedRuns = true;
+    final.startedRuns = {{"a.0.0.0", 1}};
+    successor.onReport(final, wall, now);
+    successor.onReport(reportOf("w1", "l2"), wall, now);
+    worker_report_message stopped = reportOf("w1", "l2");
+    stopped.ordersSeen = successor.ordersFor("w1", now)->sequence;
+    successor.onReport(stopped, wall, now);
+    const job_progress after = successor.takeChanges(1).at(0).progress;
+    CHECK(firstTaskOf(after).worker.empty());
+    LONGS_EQUAL(1, firstTaskOf(after).crashes);
+    LONGS_EQUAL(1, firstTaskOf(after).startCrashes);
+}
+
 // A crash long after the start is weaker evidence; one after a minute of work is none.
 TEST(run_planner, taskThatWorkedForLongIsNotGivenUp)
 {
@@ -974,6 +1076,106 @@
     LONGS_EQUAL(1, orders.stops.size());
 }
 
+// The same when the capacity shrinks twice: what still fits after the first time may not fit after
+// the second.
+TEST(run_planner, startsOnACapacityThatShrinksTwiceAreNotOrdered)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 4;
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    report = reportOf("w1");
+    report.capacity.accelerators = 3;
+    planner.onReport(report, wall, now);
+    const worker_orders_message orders = ordersOf("w1");
+    CHECK(orders.starts.empty());
+    LONGS_EQUAL(1, orders.stops.size());
+}
+
+// A start that was stopped because the capacity shrank is not ordered again when the capacity grows
+// back, as its stop may be carried out before or after it. Its task keeps the capacity until then.
+TEST(run_planner, startStoppedByAShrinkIsNotOrderedWhenTheCapacityGrowsBack)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("b", 0, makeStep(1, 8));
+    planAndStore();
+    worker_orders_message orders = ordersOf("w1");
+    CHECK(orders.starts.empty());
+    LONGS_EQUAL(1, orders.stops.size());
+    report = reportOf("w1");
+    report.ordersSeen = orders.sequence;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    orders = ordersOf("w1");
+    LONGS_EQUAL(1, orders.starts.size());
+    STRCMP_EQUAL("b.0.0.0", orders.starts[0].run.task.c_str());
+}
+
+// The same around a takeover: the successor finds the record of a start, and a smaller capacity.
+TEST(run_planner, restoredStartOnACapacityThatHasShrunkIsNotOrdered)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planner.plan(wall, now);
+    const job_progress stored = planner.takeChanges(1).at(0).progress;
+    run_planner successor(run_planner_options{}, someEpoch, now);
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(1, 4));
+    successor.addJob(job, stored, wall, now);
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 2;
+    successor.onReport(report, wall, now);
+    const auto orders = successor.ordersFor("w1", now);
+    CHECK(orders->starts.empty());
+    LONGS_EQUAL(1, orders->stops.size());
+}
+
+// Guards LIMIT: a run that is not the current one of its task keeps its capacity until it has
+// ended. It is listed after a start has been recorded beside it, since its own start was late.
+TEST(run_planner, startBesideAnUnassignedRunIsNotOrderedOverTheCapacity)
+{
+    addJob("late", 1, makeStep(1, 8));
+    planner.cancelJob("late", wall);
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").starts.empty());
+}
+
+// The same when the capacity shrinks while such a run is being stopped.
+TEST(run_planner, shrunkCapacityIsSharedWithAnUnassignedRun)
+{
+    addJob("late", 1, makeStep(1, 4));
+    planner.cancelJob("late", wall);
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    addJob("a", 1, makeStep(1, 4));
+    planAndStore();
+    report = reportOf("w1");
+    report.capacity.accelerators = 6;
+    report.running.push_back({{"late.0.0.0", 1}, {}, 0, 0});
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").starts.empty());
+}
+
 // Runs that have started go on when the capacity shrinks below them.
 TEST(run_planner, runningTaskSurvivesAShrinkingCapacity)
 {
