Let no number of steps that can't start hide work that fits

A planning pass ended after 32 waiting steps, and counted steps that no present worker can hold.

Only steps for which capacity is reserved count towards the limit now, and it limits reservations: further steps may still start at once beside them. A step of a shape that could not be placed in the same pass is not tried again. A pass tries 256 placement units in rank order and 32 more by turns among the remaining steps, so its time stays bounded and each step is tried within a number of passes.

--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -144,7 +144,9 @@
                                     const index_list &among, const placement_request &request,
                                     duration estimate, time_point now)
 {
-    for (const time_point at : startTimes(capacities, among, now)) {
+    const std::vector<time_point> times
+        = request.onlyNow ? std::vector<time_point>{now} : startTimes(capacities, among, now);
+    for (const time_point at : times) {
         if (auto chosen = assign(scratchAt(capacities, among, request, at, estimate), request))
             return placement{at, estimate, *std::move(chosen)};
     }
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -57,6 +57,7 @@
     duration estimate = 0ms; // run time of one task near its data
     double remoteFactor = 3; // slowdown away from the data, or over several racks
     std::map<worker_id, std::int32_t> placedBefore; // number of tasks of the step already running
+    bool onlyNow = false; // later starts are of no use
     // Indexes of the workers that may be used; nullptr: all of them.
     const std::vector<std::size_t> *eligible = nullptr;
 };
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -178,6 +178,8 @@
     struct speed_evidence;
     enum class unit_outcome;
     enum class step_outcome;
+    struct step_shape;
+    struct service_pass;
 
     // Workers on which other runs are being stopped to make capacity for a unit.
     struct preemption_reservation
@@ -263,7 +265,10 @@
     job_lateness latenessOf(const tracked_job &job, time_point end) const;
     duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
     void observeRunTime(const task_key &key, std::int32_t run, time_point now);
-    void planService(const std::vector<unit> &units, const std::string &service, time_point now);
+    void planService(std::vector<unit> &units, const std::string &service, time_point now);
+    void tryStep(unit &next, service_pass &pass, std::size_t &unitsLeft, time_point now);
+    step_shape shapeOf(const unit &next) const;
+    static step_outcome combined(step_outcome step, unit_outcome placed);
     step_outcome planStep(const unit &next, std::vector<worker_capacity> &capacities,
                           std::size_t &unitsLeft, time_point now);
     bool isAdvised(const unit &next, const pool_worker &worker) const;
@@ -331,6 +336,9 @@
     std::optional<advice_request> m_adviceRequest;
     // By the first task of the unit.
     std::map<task_key, preemption_reservation> m_preemptionReservations;
+    // By service: how many of the steps after those that a pass tries in rank order were tried by
+    // turns.
+    std::map<std::string, std::size_t> m_stepsTriedByTurns;
 };
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -34,6 +34,7 @@
                 ++request.placedBefore[task.record.worker];
         }
     }
+    request.onlyNow = !next.mayReserve;
     request.eligible = &eligible;
     return request;
 }
@@ -50,11 +51,15 @@
             startUnit(next, capacities, *found, now);
             return unit_outcome::Started;
         }
+        if (!next.mayReserve)
+            return unit_outcome::NotPlaced;
         reserveCapacity(capacities, request, *found);
         return unit_outcome::Waiting;
     }
     if (keepPreemptionReservation(next, capacities, request, now))
         return unit_outcome::WaitingForStops;
+    if (!next.mayReserve)
+        return unit_outcome::NotPlaced;
     if (const std::optional<eviction> evicted
         = findEviction(next, capacities, request, found, now)) {
         const placement &where = evicted->where;
@@ -68,8 +73,9 @@
             made.workers.push_back(capacities[index].worker);
         return unit_outcome::WaitingForStops;
     }
-    if (found)
-        reserveCapacity(capacities, request, *found);
+    if (!found)
+        return unit_outcome::NotPlaced;
+    reserveCapacity(capacities, request, *found);
     return unit_outcome::Waiting;
 }
 
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -282,22 +282,83 @@
     return capacities;
 }
 
-void run_planner::planService(const std::vector<unit> &units, const std::string &service,
-                              time_point now)
+void run_planner::planService(std::vector<unit> &units, const std::string &service, time_point now)
 {
-    // A pass ends once this many steps wait, since their reservations keep capacity from steps of
-    // lower rank. More of them would hold back work for starts that the estimates can't predict.
+    // Placement units per pass, to bound its time: those in rank order, and those by turns among
+    // the remaining steps, so that no number of steps of higher rank that can't start hides one
+    // that can.
+    constexpr std::size_t unitsByRank = 256;
+    constexpr std::size_t unitsByTurns = 32;
+    service_pass pass;
+    pass.capacities = makeCapacities(service, now);
+    std::size_t unitsLeft = unitsByRank;
+    std::size_t tried = 0;
+    for (; tried < units.size() && unitsLeft > 0; ++tried)
+        tryStep(units[tried], pass, unitsLeft, now);
+    std::size_t &triedByTurns = m_stepsTriedByTurns[service];
+    const std::size_t remaining = units.size() - tried;
+    if (remaining == 0) {
+        triedByTurns = 0;
+        return;
+    }
+    unitsLeft = unitsByTurns;
+    for (std::size_t i = 0; i < remaining && unitsLeft > 0; ++i) {
+        tryStep(units[tried + triedByTurns % remaining], pass, unitsLeft, now);
+        ++triedByTurns;
+    }
+}
+
+// Plans a step, unless an earlier one of the same shape could not be placed in this pass.
+void run_planner::tryStep(unit &next, service_pass &pass, std::size_t &unitsLeft, time_point now)
+{
+    // Capacity is reserved for this many steps. Reservations for more would hold back work for
+    // starts that the estimates can't predict. Further steps may only start now.
     constexpr std::size_t maxWaitingSteps = 32;
-    // Maximum number of placement units per pass, to bound its time.
-    std::size_t unitsLeft = 256;
-    std::vector<worker_capacity> capacities = makeCapacities(service, now);
-    std::size_t waiting = 0;
-    for (const unit &next : units) {
-        if (unitsLeft == 0 || waiting > maxWaitingSteps)
-            break;
-        if (planStep(next, capacities, unitsLeft, now) == step_outcome::Waiting)
-            ++waiting;
+    next.mayReserve = pass.waitingSteps < maxWaitingSteps;
+    const auto [found, isNew] = pass.notPlaced.emplace(shapeOf(next), duration::max());
+    if (next.estimate >= found->second)
+        return;
+    switch (planStep(next, pass.capacities, unitsLeft, now)) {
+    case step_outcome::Started:
+        break;
+    case step_outcome::Waiting:
+        ++pass.waitingSteps;
+        break;
+    case step_outcome::NotPlaced:
+        found->second = next.estimate;
+        break;
+    }
+}
+
+run_planner::step_shape run_planner::shapeOf(const unit &next) const
+{
+    const step_spec &step = next.job->specOf(next.step);
+    step_shape shape;
+    const bool dependsOnStep = step.maxPerWorker > 0 || m_failedOn.count(next.job->id()) > 0
+        || advisedQueueOf(*next.job) || isSuspect(next);
+    if (dependsOnStep)
+        shape.step = fmt::format("{}.{}.{}", next.job->id(), next.step.occurrence, next.step.step);
+    shape.requiredLabel = step.requiredLabel;
+    shape.dataRack = step.dataRack;
+    shape.demand = demandOf(step);
+    shape.count = step.gang ? static_cast<std::int32_t>(next.indexes.size()) : 1;
+    shape.sameRack = step.sameRack;
+    return shape;
+}
+
+// Returns the outcome of a step after another of its units was planned.
+run_planner::step_outcome run_planner::combined(step_outcome step, unit_outcome placed)
+{
+    switch (placed) {
+    case unit_outcome::Started:
+        return step;
+    case unit_outcome::NotPlaced:
+        return step == step_outcome::Waiting ? step : step_outcome::NotPlaced;
+    case unit_outcome::Waiting:
+    case unit_outcome::WaitingForStops:
+        break;
     }
+    return step_outcome::Waiting;
 }
 
 // Places the waiting tasks of a step: a gang as a whole, other tasks one by one. The tasks of a
@@ -309,10 +370,9 @@
     const std::vector<std::size_t> eligible = eligibleCapacities(next, capacities, now);
     if (next.job->specOf(next.step).gang) {
         --unitsLeft;
-        return planUnit(next, eligibleForGang(next, eligible, capacities, now), capacities, now)
-                == unit_outcome::Started
-            ? step_outcome::Started
-            : step_outcome::Waiting;
+        return combined(
+            step_outcome::Started,
+            planUnit(next, eligibleForGang(next, eligible, capacities, now), capacities, now));
     }
     step_outcome outcome = planSuspects(next, eligible, capacities, unitsLeft, now);
     unit single = next;
@@ -324,9 +384,8 @@
             continue;
         --unitsLeft;
         const unit_outcome placed = planUnit(single, eligible, capacities, now);
-        if (placed != unit_outcome::Started)
-            outcome = step_outcome::Waiting;
-        if (placed == unit_outcome::Waiting)
+        outcome = combined(outcome, placed);
+        if (placed == unit_outcome::Waiting || placed == unit_outcome::NotPlaced)
             break;
     }
     return outcome;
--- a/goldcrest/run_planner_trials.cc
+++ b/goldcrest/run_planner_trials.cc
@@ -102,8 +102,9 @@
             continue;
         --unitsLeft;
         const std::vector<std::size_t> apart = apartFromStarts(eligible, capacities);
-        if (apart.empty() || planUnit(single, apart, capacities, now) != unit_outcome::Started)
-            outcome = step_outcome::Waiting;
+        const unit_outcome placed
+            = apart.empty() ? unit_outcome::NotPlaced : planUnit(single, apart, capacities, now);
+        outcome = combined(outcome, placed);
     }
     return outcome;
 }
--- a/goldcrest/run_planner_unit.h
+++ b/goldcrest/run_planner_unit.h
@@ -8,6 +8,9 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <map>
+#include <string>
+#include <tuple>
 #include <vector>
 
 namespace goldcrest {
@@ -22,10 +25,44 @@
     time_point target{}; // when the job should be done
     job_lateness lateness = job_lateness::OnTime; // if it starts now
     duration estimate = 0ms;
+    // Whether capacity may be reserved, or other runs stopped, for it if it can't start now.
+    bool mayReserve = true;
 };
 
-enum class run_planner::unit_outcome { Started, Waiting, WaitingForStops };
-enum class run_planner::step_outcome { Started, Waiting };
+// NotPlaced: can't start now, and nothing is reserved for it.
+enum class run_planner::unit_outcome { Started, Waiting, WaitingForStops, NotPlaced };
+enum class run_planner::step_outcome { Started, Waiting, NotPlaced };
+
+// What decides whether a step fits into the capacities of a pass. Steps that are alike in this fit
+// alike, but for their run time.
+struct run_planner::step_shape
+{
+    std::string step; // empty unless the workers that may be used depend on the step
+    std::string requiredLabel;
+    std::string dataRack;
+    resources demand; // of one task
+    std::int32_t count = 1; // tasks to place together
+    bool sameRack = false;
+
+    bool operator<(const step_shape &other) const
+    {
+        const auto fields = [](const step_shape &one) {
+            return std::tie(one.step, one.requiredLabel, one.dataRack, one.demand.cores,
+                            one.demand.memory, one.demand.accelerators, one.count, one.sameRack);
+        };
+        return fields(*this) < fields(other);
+    }
+};
+
+// The state of a pass over the steps of one service.
+struct run_planner::service_pass
+{
+    std::vector<worker_capacity> capacities;
+    std::size_t waitingSteps = 0; // for which capacity is reserved
+    // Shapes that could not be placed, with the shortest run time that was tried. Free capacity
+    // only shrinks during a pass, so that neither can later steps of the same shape.
+    std::map<step_shape, duration> notPlaced;
+};
 
 // Value of completing a job on time rather than late, by priority, as the core-seconds of other
 // work that may be discarded for it. The users value their classes at 4, 3 and 1 units, and a
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -268,6 +268,56 @@
     CHECK(*planner.stateOf("small") == graph_job_state::Running);
 }
 
+// Guards LOST: jobs of lower priority never started on idle servers behind 33 steps that fit on no
+// server (review/2).
+TEST(run_planner, stepsThatFitNowhereDoNotHideWorkThatFits)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    step_spec unlabelled = makeStep(1, 1);
+    unlabelled.requiredLabel = "b";
+    for (int i = 0; i < 300; ++i) {
+        addJob("unlabelled" + std::to_string(i), 0, unlabelled);
+        addJob("large" + std::to_string(i), 1, makeStep(1, 9));
+    }
+    addJob("small", 2, makeStep(1, 1));
+    planAndStore();
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
+// Guards LOST: the same with steps that all differ, so that a pass can't try all of them.
+TEST(run_planner, anyNumberOfStepsThatFitNowhereLeavesOthersTheirTurn)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    for (int i = 0; i < 400; ++i)
+        addJob("large" + std::to_string(i), 1, makeStep(1, 9 + i));
+    addJob("small", 2, makeStep(1, 1));
+    for (int pass = 0; pass < 5; ++pass)
+        planAndStore();
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
+// Guards LOST: steps that wait for capacity kept a pass from trying others on another server.
+TEST(run_planner, stepsThatWaitForCapacityDoNotHideWorkThatFits)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message other = reportOf("w2");
+    other.labels = {"other"};
+    addJob("long", 1, makeStep(1, 8));
+    planAndStore();
+    ordersOf("w1");
+    planner.onReport(other, wall, now);
+    step_spec here = makeStep(1, 8);
+    here.requiredLabel = "a";
+    for (int i = 0; i < 40; ++i) {
+        here.estimated = 5s + std::chrono::milliseconds(i);
+        addJob("here" + std::to_string(i), 1, here);
+    }
+    addJob("small", 2, makeStep(1, 8));
+    planAndStore();
+    CHECK(*planner.stateOf("here0") == graph_job_state::Queued);
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
 // Load pattern: a recovery storm. Each report of a fleet that has nothing new must not cost a pass.
 TEST(run_planner, reportWithoutNewsNeedsNoPass)
 {
