Ask for advice on each server until it has been answered

The first answer of the advice service counted for all workers, also for those that the request had not named: those that were not usable then, and all beyond the first 100.

An answer now rules out only the servers that the request named, by the id of the server. A request names the eligible workers without a valid ticket that have room or were never asked about, first those of the placement found. Each ticket has its own expiry, and belongs to the incarnation that was asked about. No request is made while another has no answer, or if a placement that is as fast has all its tickets. While the service fails, steps that wait for it reserve nothing.

--- a/goldcrest/placement_advisor.h
+++ b/goldcrest/placement_advisor.h
@@ -23,6 +23,9 @@
     std::string step; // "ID.OCCURRENCE.STEP"
     std::vector<std::string> machines; // ids of backend servers
     duration expected = 0ms; // expected response time
+    // Incarnations of these backend servers, in the same order. A ticket holds for one of them
+    // only.
+    std::vector<std::string> incarnations;
 };
 
 struct placement_advice
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -188,13 +188,21 @@
         time_point until{};
     };
 
+    struct advice_ticket
+    {
+        std::string ticket;
+        time_point until{}; // when it expires
+    };
+
     // Answers of the advice service for one step.
     struct step_advice
     {
-        std::map<std::string, std::string> tickets; // by incarnation of the backend server
-        std::set<worker_id> allowed; // never shrinks; empty until the first answer
-        bool isKnown = false;
-        time_point until{}; // when the tickets expire
+        std::map<std::string, advice_ticket> tickets; // by incarnation of the backend server
+        // Ids of the backend servers that an answer was about, and of those that may run the step.
+        // Servers that no answer was about may still be allowed.
+        std::set<std::string> asked;
+        std::set<std::string> allowed;
+        time_point until{}; // no ticket is used later; reset when the service's ticket is refused
         time_point retryAt{}; // after a failed request
     };
 
@@ -272,13 +280,16 @@
     step_outcome planStep(const unit &next, std::vector<worker_capacity> &capacities,
                           std::size_t &unitsLeft, time_point now);
     bool isAdvised(const unit &next, const pool_worker &worker) const;
-    bool mayStart(const unit &next, const std::vector<worker_capacity> &capacities,
-                  const placement &where, time_point now);
+    std::optional<placement> placementWithTickets(const unit &next,
+                                                  const std::vector<worker_capacity> &capacities,
+                                                  const placement_request &request,
+                                                  const placement &found, time_point now) const;
     bool hasTicket(const unit &next, const pool_worker &worker, time_point now) const;
     static task_key adviceKeyOf(const task_key &task);
     std::string ticketOf(const task_key &task, const std::string &incarnation) const;
     const queue_entry *advisedQueueOf(const tracked_job &job) const;
-    void requestAdvice(const unit &next, time_point now);
+    void requestAdvice(const unit &next, const std::vector<worker_capacity> &capacities,
+                       const placement_request &request, const placement &found, time_point now);
     void updatePace(pool_worker &worker, time_point now);
     void addPaces(const pool_worker &worker, worker_orders_message &orders) const;
     placement_request requestFor(const unit &next, const std::vector<std::size_t> &eligible) const;
@@ -333,7 +344,9 @@
     std::map<task_key, std::size_t> m_unitNumbers; // of the current pass
     std::vector<task_key> m_unitTasks; // first task of each unit, by unit number
     std::map<task_key, step_advice> m_advice; // by the first task of the step
-    std::optional<advice_request> m_adviceRequest;
+    std::optional<advice_request> m_adviceRequest; // made in the last pass
+    bool m_isAdvicePending = false; // a request was taken and has no answer yet
+    bool m_isAdviceFailing = false; // the last request failed
     // By the first task of the unit.
     std::map<task_key, preemption_reservation> m_preemptionReservations;
     // By service: how many of the steps after those that a pass tries in rank order were tried by
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrest {
@@ -25,8 +26,8 @@
     const auto advice = m_advice.find(adviceKeyOf(task));
     if (advice == m_advice.end())
         return {};
-    const auto ticket = advice->second.tickets.find(incarnation);
-    return ticket == advice->second.tickets.end() ? std::string() : ticket->second;
+    const auto found = advice->second.tickets.find(incarnation);
+    return found == advice->second.tickets.end() ? std::string() : found->second.ticket;
 }
 
 // Returns whether the advice service allows the worker for this unit, or may still allow it.
@@ -35,8 +36,8 @@
     if (!advisedQueueOf(*next.job))
         return true;
     const auto advice = m_advice.find(adviceKeyOf(next.job->keyOf(next.step, 0)));
-    return advice == m_advice.end() || !advice->second.isKnown
-        || advice->second.allowed.count(worker.id) > 0;
+    return advice == m_advice.end() || advice->second.asked.count(worker.machine) == 0
+        || advice->second.allowed.count(worker.machine) > 0;
 }
 
 // Returns whether there is a ticket for the unit on this worker that will still be valid when the
@@ -46,50 +47,77 @@
     // A start takes a few milliseconds; the rest leaves time to repeat it if it is not answered.
     constexpr duration startTime = 500ms;
     const auto advice = m_advice.find(adviceKeyOf(next.job->keyOf(next.step, 0)));
-    return advice != m_advice.end() && now + startTime < advice->second.until
-        && advice->second.tickets.count(worker.incarnation) > 0;
+    if (advice == m_advice.end() || now + startTime >= advice->second.until)
+        return false;
+    const auto found = advice->second.tickets.find(worker.incarnation);
+    return found != advice->second.tickets.end() && now + startTime < found->second.until;
 }
 
-// Returns whether the unit has the tickets to start there. Requests advice if it does not.
-bool run_planner::mayStart(const unit &next, const std::vector<worker_capacity> &capacities,
-                           const placement &where, time_point now)
+// Returns a placement for which the unit has all tickets and that is as fast as the one found, if
+// there is any.
+std::optional<placement>
+run_planner::placementWithTickets(const unit &next, const std::vector<worker_capacity> &capacities,
+                                  const placement_request &request, const placement &found,
+                                  time_point now) const
 {
     if (!advisedQueueOf(*next.job))
-        return true;
-    const bool hasAll
-        = std::all_of(where.indexes.begin(), where.indexes.end(), [&](std::size_t index) {
-              return hasTicket(next, *m_pool.find(capacities[index].worker), now);
-          });
-    if (!hasAll)
-        requestAdvice(next, now);
-    return hasAll;
+        return found;
+    std::vector<std::size_t> ready;
+    std::copy_if(request.eligible->begin(), request.eligible->end(), std::back_inserter(ready),
+                 [&](std::size_t index) {
+                     const pool_worker &worker = m_pool.workers().at(capacities[index].worker);
+                     return hasTicket(next, worker, now);
+                 });
+    placement_request narrowed = request;
+    narrowed.onlyNow = true;
+    narrowed.eligible = &ready;
+    const std::optional<placement> where = bestPlacement(capacities, narrowed, now);
+    return where && where->estimate <= found.estimate ? where : std::nullopt;
 }
 
-// Prepares a request for advice on a unit that could start now, unless one is already pending.
-void run_planner::requestAdvice(const unit &next, time_point now)
+// Prepares a request for advice on a unit that could start now, unless another one comes first. It
+// is about the workers without a ticket: those of the placement found, others with room for a task,
+// and others about which the service was not asked yet.
+void run_planner::requestAdvice(const unit &next, const std::vector<worker_capacity> &capacities,
+                                const placement_request &request, const placement &found,
+                                time_point now)
 {
     const task_key key = adviceKeyOf(next.job->keyOf(next.step, 0));
     const step_advice &advice = m_advice[key];
-    if (m_adviceRequest || now < advice.retryAt)
+    if (m_adviceRequest || m_isAdvicePending || now < advice.retryAt)
         return;
-    const queue_entry *queue = advisedQueueOf(*next.job);
-    advice_request request;
-    request.step = fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
-    for (const auto &[id, worker] : m_pool.workers()) {
-        const bool isCandidate = worker.service == next.policy->service && isUsable(worker, now)
-            && (!advice.isKnown || advice.allowed.count(id) > 0);
-        if (isCandidate && request.machines.size() < maxAdvisedWorkers)
-            request.machines.push_back(worker.machine);
+    advice_request made;
+    made.step = fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
+    std::set<std::size_t> named;
+    const auto add = [&](std::size_t index) {
+        const pool_worker &worker = m_pool.workers().at(capacities[index].worker);
+        if (made.machines.size() == maxAdvisedWorkers || hasTicket(next, worker, now)
+            || !named.insert(index).second)
+            return;
+        made.machines.push_back(worker.machine);
+        made.incarnations.push_back(worker.incarnation);
+    };
+    const resources demand = demandOf(*request.step);
+    std::for_each(found.indexes.begin(), found.indexes.end(), add);
+    for (const std::size_t index : *request.eligible) {
+        if (capacities[index].free.covers(demand))
+            add(index);
+    }
+    for (const std::size_t index : *request.eligible) {
+        if (advice.asked.count(m_pool.workers().at(capacities[index].worker).machine) == 0)
+            add(index);
     }
-    if (request.machines.empty())
+    if (made.machines.empty())
         return;
-    request.expected = queue->advice->perCall
-        + queue->advice->perWorker * static_cast<std::int64_t>(request.machines.size());
-    m_adviceRequest = std::move(request);
+    const advice_terms &terms = *advisedQueueOf(*next.job)->advice;
+    made.expected
+        = terms.perCall + terms.perWorker * static_cast<std::int64_t>(made.machines.size());
+    m_adviceRequest = std::move(made);
 }
 
 std::optional<advice_request> run_planner::takeAdviceRequest()
 {
+    m_isAdvicePending = m_isAdvicePending || m_adviceRequest.has_value();
     return std::exchange(m_adviceRequest, std::nullopt);
 }
 
@@ -98,8 +126,11 @@
 {
     // Pause after a failed request, for example because the queue of the service was full.
     constexpr duration retryPause = 300ms;
+    m_isAdvicePending = false;
+    m_isAdviceFailing = failureOf(answer) != nullptr;
     const result<task_key> key = parseTask(request.step + ".0");
-    if (failureOf(key) || m_jobs.count(valueOf(key).job) == 0)
+    const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
+    if (job == m_jobs.end() || job->second.isFinished())
         return;
     step_advice &advice = m_advice[valueOf(key)];
     if (const failure *error = failureOf(answer)) {
@@ -107,16 +138,19 @@
         recordDecision("advice request failed", valueOf(key), 0, {}, error->reason);
         return;
     }
-    advice.isKnown = true;
+    if (advice.until == time_point{})
+        advice.tickets.clear(); // one of them was refused, so that the others are in doubt
     // The lifetime of the tickets starts at the service's decision, which may be as early as the
     // request.
-    advice.until = now - request.expected + valueOf(answer).lifetime;
-    for (const auto &[id, worker] : m_pool.workers()) {
-        const auto ticket = valueOf(answer).tickets.find(worker.machine);
-        if (ticket == valueOf(answer).tickets.end())
+    const time_point until = now - request.expected + valueOf(answer).lifetime;
+    advice.until = std::max(advice.until, until);
+    for (std::size_t i = 0; i < request.machines.size(); ++i) {
+        advice.asked.insert(request.machines[i]);
+        const auto found = valueOf(answer).tickets.find(request.machines[i]);
+        if (found == valueOf(answer).tickets.end())
             continue;
-        advice.tickets[worker.incarnation] = ticket->second;
-        advice.allowed.insert(id);
+        advice.allowed.insert(request.machines[i]);
+        advice.tickets[request.incarnations[i]] = {found->second, until};
     }
     recordDecision("advice received", valueOf(key), 0, {}, {},
                    fmt::format("asked={} allowed={} lifetime_ms={}", request.machines.size(),
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -47,11 +47,13 @@
     const placement_request request = requestFor(next, eligible);
     const std::optional<placement> found = bestPlacement(capacities, request, now);
     if (found && found->start <= now) {
-        if (mayStart(next, capacities, *found, now)) {
-            startUnit(next, capacities, *found, now);
+        if (const auto where = placementWithTickets(next, capacities, request, *found, now)) {
+            startUnit(next, capacities, *where, now);
             return unit_outcome::Started;
         }
-        if (!next.mayReserve)
+        requestAdvice(next, capacities, request, *found, now);
+        // While the advice service fails, nobody knows when the unit can start.
+        if (!next.mayReserve || m_isAdviceFailing)
             return unit_outcome::NotPlaced;
         reserveCapacity(capacities, request, *found);
         return unit_outcome::Waiting;
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -28,6 +28,7 @@
 void run_planner::plan(unix_ms wall, time_point now)
 {
     m_needsPass = false;
+    m_adviceRequest.reset(); // the units that it was about may have changed
     endRunsWithExpiredLeases(wall, now);
     for (const std::string &id : m_unfinished)
         m_jobs.at(id).openDue(wall);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -139,6 +139,19 @@
         planner.onReport(report, wall, now);
     }
 
+    // Answers the pending request for advice, and returns the machines that it names.
+    std::vector<std::string> answerAdvice(const std::vector<std::string> &allowed)
+    {
+        const auto question = planner.takeAdviceRequest();
+        CHECK(question.has_value());
+        placement_advice advice;
+        for (const std::string &machine : allowed)
+            advice.tickets[machine] = "c81e";
+        advice.lifetime = 3s;
+        planner.onAdvice(*question, advice, now);
+        return question->machines;
+    }
+
     worker_orders_message ordersOf(const std::string &worker)
     {
         const auto orders = planner.ordersFor(worker, now);
@@ -1187,6 +1200,109 @@
     CHECK(planner.takeAdviceRequest().has_value());
 }
 
+// Guards LOST: the first answer of the advice service was taken as final for all servers, so that
+// jobs never started on one that came back later (review/5).
+TEST(run_planner, asksAboutServersThatNoAnswerWasAbout)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    answerAdvice({});
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value());
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    CHECK(answerAdvice({}) == std::vector<std::string>{"w2-machine"});
+    worker_report_message replaced = reportOf("w1", "l2");
+    replaced.machine = "another";
+    replaced.ordersSeen = ordersOf("w1").sequence;
+    planner.onReport(replaced, wall, now);
+    planAndStore();
+    CHECK(answerAdvice({"another"}) == std::vector<std::string>{"another"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
+// Guards LOST: servers beyond the first 100, the most that a request may name, were never asked
+// about.
+TEST(run_planner, asksAboutAllServersOfALargeService)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    for (int i = 100; i < 201; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    LONGS_EQUAL(maxAdvisedWorkers, answerAdvice({}).size());
+    planAndStore();
+    CHECK(answerAdvice({"w200-machine"}) == std::vector<std::string>{"w200-machine"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w200").starts.size());
+}
+
+// Guards against rejected starts: a ticket for one incarnation was used for the next one, which had
+// begun before the answer arrived.
+TEST(run_planner, ticketsAreForTheIncarnationThatWasAskedAbout)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    placement_advice advice;
+    advice.tickets["w1-machine"] = "c81e";
+    advice.lifetime = 3s;
+    planner.onAdvice(*question, advice, now);
+    planAndStore();
+    CHECK(ordersOf("w1").starts.empty());
+    answerAdvice({"w1-machine"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
+// Guards against needless calls of the advice service, which take up to some 100 ms each: about
+// servers that the step can't use, that have a ticket, or that a request without an answer names.
+TEST(run_planner, asksForWhatIsNeededOnly)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message other = reportOf("w2");
+    other.labels = {"b"};
+    planner.onReport(other, wall, now);
+    step_spec step = makeStep(2, 1);
+    step.requiredLabel = "a";
+    addJob("a", 1, step);
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question->machines == std::vector<std::string>{"w1-machine"});
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value());
+    placement_advice advice;
+    advice.tickets["w1-machine"] = "c81e";
+    advice.lifetime = 3s;
+    planner.onAdvice(*question, advice, now);
+    planner.onReport(reportOf("w3"), wall, now);
+    planAndStore();
+    LONGS_EQUAL(2, ordersOf("w1").starts.size());
+    CHECK(!planner.takeAdviceRequest().has_value());
+}
+
+// Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
+TEST(run_planner, failingAdviceHoldsNoCapacity)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 8));
+    addJob("b", 2, makeStep(1, 8));
+    planAndStore();
+    CHECK(*planner.stateOf("b") == graph_job_state::Queued);
+    const auto question = planner.takeAdviceRequest();
+    planner.onAdvice(*question, makeFailure(code::StoreOverBudget, "full"), now);
+    planAndStore();
+    CHECK(*planner.stateOf("b") == graph_job_state::Running);
+}
+
 TEST(run_planner, countsWaitingJobsAndForgetsOldOnes)
 {
     addJob("a", 1, makeStep(1, 1));
