Count only workers that can hold a task as alternatives to a faulty one

A job that failed once on the only server with room for its task never ran again: workers that are too small for it counted as an alternative, so that the server was left out for the rest of the job.

Only workers whose capacity covers a task are eligible now. The test failureOnTheOnlyServerWithRoomIsNotFinal failed before.

--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -392,14 +392,15 @@
     return outcome;
 }
 
-// Returns the indexes of the workers on which the unit may run. Leaves out workers on which runs
-// fail or on which this job failed, unless too few would remain, and those where a suspect is
-// starting, unless none would remain.
+// Returns the indexes of the workers on which the unit may run and that can hold one of its tasks.
+// Leaves out workers on which runs fail or on which this job failed, unless too few would remain,
+// and those where a suspect is starting, unless none would remain.
 std::vector<std::size_t>
 run_planner::eligibleCapacities(const unit &next, const std::vector<worker_capacity> &capacities,
                                 time_point now) const
 {
     const step_spec &step = next.job->specOf(next.step);
+    const resources demand = demandOf(step);
     const auto failed = m_failedOn.find(next.job->id());
     std::vector<std::size_t> allowed;
     std::vector<std::size_t> healthy;
@@ -407,7 +408,7 @@
         const pool_worker &worker = m_pool.workers().at(capacities[i].worker);
         if (!step.requiredLabel.empty() && !worker.hasLabel(step.requiredLabel))
             continue;
-        if (!isAdvised(next, worker))
+        if (!worker.capacity.covers(demand) || !isAdvised(next, worker))
             continue;
         allowed.push_back(i);
         const bool hasFailed = failed != m_failedOn.end() && failed->second.count(worker.id) > 0;
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1099,6 +1099,26 @@
     CHECK(ordersOf(first).starts.empty());
 }
 
+// Guards LOST: a job that failed once on the only server with room for it never ran again, because
+// servers that can't hold it counted as an alternative.
+TEST(run_planner, failureOnTheOnlyServerWithRoomIsNotFinal)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    for (const char *small : {"w2", "w3"}) {
+        worker_report_message report = reportOf(small);
+        report.capacity.accelerators = 4;
+        planner.onReport(report, wall, now);
+    }
+    addJob("a", 1, makeStep(1, 8));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.ordersSeen = ordersOf("w1").sequence;
+    report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Failed, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
 // A task without progress is stopped, since a backend server may list it as running forever.
 TEST(run_planner, stopsStalledTasks)
 {
