Leave time to use the tickets that a request for advice returns

A request names up to 100 workers and takes time for each. With 10 ms for each worker and tickets that are valid for 1 s, all of them had expired on arrival by the planner's count, so that the step was asked for without end and never started.

A request takes at most half of the tickets' lifetime now, unless a gang needs more. The test requestsLeaveTimeToUseTheTickets failed before, since the request named 100 workers.

--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -10,6 +10,21 @@
 
 namespace goldcrest {
 
+namespace {
+
+// Returns the maximum number of workers in one request. It takes up to half of the lifetime of the
+// tickets, so that there is time to use them.
+std::size_t maxWorkersPerRequest(const advice_terms &terms)
+{
+    const duration time = terms.ticketLifetime / 2 - terms.perCall;
+    if (terms.ticketLifetime <= 0ms || terms.perWorker <= 0ms)
+        return maxAdvisedWorkers;
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0ms, time) / terms.perWorker),
+                                   1, maxAdvisedWorkers);
+}
+
+} // namespace
+
 const queue_entry *run_planner::advisedQueueOf(const tracked_job &job) const
 {
     const queue_entry *queue = queueOf(job);
@@ -86,12 +101,16 @@
     const step_advice &advice = m_advice[key];
     if (m_adviceRequest || m_isAdvicePending || now < advice.retryAt)
         return;
+    const advice_terms &terms = *advisedQueueOf(*next.job)->advice;
+    // The tasks of a gang need all their tickets at the same time.
+    const std::size_t limit
+        = std::min(maxAdvisedWorkers, std::max(maxWorkersPerRequest(terms), found.indexes.size()));
     advice_request made;
     made.step = fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
     std::set<std::size_t> named;
     const auto add = [&](std::size_t index) {
         const pool_worker &worker = m_pool.workers().at(capacities[index].worker);
-        if (made.machines.size() == maxAdvisedWorkers || hasTicket(next, worker, now)
+        if (made.machines.size() == limit || hasTicket(next, worker, now)
             || !named.insert(index).second)
             return;
         made.machines.push_back(worker.machine);
@@ -109,7 +128,6 @@
     }
     if (made.machines.empty())
         return;
-    const advice_terms &terms = *advisedQueueOf(*next.job)->advice;
     made.expected
         = terms.perCall + terms.perWorker * static_cast<std::int64_t>(made.machines.size());
     m_adviceRequest = std::move(made);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1308,6 +1308,21 @@
     CHECK(!planner.takeAdviceRequest().has_value());
 }
 
+// Guards LOST: a request about many servers took as long as the tickets are valid, so that none of
+// them could be used.
+TEST(run_planner, requestsLeaveTimeToUseTheTickets)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 10ms, 1s};
+    for (int i = 100; i < 200; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question.has_value());
+    LONGS_EQUAL(45, question->machines.size());
+    CHECK(question->expected == 500ms);
+}
+
 // Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
 TEST(run_planner, failingAdviceHoldsNoCapacity)
 {
