--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -178,6 +178,8 @@
     struct speed_evidence;
     enum class unit_outcome;
     enum class step_outcome;
+    struct step_shape;
+    struct service_pass;
 
     // Workers on which other runs are being stopped to make capacity for a unit.
     struct preemption_reservation
@@ -187,13 +189,21 @@
         time_point until{};
     };
 
+    struct advice_ticket
+    {
+        std::string ticket;
+        time_point until{}; // when it expires
+    };
+
     // Answers of the advice service for one step.
     struct step_advice
     {
-        std::map<std::string, std::string> tickets; // by incarnation of the backend server
-        std::set<worker_id> allowed; // never shrinks; empty until the first answer
-        bool isKnown = false;
-        time_point until{}; // when the tickets expire
+        std::map<std::string, advice_ticket> tickets; // by incarnation of the backend server
+        // Ids of the backend servers that an answer was about, and of those that may run the step.
+        // Servers that no answer was about may still be allowed.
+        std::set<std::string> asked;
+        std::set<std::string> allowed;
+        time_point until{}; // no ticket is used later; reset when the service's ticket is refused
         time_point retryAt{}; // after a failed request
     };
 
@@ -265,17 +275,23 @@
     job_lateness latenessOf(const tracked_job &job, time_point end) const;
     duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
     void observeRunTime(const task_key &key, std::int32_t run, time_point now);
-    void planService(const std::vector<unit> &units, const std::string &service, time_point now);
+    void planService(std::vector<unit> &units, const std::string &service, time_point now);
+    void tryStep(unit &next, service_pass &pass, std::size_t &unitsLeft, time_point now);
+    step_shape shapeOf(const unit &next) const;
+    static step_outcome combined(step_outcome step, unit_outcome placed);
     step_outcome planStep(const unit &next, std::vector<worker_capacity> &capacities,
                           std::size_t &unitsLeft, time_point now);
     bool isAdvised(const unit &next, const pool_worker &worker) const;
-    bool mayStart(const unit &next, const std::vector<worker_capacity> &capacities,
-                  const placement &where, time_point now);
+    std::optional<placement> placementWithTickets(const unit &next,
+                                                  const std::vector<worker_capacity> &capacities,
+                                                  const placement_request &request,
+                                                  const placement &found, time_point now) const;
     bool hasTicket(const unit &next, const pool_worker &worker, time_point now) const;
     static task_key adviceKeyOf(const task_key &task);
     std::string ticketOf(const task_key &task, const std::string &incarnation) const;
     const queue_entry *advisedQueueOf(const tracked_job &job) const;
-    void requestAdvice(const unit &next, time_point now);
+    void requestAdvice(const unit &next, const std::vector<worker_capacity> &capacities,
+                       const placement_request &request, const placement &found, time_point now);
     void updatePace(pool_worker &worker, time_point now);
     void addPaces(const pool_worker &worker, worker_orders_message &orders) const;
     placement_request requestFor(const unit &next, const std::vector<std::size_t> &eligible) const;
@@ -339,9 +355,14 @@
     std::map<task_key, std::size_t> m_unitNumbers; // of the current pass
     std::vector<task_key> m_unitTasks; // first task of each unit, by unit number
     std::map<task_key, step_advice> m_advice; // by the first task of the step
-    std::optional<advice_request> m_adviceRequest;
+    std::optional<advice_request> m_adviceRequest; // made in the last pass
+    bool m_isAdvicePending = false; // a request was taken and has no answer yet
+    bool m_isAdviceFailing = false; // the last request failed
     // By the first task of the unit.
     std::map<task_key, preemption_reservation> m_preemptionReservations;
+    // By service: how many of the steps after those that a pass tries in rank order were tried by
+    // turns.
+    std::map<std::string, std::size_t> m_stepsTriedByTurns;
 };
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -34,6 +34,7 @@
                 ++request.placedBefore[task.record.worker];
         }
     }
+    request.onlyNow = !next.mayReserve;
     request.eligible = &eligible;
     return request;
 }
@@ -49,27 +50,34 @@
         return startOrReserve(next, capacities, request, *found, now);
     if (const std::optional<placement> where = reservedPlacement(next, capacities, now))
         return startOnReserved(next, capacities, request, *where, now);
+    if (!next.mayReserve)
+        return unit_outcome::NotPlaced;
     if (const std::optional<eviction> evicted
         = findEviction(next, capacities, request, found, now)) {
         stopUnits(evicted->units, capacities, next, now);
         makePreemptionReservation(next, capacities, evicted->where, now);
         return startOnReserved(next, capacities, request, evicted->where, now);
     }
-    if (found)
-        reserveCapacity(capacities, request, *found);
+    if (!found)
+        return unit_outcome::NotPlaced;
+    reserveCapacity(capacities, request, *found);
     return unit_outcome::Waiting;
 }
 
-// Starts a unit where it can start now. Without permission it waits with its capacity reserved.
+// Starts a unit where it can start now. Without tickets it waits for advice with its capacity
+// reserved, unless the advice service fails: then nobody knows when the unit can start.
 run_planner::unit_outcome run_planner::startOrReserve(const unit &next,
                                                       std::vector<worker_capacity> &capacities,
                                                       const placement_request &request,
                                                       const placement &where, time_point now)
 {
-    if (mayStart(next, capacities, where, now)) {
-        startUnit(next, capacities, where, now);
+    if (const auto allowed = placementWithTickets(next, capacities, request, where, now)) {
+        startUnit(next, capacities, *allowed, now);
         return unit_outcome::Started;
     }
+    requestAdvice(next, capacities, request, where, now);
+    if (!next.mayReserve || m_isAdviceFailing)
+        return unit_outcome::NotPlaced;
     reserveCapacity(capacities, request, where);
     return unit_outcome::Waiting;
 }
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -145,6 +145,19 @@
         return progress.occurrences.at(0).steps.at(0).tasks.at(0);
     }
 
+    // Answers the pending request for advice, and returns the machines that it names.
+    std::vector<std::string> answerAdvice(const std::vector<std::string> &allowed)
+    {
+        const auto question = planner.takeAdviceRequest();
+        CHECK(question.has_value());
+        placement_advice advice;
+        for (const std::string &machine : allowed)
+            advice.tickets[machine] = "c81e";
+        advice.lifetime = 3s;
+        planner.onAdvice(*question, advice, now);
+        return question->machines;
+    }
+
     worker_orders_message ordersOf(const std::string &worker)
     {
         const auto orders = planner.ordersFor(worker, now);
@@ -274,6 +287,56 @@
     CHECK(*planner.stateOf("small") == graph_job_state::Running);
 }
 
+// Guards LOST: jobs of lower priority never started on idle servers behind 33 steps that fit on no
+// server (review/2).
+TEST(run_planner, stepsThatFitNowhereDoNotHideWorkThatFits)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    step_spec unlabelled = makeStep(1, 1);
+    unlabelled.requiredLabel = "b";
+    for (int i = 0; i < 300; ++i) {
+        addJob("unlabelled" + std::to_string(i), 0, unlabelled);
+        addJob("large" + std::to_string(i), 1, makeStep(1, 9));
+    }
+    addJob("small", 2, makeStep(1, 1));
+    planAndStore();
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
+// Guards LOST: the same with steps that all differ, so that a pass can't try all of them.
+TEST(run_planner, anyNumberOfStepsThatFitNowhereLeavesOthersTheirTurn)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    for (int i = 0; i < 400; ++i)
+        addJob("large" + std::to_string(i), 1, makeStep(1, 9 + i));
+    addJob("small", 2, makeStep(1, 1));
+    for (int pass = 0; pass < 5; ++pass)
+        planAndStore();
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
+// Guards LOST: steps that wait for capacity kept a pass from trying others on another server.
+TEST(run_planner, stepsThatWaitForCapacityDoNotHideWorkThatFits)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message other = reportOf("w2");
+    other.labels = {"other"};
+    addJob("long", 1, makeStep(1, 8));
+    planAndStore();
+    ordersOf("w1");
+    planner.onReport(other, wall, now);
+    step_spec here = makeStep(1, 8);
+    here.requiredLabel = "a";
+    for (int i = 0; i < 40; ++i) {
+        here.estimated = 5s + std::chrono::milliseconds(i);
+        addJob("here" + std::to_string(i), 1, here);
+    }
+    addJob("small", 2, makeStep(1, 8));
+    planAndStore();
+    CHECK(*planner.stateOf("here0") == graph_job_state::Queued);
+    CHECK(*planner.stateOf("small") == graph_job_state::Running);
+}
+
 // Load pattern: a recovery storm. Each report of a fleet that has nothing new must not cost a pass.
 TEST(run_planner, reportWithoutNewsNeedsNoPass)
 {
@@ -1238,6 +1301,26 @@
     CHECK(ordersOf(first).starts.empty());
 }
 
+// Guards LOST: a job that failed once on the only server with room for it never ran again, because
+// servers that can't hold it counted as an alternative.
+TEST(run_planner, failureOnTheOnlyServerWithRoomIsNotFinal)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    for (const char *small : {"w2", "w3"}) {
+        worker_report_message report = reportOf(small);
+        report.capacity.accelerators = 4;
+        planner.onReport(report, wall, now);
+    }
+    addJob("a", 1, makeStep(1, 8));
+    planAndStore();
+    worker_report_message report = reportOf("w1");
+    report.ordersSeen = ordersOf("w1").sequence;
+    report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Failed, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
 // A task without progress is stopped, since a backend server may list it as running forever.
 TEST(run_planner, stopsStalledTasks)
 {
@@ -1339,6 +1422,124 @@
     CHECK(planner.takeAdviceRequest().has_value());
 }
 
+// Guards LOST: the first answer of the advice service was taken as final for all servers, so that
+// jobs never started on one that came back later (review/5).
+TEST(run_planner, asksAboutServersThatNoAnswerWasAbout)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    answerAdvice({});
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value());
+    planner.onReport(reportOf("w2"), wall, now);
+    planAndStore();
+    CHECK(answerAdvice({}) == std::vector<std::string>{"w2-machine"});
+    worker_report_message replaced = reportOf("w1", "l2");
+    replaced.machine = "another";
+    replaced.ordersSeen = ordersOf("w1").sequence;
+    planner.onReport(replaced, wall, now);
+    planAndStore();
+    CHECK(answerAdvice({"another"}) == std::vector<std::string>{"another"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
+// Guards LOST: servers beyond the first 100, the most that a request may name, were never asked
+// about.
+TEST(run_planner, asksAboutAllServersOfALargeService)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    for (int i = 100; i < 201; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    LONGS_EQUAL(maxAdvisedWorkers, answerAdvice({}).size());
+    planAndStore();
+    CHECK(answerAdvice({"w200-machine"}) == std::vector<std::string>{"w200-machine"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w200").starts.size());
+}
+
+// Guards against rejected starts: a ticket for one incarnation was used for the next one, which had
+// begun before the answer arrived.
+TEST(run_planner, ticketsAreForTheIncarnationThatWasAskedAbout)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    placement_advice advice;
+    advice.tickets["w1-machine"] = "c81e";
+    advice.lifetime = 3s;
+    planner.onAdvice(*question, advice, now);
+    planAndStore();
+    CHECK(ordersOf("w1").starts.empty());
+    answerAdvice({"w1-machine"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
+// Guards against needless calls of the advice service, which take up to some 100 ms each: about
+// servers that the step can't use, that have a ticket, or that a request without an answer names.
+TEST(run_planner, asksForWhatIsNeededOnly)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message other = reportOf("w2");
+    other.labels = {"b"};
+    planner.onReport(other, wall, now);
+    step_spec step = makeStep(2, 1);
+    step.requiredLabel = "a";
+    addJob("a", 1, step);
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question->machines == std::vector<std::string>{"w1-machine"});
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value());
+    placement_advice advice;
+    advice.tickets["w1-machine"] = "c81e";
+    advice.lifetime = 3s;
+    planner.onAdvice(*question, advice, now);
+    planner.onReport(reportOf("w3"), wall, now);
+    planAndStore();
+    LONGS_EQUAL(2, ordersOf("w1").starts.size());
+    CHECK(!planner.takeAdviceRequest().has_value());
+}
+
+// Guards LOST: a request about many servers took as long as the tickets are valid, so that none of
+// them could be used.
+TEST(run_planner, requestsLeaveTimeToUseTheTickets)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 10ms, 1s};
+    for (int i = 100; i < 200; ++i)
+        planner.onReport(reportOf("w" + std::to_string(i)), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question.has_value());
+    LONGS_EQUAL(45, question->machines.size());
+    CHECK(question->expected == 500ms);
+}
+
+// Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
+TEST(run_planner, failingAdviceHoldsNoCapacity)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 8));
+    addJob("b", 2, makeStep(1, 8));
+    planAndStore();
+    CHECK(*planner.stateOf("b") == graph_job_state::Queued);
+    const auto question = planner.takeAdviceRequest();
+    planner.onAdvice(*question, makeFailure(code::StoreOverBudget, "full"), now);
+    planAndStore();
+    CHECK(*planner.stateOf("b") == graph_job_state::Running);
+}
+
 TEST(run_planner, countsWaitingJobsAndForgetsOldOnes)
 {
     addJob("a", 1, makeStep(1, 1));
