Let a check-in withdraw a departure, and refuse made-up sequence numbers

A departure notice that named the id of a backend server that was still there, delayed beyond a restart under the same id or from another writer, stopped its runs and kept it without work for good (LOST); if it was silent for a second beside, its runs were replaced while they worked (TWICE). A check-in with the right id and start and a sequence number far ahead hid the following ones, and one that was delayed by 5 s ended a drain (DRAIN). A foreign check-in dropped the query that was to confirm a genuine one.

The notice's start must be that of the incarnation, a later check-in withdraws it, and a departure is proved by 2 s without answer or check-in, more than the interval of check-ins. Sequence numbers that can't be reached by then are refused, a lower one never ends a drain, and each announced incarnation is asked for by itself.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -14,6 +14,14 @@
 // longest delay is 12 s.
 constexpr duration lateOrderLimit = 15s;
 
+// An announcement whose sequence number is ahead of the last one by more than this, and by more
+// than one for each `minAnnouncementInterval` since then, is not the backend server's own.
+constexpr std::int64_t maxSequenceGap = 100;
+constexpr duration minAnnouncementInterval = 100ms;
+
+// Bounds the memory for announcements of incarnations that are not confirmed.
+constexpr std::size_t maxCandidates = 8;
+
 constexpr std::int32_t fullSpeed = 100; // percent
 constexpr std::int32_t unknownPace = -1;
 
@@ -46,9 +54,13 @@
         , host(backendHost)
     { }
 
+    bool isPlausible(const host_announcement &announcement) const;
     void updateAnnouncement(const host_announcement &announcement);
-    void confirmCandidate();
-    void onConfirmation(const result<host_status> &outcome);
+    void addCandidate(const host_announcement &announcement);
+    void confirm(const std::string &incarnation);
+    void confirmCandidates();
+    void onConfirmation(const std::string &incarnation, const result<host_status> &outcome);
+    void refuseAnnouncement(const host_announcement &announcement, std::string_view why);
     void beginIncarnation(const host_announcement &announcement);
     void noteUnanswered();
     bool confirmIncarnation(time_point sentAt);
@@ -97,10 +109,15 @@
     std::function<bool(const worker_report_message &)> send;
 
     std::optional<host_announcement> backend;
-    // Announcement of another incarnation that the backend server has not confirmed yet.
-    std::optional<host_announcement> candidate;
-    time_point candidateSeenAt{};
-    std::uint64_t candidateNumber = 0; // of the last query for a confirmation
+    // Announced incarnations that the backend server has not confirmed yet.
+    struct candidate
+    {
+        host_announcement announcement;
+        time_point seenAt{};
+        std::uint64_t query = 0; // number of the last query for a confirmation
+    };
+    std::map<std::string, candidate> candidates; // by incarnation
+    std::uint64_t confirmationQueries = 0;
     std::uint64_t unconfirmedAnnouncements = 0;
     std::uint64_t incarnationCount = 0;
     // The last answer came from this incarnation. Otherwise the next one may have taken its place.
@@ -183,77 +200,137 @@
         self.updateAnnouncement(announcement);
         return;
     }
-    self.candidate = announcement;
-    self.candidateSeenAt = self.loop.now();
-    self.confirmCandidate();
+    self.addCandidate(announcement);
 }
 
-void run_agent::onDeparture(const std::string &id)
+void run_agent::onDeparture(const std::string &id, std::optional<std::int64_t> startedAtMs)
 {
-    if (m_state->backend && m_state->backend->id == id) {
-        m_state->backend->draining = true;
-        m_state->backend->drainLeft = 0ms;
-        m_state->hasLeft = true;
-        m_state->queryNow();
-    }
+    const std::optional<host_announcement> &current = m_state->backend;
+    const bool isCurrent = current && current->id == id
+        && startedAtMs.value_or(current->startedAtMs) == current->startedAtMs;
+    log_line(log_level::Info, isCurrent ? "backend server departs" : "departure notice ignored")
+        .field("worker", m_state->worker)
+        .field("id", id)
+        .field("current", current ? current->incarnation() : std::string())
+        .limit(m_state->worker)
+        .write();
+    if (!isCurrent)
+        return;
+    m_state->hasLeft = true;
+    m_state->announcedAt = m_state->loop.now();
+    m_state->queryNow();
+}
+
+// Returns whether the sequence number may be the backend server's own. One that another writer made
+// up would hide the following announcements.
+bool run_agent::state::isPlausible(const host_announcement &announcement) const
+{
+    const std::int64_t gap = announcement.sequence - backend->sequence;
+    return gap <= maxSequenceGap + (loop.now() - announcedAt) / minAnnouncementInterval;
 }
 
 void run_agent::state::updateAnnouncement(const host_announcement &announcement)
 {
-    if (announcement.sequence < backend->sequence
-        && loop.now() - announcedAt < options.sequenceLimit)
+    if (!isPlausible(announcement))
+        return refuseAnnouncement(announcement, "its sequence number is too far ahead");
+    const bool isLower = announcement.sequence < backend->sequence;
+    if (isLower && loop.now() - announcedAt < options.sequenceLimit)
         return;
-    const bool drainingChanged = announcement.draining != backend->draining;
+    const bool wasDraining = backend->draining || hasLeft;
     const bool hasShrunk = !announcement.capacity.covers(backend->capacity);
+    // One that was delayed must not end a drain.
+    const bool staysDraining = isLower && backend->draining;
     backend = announcement;
+    backend->draining = announcement.draining || staysDraining;
+    hasLeft = hasLeft && isLower;
     announcedAt = loop.now();
     if (hasShrunk)
         refuseOpenStarts();
-    if (drainingChanged || hasShrunk)
+    if (wasDraining != (backend->draining || hasLeft) || hasShrunk)
         queryNow();
 }
 
-// Asks the backend server whether it is the candidate. The query acknowledges no ends and extends
-// no lease.
-void run_agent::state::confirmCandidate()
+void run_agent::state::addCandidate(const host_announcement &announcement)
 {
-    confirmationTimer.reset();
-    host.queryStatus(
-        token, 0, 0, 0ms, candidate->id,
-        [weak = weak_from_this(), number = ++candidateNumber](const result<host_status> &outcome) {
-            const std::shared_ptr<state> self = weak.lock();
-            if (self && self->candidate && self->candidateNumber == number)
-                self->onConfirmation(outcome);
-        });
+    const std::string incarnation = announcement.incarnation();
+    if (candidates.count(incarnation) == 0 && candidates.size() >= maxCandidates) {
+        const auto oldest = std::min_element(
+            candidates.begin(), candidates.end(),
+            [](const auto &a, const auto &b) { return a.second.seenAt < b.second.seenAt; });
+        candidates.erase(oldest);
+    }
+    candidates[incarnation].announcement = announcement;
+    candidates[incarnation].seenAt = loop.now();
+    confirm(incarnation);
+}
+
+// Asks the backend server whether it is this candidate. The query acknowledges no ends and extends
+// no lease.
+void run_agent::state::confirm(const std::string &incarnation)
+{
+    candidate &asked = candidates.at(incarnation);
+    asked.query = ++confirmationQueries;
+    host.queryStatus(token, 0, 0, 0ms, asked.announcement.id,
+                     [weak = weak_from_this(), incarnation,
+                      number = asked.query](const result<host_status> &outcome) {
+                         const std::shared_ptr<state> self = weak.lock();
+                         if (!self)
+                             return;
+                         const auto found = self->candidates.find(incarnation);
+                         if (found != self->candidates.end() && found->second.query == number)
+                             self->onConfirmation(incarnation, outcome);
+                     });
+}
+
+void run_agent::state::confirmCandidates()
+{
+    std::vector<std::string> incarnations;
+    for (const auto &[incarnation, asked] : candidates)
+        incarnations.push_back(incarnation);
+    // An answer may arrive at once and remove candidates.
+    for (const std::string &incarnation : incarnations) {
+        if (candidates.count(incarnation) > 0)
+            confirm(incarnation);
+    }
 }
 
-void run_agent::state::onConfirmation(const result<host_status> &outcome)
+void run_agent::state::onConfirmation(const std::string &incarnation,
+                                      const result<host_status> &outcome)
 {
+    const auto found = candidates.find(incarnation);
     if (failureOf(outcome)) {
         // There was no answer, or the backend server has seen the token of a newer planner.
-        if (loop.now() - candidateSeenAt < options.confirmationLimit)
-            confirmationTimer = loop.after(options.retryPause, [this] { confirmCandidate(); });
+        if (loop.now() - found->second.seenAt >= options.confirmationLimit)
+            candidates.erase(found);
         else
-            candidate.reset();
+            confirmationTimer = loop.after(options.retryPause, [this] { confirmCandidates(); });
         return;
     }
-    const host_announcement announced = *std::exchange(candidate, std::nullopt);
+    const host_announcement announced = found->second.announcement;
+    candidates.erase(found);
     const host_status &status = valueOf(outcome);
-    if (!status.isOtherIncarnation && status.startedAtMs == announced.startedAtMs) {
+    if (status.isOtherIncarnation) {
+        refuseAnnouncement(announced, "the backend server has another id");
+    } else if (status.startedAtMs != announced.startedAtMs) {
+        refuseAnnouncement(announced, "the backend server has another start");
+    } else {
+        candidates.clear();
         beginIncarnation(announced);
-        return;
     }
+}
+
+void run_agent::state::refuseAnnouncement(const host_announcement &announcement,
+                                          std::string_view why)
+{
     ++unconfirmedAnnouncements;
     log_line(log_level::Warning, "announcement not confirmed")
         .field("worker", worker)
-        .field("life", announced.incarnation())
+        .field("life", announcement.incarnation())
         .field("current", backend ? backend->incarnation() : std::string())
-        .field("service", announced.service)
-        .field("address", announced.address)
-        .field("sender", announced.sender)
-        .field("why",
-               status.isOtherIncarnation ? "the backend server has another id"
-                                         : "the backend server has another start")
+        .field("service", announcement.service)
+        .field("address", announcement.address)
+        .field("sender", announcement.sender)
+        .field("why", why)
         .limit(worker)
         .write();
 }
@@ -336,8 +413,7 @@
         self.token = number;
         self.ordersSeen = 0;
     }
-    if (self.candidate)
-        self.confirmCandidate();
+    self.confirmCandidates();
     self.queryNow();
 }
 
@@ -381,7 +457,7 @@
             continue;
         if (!ordered.start)
             ordered.start = order;
-        if (backend->draining && !ordered.everSent)
+        if ((backend->draining || hasLeft) && !ordered.everSent)
             ordered.refused = start_refusal::Unhealthy;
     }
 }
@@ -626,15 +702,15 @@
         }
         isReachable = false;
         noteUnanswered();
-        if (hasLeft && loop.now() - lastAnswerAt >= options.departureProof)
+        if (hasLeft && loop.now() - std::max(lastAnswerAt, announcedAt) >= options.departureProof)
             reportDeparture();
         if (!isQuerying)
             scheduleQuery(options.retryPause);
         return;
     }
-    lastAnswerAt = loop.now();
     const host_status &status = valueOf(outcome);
     if (status.startedAtMs == backend->startedAtMs) {
+        lastAnswerAt = loop.now();
         for (const ended_task &ended : status.ended)
             listedEnds.emplace(ended.number, ended);
         listedEnds.erase(listedEnds.begin(), listedEnds.upper_bound(endsStored));
@@ -675,8 +751,9 @@
     message.capacity = backend->capacity;
     message.draining = backend->draining || hasLeft;
     if (message.draining)
-        message.drainLeft
-            = std::max<duration>(0ms, backend->drainLeft - (loop.now() - announcedAt));
+        message.drainLeft = hasLeft
+            ? 0ms
+            : std::max<duration>(0ms, backend->drainLeft - (loop.now() - announcedAt));
     message.clock = newestClock;
     return message;
 }
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -47,8 +47,10 @@
     // Pause between status queries while ended runs are not stored yet; the backend server answers
     // each query immediately as long as it has unacknowledged ends.
     duration pauseForStoring = 100ms;
-    // A backend server that has announced its departure and does not answer for this long is gone.
-    duration departureProof = 1s;
+    // A backend server that has announced its departure and neither answers nor announces itself for
+    // this long is gone. Longer than the interval of announcements, 1.5 s, so that one that is still
+    // there has withdrawn its departure before.
+    duration departureProof = 2s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
     // Maximum time from a stop to the end of a run; must match the setting of the platform. A
@@ -78,8 +80,10 @@
     // backend server does not confirm, are ignored.
     void onAnnouncement(const host_announcement &announcement);
 
-    // The backend server has announced that it shuts down. It gets no further starts.
-    void onDeparture(const std::string &id);
+    // The backend server has announced that it shuts down. It gets no further starts, unless it
+    // announces itself again: the notice may be a delayed one of an earlier incarnation.
+    // @param startedAtMs start of the incarnation that leaves; empty if the notice does not name it
+    void onDeparture(const std::string &id, std::optional<std::int64_t> startedAtMs = {});
 
     // The link to the planner of this epoch has opened; 0: the link has closed.
     void onPlanner(epoch number);
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -521,6 +521,8 @@
         host.lostReplyRate = 0.4;
         return heal([&host] { host.lostReplyRate = 0; });
     case 5:
+        if (m_options.hasLateDepartures && m_sidecars[victim])
+            m_sidecars[victim]->agent.onDeparture(m_hosts[victim]->id());
         host.isUnreachable = true;
         return heal([&host] { host.isUnreachable = false; });
     case 6:
@@ -571,6 +573,26 @@
     m_sidecars[index]->agent.onAnnouncement(foreign);
 }
 
+// Sends a departure notice that names the id of a host that stays.
+void graph_model::sendLateDeparture()
+{
+    const std::size_t index = m_hostRandom() % sidecarCount;
+    if (m_sidecars[index] && !m_hosts[index]->isDown())
+        m_sidecars[index]->agent.onDeparture(m_hosts[index]->announcement().id);
+}
+
+// Sends a copy of a host's announcement that names another service.
+void graph_model::sendForeignFields()
+{
+    const std::size_t index = m_hostRandom() % sidecarCount;
+    if (!m_sidecars[index] || m_hosts[index]->isDown())
+        return;
+    host_announcement foreign = m_hosts[index]->announcement();
+    foreign.service = "unknown";
+    foreign.sequence += 1'000'000;
+    m_sidecars[index]->agent.onAnnouncement(foreign);
+}
+
 void graph_model::healAll()
 {
     m_timers.clear();
@@ -659,6 +681,10 @@
             changeCapacity();
         if (m_options.hasForeignAnnouncements && m_hostRandom() % 20 == 0)
             sendForeignAnnouncement();
+        if (m_options.hasLateDepartures && m_hostRandom() % 200 == 0)
+            sendLateDeparture();
+        if (m_options.hasForeignFields && m_hostRandom() % 20 == 0)
+            sendForeignFields();
         m_loop.advance(step);
         recordElections();
     }
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -61,6 +61,11 @@
     bool hidesStoppingRuns = false; // the hosts don't list runs that are being stopped
     // Another writer sends announcements of servers that do not exist to the sidecars.
     bool hasForeignAnnouncements = false;
+    // Departure notices of an earlier incarnation of a backend server reach its sidecar late. They
+    // name an id that the server still has.
+    bool hasLateDepartures = false;
+    // Another writer copies check-ins, with the id and the start, and names an unknown service.
+    bool hasForeignFields = false;
     duration length = 60s; // of the phase with faults
     duration settleLimit = 90s; // of the phase without faults, in which all jobs must end
 };
@@ -101,6 +106,8 @@
     void addCrashingTask(const graph_job &job);
     void changeCapacity();
     void sendForeignAnnouncement();
+    void sendLateDeparture();
+    void sendForeignFields();
     void healAll();
     void pollStates();
     void recordElections();
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -175,3 +175,31 @@
     for (const std::uint64_t seed : regressionSeeds)
         LONGS_EQUAL(0, countFailing({}, seed, 1));
 }
+
+// Guards against work that is replaced while it runs, and capacity that is lost, after a departure
+// notice that was delayed beyond a restart under the same id, or came from another writer.
+TEST(graph_model, lateDeparturesBreakNoPromise)
+{
+    graph_model_options options;
+    options.hasLateDepartures = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", faultFreeSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
+
+// Guards against backend servers that get no work because another writer announces them with the
+// same id and start, and an unknown service.
+TEST(graph_model, foreignFieldsBreakNoPromise)
+{
+    graph_model_options options;
+    options.hasForeignFields = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", faultFreeSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
