--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -22,6 +22,9 @@
 // Bounds the memory for announcements of incarnations that are not confirmed.
 constexpr std::size_t maxCandidates = 8;
 
+// Margin added to the time of a stop, for the delivery of the call and its answer.
+constexpr duration stopSlack = 10ms;
+
 constexpr std::int32_t fullSpeed = 100; // percent
 constexpr std::int32_t unknownPace = -1;
 
@@ -75,6 +78,7 @@
     void noteUnconfirmedStart(const run_id &run);
     bool mayHaveStartedBefore(const run_id &run) const;
     bool isSettled(const ordered_run &ordered, time_point at) const;
+    duration stopTimeOf(const ordered_run &ordered) const;
     void scheduleSettlement();
     void scheduleRetry();
     void applyPaces();
@@ -555,6 +559,7 @@
             .field("run", run.number)
             .field("why", static_cast<std::int64_t>(*answer.refused))
             .write();
+        scheduleSettlement();
     }
     advanceAll();
     queryNow();
@@ -596,8 +601,16 @@
 {
     if (ordered.inFlight || ordered.mayTakeEffectLate || ordered.isPending())
         return false;
-    const bool takesTime = ordered.isStopped && ordered.mayHaveStarted;
-    return at >= ordered.settledAt + (takesTime ? options.stopTime : 0ms);
+    return at >= ordered.settledAt + stopTimeOf(ordered);
+}
+
+// Returns for how long after the last call a run may still be ended by a stop. A start that is
+// refused as superseded may have been stopped by an earlier process of this agent.
+duration run_agent::state::stopTimeOf(const ordered_run &ordered) const
+{
+    const bool mayBeStopping = (ordered.isStopped && ordered.mayHaveStarted)
+        || ordered.refused == start_refusal::Superseded;
+    return mayBeStopping ? scaled(options.stopTime, 1 + options.clockError) + stopSlack : 0ms;
 }
 
 // Queries the status as soon as it shows the outcome of the next stop.
@@ -605,8 +618,8 @@
 {
     std::optional<time_point> next;
     for (const auto &[run, ordered] : runs) {
-        const time_point at = ordered.settledAt + options.stopTime;
-        if (ordered.isStopped && ordered.mayHaveStarted && at > loop.now())
+        const time_point at = ordered.settledAt + stopTimeOf(ordered);
+        if (!ordered.inFlight && at > loop.now())
             next = std::min(next.value_or(at), at);
     }
     if (!next)
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -53,9 +53,11 @@
     duration departureProof = 2s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
-    // Maximum time from a stop to the end of a run; must match the setting of the platform. A
-    // backend server may leave a run out of its lists during that time.
+    // Maximum time from a stop to the end of a run, on the clock of the backend server; must match
+    // the setting of the platform. A run may be missing from its lists during that time.
     duration stopTime = 500ms;
+    // Maximum share by which a backend server's clock may run slow (the platform guarantees 2%).
+    double clockError = 0.02;
     // For how long a backend server is asked whether it is the announced incarnation. Announcements
     // come every 1.5 s.
     duration confirmationLimit = 3s;
