Add no job again after its removal, and none without its record

A listing of the jobs that was read before the records of an ended job expired, and arrived after, added the job again without its record, so that it ran again. A record that could not be decoded counted as absent, with the same effect.

--- a/goldcrest/planner_service_records.cc
+++ b/goldcrest/planner_service_records.cc
@@ -188,6 +188,8 @@
         return;
     }
     planner->forgetJobs(removed);
+    if (removedWhileListing)
+        removedWhileListing->insert(removed.begin(), removed.end());
     for (const std::string &id : removed)
         revisions.erase(graphProgressKey(id));
     // There may be more expired jobs than fit into one transaction.
--- a/goldcrest/planner_service_recovery.cc
+++ b/goldcrest/planner_service_recovery.cc
@@ -27,17 +27,20 @@
                 return retry(loadRetryPause, &state::loadRecords);
             }
             std::map<std::string, job_progress> records;
+            unreadableRecords.clear();
             for (const store_entry &entry : valueOf(listed)) {
                 revisions[entry.key] = entry.modRevision;
                 const std::string id = entry.key.substr(graphProgressPrefix.size());
                 result<job_progress> decoded = decodeJobProgress(entry.value);
-                if (const failure *error = failureOf(decoded))
-                    log_line(log_level::Error, "job record is malformed")
+                if (const failure *error = failureOf(decoded)) {
+                    log_line(log_level::Error, "job record is malformed, the job is held back")
                         .error(*error)
                         .field("request", id)
                         .write();
-                else
+                    unreadableRecords.insert(id);
+                } else {
                     records.emplace(id, std::move(valueOf(decoded)));
+                }
             }
             loadIntake(std::move(records));
         }));
@@ -105,6 +108,7 @@
 void planner_service::state::relistIntake()
 {
     watch.reset();
+    removedWhileListing.emplace();
     store_transaction mark;
     mark.requireCreateRevision(leaderKey(options.cell), role->currentEpoch())
         .put("gc/mark", std::to_string(role->currentEpoch()) + ":" + std::to_string(++writeCount));
@@ -118,6 +122,7 @@
                            if (failureOf(listed))
                                return retry(loadRetryPause, &state::relistIntake);
                            applyListing(valueOf(listed), {});
+                           removedWhileListing.reset();
                            watchIntake(from);
                            schedulePlan();
                        }));
@@ -159,6 +164,11 @@
         log_line(log_level::Error, "job is malformed").error(*error).field("request", id).write();
         return;
     }
+    // A listing may have read a job before its removal; without its record it would run again.
+    if (removedWhileListing && removedWhileListing->count(valueOf(job).id) > 0)
+        return;
+    if (unreadableRecords.count(valueOf(job).id) > 0)
+        return;
     const auto record = records.find(valueOf(job).id);
     planner->addJob(valueOf(job),
                     record == records.end() ? std::nullopt : std::optional(record->second), wall(),
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <memory>
 #include <random>
 #include <set>
@@ -108,6 +109,11 @@
     operator_view view;
     std::unique_ptr<store_watch> watch;
     std::map<std::string, store_revision> revisions; // of the records read or written, by key
+    // Jobs that were removed since the listing of jobs that is under way was asked for.
+    std::optional<std::set<std::string>> removedWhileListing;
+    // Jobs whose record could not be decoded. They are held back: without the record, tasks that
+    // are done would run again.
+    std::set<std::string> unreadableRecords;
     std::map<std::string, std::string> writers; // writer tokens of the write in progress, by key
     std::uint64_t writeCount = 0;
     bool isCommitting = false;
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -288,3 +288,54 @@
     CHECK(model.range(graphProgressKey("a"), {}).empty());
     CHECK(!service->planner()->stateOf("a").has_value());
 }
+
+// Guards against tasks that are done and run again, since the record that says so can't be decoded
+// and counted as absent (TWICE).
+TEST(planner_service, jobWithAnUnreadableRecordIsHeldBack)
+{
+    storeJob("a");
+    storeJob("b");
+    store_transaction damage;
+    damage.put(graphProgressKey("a"), "no record");
+    CHECK(!failureOf(model.commit(damage)));
+    elect();
+    LONGS_EQUAL(1, service->planner()->jobCount());
+    CHECK(service->planner()->stateOf("b").has_value());
+}
+
+// Guards against an ended job that runs again: a listing of the accepted jobs was read before the
+// records of the job expired, and arrives after they were removed and the job was forgotten
+// (TWICE).
+TEST(planner_service, expiredJobIsNotAddedAgainByAnOlderListing)
+{
+    elect();
+    std::vector<std::string> ids;
+    for (int i = 0; i < 10; ++i) {
+        ids.push_back("a" + std::to_string(i));
+        storeJob(ids.back());
+        storeCancel(ids.back());
+        loop.advance(7s);
+    }
+    for (const std::string &id : ids)
+        checkState(id, graph_job_state::Cancelled);
+    loop.advance(60s);
+    for (int cycle = 0; cycle < 120; ++cycle) {
+        store.faults().delay = 600ms;
+        const auto countListings = [this] {
+            const std::vector<std::string> &calls = store.callOrder();
+            return std::count(calls.begin(), calls.end(), std::string(graphIntakePrefix));
+        };
+        const auto before = countListings();
+        store.breakWatches();
+        // The listing of many jobs has several pages, so it takes longer than a removal.
+        CHECK(loop.advanceUntil([&] { return countListings() > before; }, 5s));
+        store.faults().delay = 0ms;
+        std::size_t known = service->planner()->jobCount();
+        for (int step = 0; step < 70 + cycle * 37 % 50; ++step) {
+            loop.advance(10ms);
+            CHECK(service->planner()->jobCount() <= known);
+            known = service->planner()->jobCount();
+        }
+    }
+    CHECK(service->isActive());
+}
