Keep the capacity of runs that a list may be short of

One that was being stopped and is in neither list meanwhile, or in a row that could not be decoded, freed it too early.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -223,6 +223,8 @@
     static void forgetOldStarts(pool_worker &worker, time_point now);
     void processEnds(pool_worker &worker, const worker_report_message &report, unix_ms wall,
                      time_point now);
+    static std::vector<running_task> presentRuns(const pool_worker &worker,
+                                                 const worker_report_message &report);
     void processRunning(pool_worker &worker, const worker_report_message &report, time_point now);
     void processRefusals(pool_worker &worker, const worker_report_message &report, unix_ms wall,
                          time_point now);
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -78,6 +78,7 @@
                        "its backend server started a new incarnation",
                        fmt::format("life={} before={}", report.incarnation, worker.incarnation));
         worker.earlierListedAt = worker.listedAt;
+        worker.running.clear();
         worker.missingSince.clear();
         worker.endsSeen = 0;
         worker.endsStored = 0;
@@ -302,13 +303,33 @@
     }
 }
 
+// Returns the reported runs, and those that were reported before and may still be there: the list
+// is short of some runs, or the outcome of their stop is not known yet.
+std::vector<running_task> run_planner::presentRuns(const pool_worker &worker,
+                                                   const worker_report_message &report)
+{
+    std::vector<running_task> present = report.running;
+    std::set<run_id> known;
+    for (const running_task &running : report.running)
+        known.insert(running.run);
+    for (const ended_task &ended : report.ended)
+        known.insert(ended.run);
+    for (const auto &[run, running] : worker.running) {
+        const bool mayExist = report.isPartial || worker.unresolved.count(run) > 0;
+        if (mayExist && known.count(run) == 0)
+            present.push_back(running);
+    }
+    return present;
+}
+
 void run_planner::processRunning(pool_worker &worker, const worker_report_message &report,
                                  time_point now)
 {
+    const std::vector<running_task> present = presentRuns(worker, report);
     worker.running.clear();
     worker.runningTasks.clear();
     worker.unassignedRuns.clear();
-    for (const running_task &running : report.running) {
+    for (const running_task &running : present) {
         worker.running[running.run] = running;
         const result<task_key> key = parseTask(running.run.task);
         worker.runningTasks.push_back(failureOf(key) ? std::nullopt : std::optional(valueOf(key)));
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1556,3 +1556,83 @@
     planner.forgetJobs(expired);
     CHECK(!planner.stateOf("a").has_value());
 }
+
+// Guards against ends that are never acknowledged: the first of a full list completes a task whose
+// later run never started, and that run was not ended, as a full list proves nothing (LOST, Acks).
+TEST(run_planner, fullListOfEndsIsAcknowledged)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 50, 0});
+    planner.onReport(report, wall, now);
+    planner.onReport(reportOf("w1"), wall, now);
+    clock += run_planner_options{}.stopTime.count() + 10;
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    const worker_orders_message again = ordersOf("w1");
+    LONGS_EQUAL(1, again.starts.size());
+    std::int64_t seen = again.sequence;
+    // The start got no answer; meanwhile the end of the first run is listed, before many others.
+    for (int i = 0; i < 20; ++i) {
+        report = reportOf("w1");
+        report.ordersSeen = seen;
+        report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Done, {}});
+        for (std::int64_t number = 2; number <= 500; ++number)
+            report.ended.push_back({number, {"b.0.0.0", 1}, run_end::Done, {}});
+        if (i < 3)
+            report.unresolved.push_back({"a.0.0.0", 2});
+        planner.onReport(report, wall, now);
+        planAndStore();
+        seen = ordersOf("w1").sequence;
+        clock += 1000;
+        now += 1s;
+    }
+    LONGS_EQUAL(500, ordersOf("w1").endsStored);
+}
+
+// Guards against a worker over capacity: a run of nobody is being stopped, and its backend server
+// lists it neither as running nor as ended until then (LIMIT).
+TEST(run_planner, unresolvedRunOfNobodyKeepsItsCapacity)
+{
+    addJob("a", 1, makeStep(1, 8));
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 3}, {}, 50, 0});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+    CHECK(ordersOf("w1").starts.empty());
+    report = reportOf("w1");
+    report.unresolved.push_back({"a.0.0.0", 3});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    CHECK(ordersOf("w1").starts.empty());
+}
+
+// The same for a list with rows that could not be decoded.
+TEST(run_planner, partialListFreesNoCapacity)
+{
+    addJob("a", 1, makeStep(1, 8));
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 3}, {}, 50, 0});
+    planner.onReport(report, wall, now);
+    report = reportOf("w1");
+    report.isPartial = true;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    CHECK(ordersOf("w1").starts.empty());
+}
+
+// Guards against an end that is acknowledged without having been read: a row of the list could not
+// be decoded, and the end of a later number acknowledges it too, after which a completed task starts
+// again (TWICE).
+TEST(run_planner, endThatWasNotReadIsNotAcknowledged)
+{
+    worker_report_message report = reportOf("w1");
+    report.isPartial = true;
+    report.ended.push_back({2, {"b.0.0.0", 1}, run_end::Done, {}});
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(0, ordersOf("w1").endsStored);
+}
