Acknowledge no end behind one that could not be read

With a partial list, ends behind a gap are handled but not acknowledged. endThatWasNotReadIsNotAcknowledged failed before.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace goldcrest {
@@ -274,15 +275,32 @@
                    fmt::format("failed_jobs={}", worker.failedJobs.size()));
 }
 
+namespace {
+
+// Returns the number up to which ends may be acknowledged. A partial list may lack an end before a
+// later one, which would be acknowledged with it and be lost.
+std::int64_t lastReadableEnd(const worker_report_message &report, std::int64_t seen)
+{
+    if (!report.isPartial)
+        return std::numeric_limits<std::int64_t>::max();
+    for (const ended_task &ended : report.ended) {
+        if (ended.number == seen + 1)
+            seen = ended.number;
+    }
+    return seen;
+}
+
+} // namespace
+
 void run_planner::processEnds(pool_worker &worker, const worker_report_message &report,
                               unix_ms wall, time_point now)
 {
     static constexpr std::string_view names[]
         = {"done", "failed", "stopped", "lease ended", "gang member ended", "gang incomplete"};
+    const std::int64_t readable = lastReadableEnd(report, worker.endsSeen);
     for (const ended_task &ended : report.ended) {
         if (ended.number <= worker.endsSeen)
             continue;
-        worker.endsSeen = ended.number;
         pending_end pending{ended.number, {}, 0, {}};
         const result<task_key> key = parseTask(ended.run.task);
         if (!failureOf(key)) {
@@ -299,6 +317,9 @@
             recordDecision("end ignored", {}, ended.run.number, worker.id,
                            "the task name is malformed");
         }
+        if (ended.number > readable)
+            continue;
+        worker.endsSeen = ended.number;
         worker.pendingEnds.push_back(std::move(pending));
     }
 }
