Acknowledge the ends of a full list also behind a task that is done

The later run of a task that is done is ended on a full list too. fullListOfEndsIsAcknowledged failed before.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -425,8 +425,9 @@
 void run_planner::endRunsNotListed(pool_worker &worker, const worker_report_message &report,
                                    unix_ms wall)
 {
-    if (report.isPartial || report.ended.size() >= endsPerView)
+    if (report.isPartial)
         return;
+    const bool mayLackEnds = report.ended.size() >= endsPerView;
     std::map<run_id, std::int64_t> missingSince;
     const std::set<task_key> active = worker.active;
     for (const task_key &key : active) {
@@ -436,6 +437,10 @@
         const run_id run{formatTask(key), task->record.lastRun};
         if (worker.running.count(run) > 0 || worker.unresolved.count(run) > 0)
             continue;
+        // The end of a task that is done needs no proof, and the acknowledgement of the ends that
+        // fill the list may wait for it.
+        if (mayLackEnds && !task->record.isDone)
+            continue;
         const auto known = worker.missingSince.find(run);
         missingSince[run] = known == worker.missingSince.end() ? report.clock : known->second;
         if (!isGone(*task, missingSince[run], report))
