--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -163,6 +163,20 @@
     CHECK(failureOf(decodeJob("5c0e7a21d94b36f8", job)));
 }
 
+// Guards against an announcement of another writer that is taken for the backend server's own
+// though a field has another type, also one that nothing is decided from.
+TEST(platform_codec, refusesAnnouncementsWithFieldsOfAnotherType)
+{
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"slots\":8", "\"slots\":\"8\""},
+             {"\"version\":\"v1\"", "\"version\":1"},
+             {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\""},
+             {"\"clock_ms\":482113", "\"clock_ms\":[]"},
+             {"\"born\":1700000000123", "\"born\":\"now\""}})
+        CHECK_TEXT(failureOf(decodeAnnouncement("i-1", replaced(goodAnnouncement, from, to))),
+                   to.c_str());
+}
+
 // Guards against a status or reason of a refused start that maps to the wrong refusal, and against
 // a 500 that is taken for a known outcome.
 TEST(platform_codec, decodesRefusalsOfStarts)
