--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -605,7 +605,7 @@
     });
     converted.body = request.body();
     std::ostringstream peer;
-    const auto remote = request.remote_endpoint();
+    const auto &remote = request.remote_endpoint();
     converted.peer = fmt::format("{}:{}", remote.address().to_string(), remote.port());
     return converted;
 }
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -7,8 +7,8 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -47,9 +47,9 @@
     // Pause between status queries while ended runs are not stored yet; the backend server answers
     // each query immediately as long as it has unacknowledged ends.
     duration pauseForStoring = 100ms;
-    // A backend server that has announced its departure and neither answers nor announces itself for
-    // this long is gone. Longer than the interval of announcements, 1.5 s, so that one that is still
-    // there has withdrawn its departure before.
+    // A backend server that has announced its departure and neither answers nor announces itself
+    // for this long is gone. Longer than the interval of announcements, 1.5 s, so that one that is
+    // still there has withdrawn its departure before.
     duration departureProof = 2s;
     // Pause after a call that got no answer.
     duration retryPause = 150ms;
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1626,8 +1626,8 @@
 }
 
 // Guards against an end that is acknowledged without having been read: a row of the list could not
-// be decoded, and the end of a later number acknowledges it too, after which a completed task starts
-// again (TWICE).
+// be decoded, and the end of a later number acknowledges it too, after which a completed task
+// starts again (TWICE).
 TEST(run_planner, endThatWasNotReadIsNotAcknowledged)
 {
     worker_report_message report = reportOf("w1");
