--- a/testing/json_text_test.cc
+++ b/testing/json_text_test.cc
@@ -27,7 +27,7 @@
     std::string objects = "1";
     for (std::size_t i = 0; i <= maxJsonDepth; ++i)
         objects.insert(0, R"({"a":)");
-        objects += '}';
+    objects += '}';
     CHECK(parseJson(objects).is_discarded());
 }
 
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -172,6 +172,7 @@
              {"\"version\":\"v1\"", "\"version\":1"},
              {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\""},
              {"\"clock_ms\":482113", "\"clock_ms\":[]"},
+             {"\"sequence\":4", "\"sequence\":-4"},
              {"\"born\":1700000000123", "\"born\":\"now\""}})
         CHECK_TEXT(failureOf(decodeAnnouncement("i-1", replaced(goodAnnouncement, from, to))),
                    to.c_str());
