--- a/testing/json_text_test.cc
+++ b/testing/json_text_test.cc
@@ -25,9 +25,10 @@
     CHECK(parseJson(nested(1'000'000)).is_discarded());
     CHECK(parseJson(std::string(1'000'000, '[')).is_discarded());
     std::string objects = "1";
-    for (std::size_t i = 0; i <= maxJsonDepth; ++i)
+    for (std::size_t i = 0; i <= maxJsonDepth; ++i) {
         objects.insert(0, R"({"a":)");
-    objects += '}';
+        objects += '}';
+    }
     CHECK(parseJson(objects).is_discarded());
 }
 
