--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/run_agent.h"
 
+#include "goldcrest/incarnation_check.h"
 #include "goldcrest/log_fields.h"
 
 #include <algorithm>
@@ -19,9 +20,6 @@
 constexpr std::int64_t maxSequenceGap = 100;
 constexpr duration minAnnouncementInterval = 100ms;
 
-// Bounds the memory for announcements of incarnations that are not confirmed.
-constexpr std::size_t maxCandidates = 8;
-
 // Margin added to the time of a stop, for the delivery of the call and its answer.
 constexpr duration stopSlack = 10ms;
 
@@ -59,10 +57,6 @@
 
     bool isPlausible(const host_announcement &announcement) const;
     void updateAnnouncement(const host_announcement &announcement);
-    void addCandidate(const host_announcement &announcement);
-    void confirm(const std::string &incarnation);
-    void confirmCandidates();
-    void onConfirmation(const std::string &incarnation, const result<host_status> &outcome);
     void refuseAnnouncement(const host_announcement &announcement, std::string_view why);
     void beginIncarnation(const host_announcement &announcement);
     void noteUnanswered();
@@ -113,15 +107,7 @@
     std::function<bool(const worker_report_message &)> send;
 
     std::optional<host_announcement> backend;
-    // Announced incarnations that the backend server has not confirmed yet.
-    struct candidate
-    {
-        host_announcement announcement;
-        time_point seenAt{};
-        std::uint64_t query = 0; // number of the last query for a confirmation
-    };
-    std::map<std::string, candidate> candidates; // by incarnation
-    std::uint64_t confirmationQueries = 0;
+    std::unique_ptr<incarnation_check> check; // of announcements of other incarnations
     std::uint64_t unconfirmedAnnouncements = 0;
     std::uint64_t incarnationCount = 0;
     // The last answer came from this incarnation. Otherwise the next one may have taken its place.
@@ -154,7 +140,6 @@
     bool isReachable = false;
     timer_handle queryTimer;
     timer_handle retryTimer;
-    timer_handle confirmationTimer;
     timer_handle settlementTimer;
 };
 
@@ -166,13 +151,23 @@
     m_state->worker = std::move(worker);
     m_state->options = options;
     m_state->send = std::move(report);
+    state *self = m_state.get();
+    incarnation_check_callbacks callbacks;
+    callbacks.onConfirmed
+        = [self](const host_announcement &announcement) { self->beginIncarnation(announcement); };
+    callbacks.onRefused = [self](const host_announcement &announcement, std::string_view why) {
+        self->refuseAnnouncement(announcement, why);
+    };
+    m_state->check = std::make_unique<incarnation_check>(
+        loop, host, incarnation_check_options{options.retryPause, options.confirmationLimit},
+        std::move(callbacks));
 }
 
 run_agent::~run_agent()
 {
     m_state->queryTimer.reset();
     m_state->retryTimer.reset();
-    m_state->confirmationTimer.reset();
+    m_state->check.reset();
     m_state->settlementTimer.reset();
     m_state->send = nullptr;
 }
@@ -204,7 +199,7 @@
         self.updateAnnouncement(announcement);
         return;
     }
-    self.addCandidate(announcement);
+    self.check->start(announcement, self.token);
 }
 
 void run_agent::onDeparture(const std::string &id, std::optional<std::int64_t> startedAtMs)
@@ -212,7 +207,7 @@
     const std::optional<host_announcement> &current = m_state->backend;
     const bool isCurrent = current && current->id == id
         && startedAtMs.value_or(current->startedAtMs) == current->startedAtMs;
-    log_line(log_level::Info, isCurrent ? "backend server departs" : "departure notice ignored")
+    log_line(log_level::Info, isCurrent ? "backend server leaves" : "departure notice ignored")
         .field("worker", m_state->worker)
         .field("id", id)
         .field("current", current ? current->incarnation() : std::string())
@@ -254,75 +249,6 @@
         queryNow();
 }
 
-void run_agent::state::addCandidate(const host_announcement &announcement)
-{
-    const std::string incarnation = announcement.incarnation();
-    if (candidates.count(incarnation) == 0 && candidates.size() >= maxCandidates) {
-        const auto oldest = std::min_element(
-            candidates.begin(), candidates.end(),
-            [](const auto &a, const auto &b) { return a.second.seenAt < b.second.seenAt; });
-        candidates.erase(oldest);
-    }
-    candidates[incarnation].announcement = announcement;
-    candidates[incarnation].seenAt = loop.now();
-    confirm(incarnation);
-}
-
-// Asks the backend server whether it is this candidate. The query acknowledges no ends and extends
-// no lease.
-void run_agent::state::confirm(const std::string &incarnation)
-{
-    candidate &asked = candidates.at(incarnation);
-    asked.query = ++confirmationQueries;
-    host.queryStatus(token, 0, 0, 0ms, asked.announcement.id,
-                     [weak = weak_from_this(), incarnation,
-                      number = asked.query](const result<host_status> &outcome) {
-                         const std::shared_ptr<state> self = weak.lock();
-                         if (!self)
-                             return;
-                         const auto found = self->candidates.find(incarnation);
-                         if (found != self->candidates.end() && found->second.query == number)
-                             self->onConfirmation(incarnation, outcome);
-                     });
-}
-
-void run_agent::state::confirmCandidates()
-{
-    std::vector<std::string> incarnations;
-    for (const auto &[incarnation, asked] : candidates)
-        incarnations.push_back(incarnation);
-    // An answer may arrive at once and remove candidates.
-    for (const std::string &incarnation : incarnations) {
-        if (candidates.count(incarnation) > 0)
-            confirm(incarnation);
-    }
-}
-
-void run_agent::state::onConfirmation(const std::string &incarnation,
-                                      const result<host_status> &outcome)
-{
-    const auto found = candidates.find(incarnation);
-    if (failureOf(outcome)) {
-        // There was no answer, or the backend server has seen the token of a newer planner.
-        if (loop.now() - found->second.seenAt >= options.confirmationLimit)
-            candidates.erase(found);
-        else
-            confirmationTimer = loop.after(options.retryPause, [this] { confirmCandidates(); });
-        return;
-    }
-    const host_announcement announced = found->second.announcement;
-    candidates.erase(found);
-    const host_status &status = valueOf(outcome);
-    if (status.isOtherIncarnation) {
-        refuseAnnouncement(announced, "the backend server has another id");
-    } else if (status.startedAtMs != announced.startedAtMs) {
-        refuseAnnouncement(announced, "the backend server has another start");
-    } else {
-        candidates.clear();
-        beginIncarnation(announced);
-    }
-}
-
 void run_agent::state::refuseAnnouncement(const host_announcement &announcement,
                                           std::string_view why)
 {
@@ -417,7 +343,7 @@
         self.token = number;
         self.ordersSeen = 0;
     }
-    self.confirmCandidates();
+    self.check->askAgain(self.token);
     self.queryNow();
 }
 
