Acknowledge no end while a start is unanswered

The backend server had been replaced under its id; the next incarnation carried a start out, and the number of an end that the planner had stored for the earlier one acknowledged the end of that run, which was then never reported.

Between two calls the next incarnation may still take the number: it can only have ends of starts that it has carried out, and until such a start is answered nothing shows that it is another one. So a query that is sent while a start has no answer acknowledges nothing; the answer, which takes milliseconds, brings the next query. The pause between queries while ends are listed now depends on the list itself: a server answers at once as long as it has ends, and a withheld acknowledgement would have made the agent ask without a pause.

nothingIsOrderedFromAnIncarnationInDoubt expected the acknowledgement in the same millisecond as a start; it now orders the two one after the other, with the same checks.

Without this change noEndIsAcknowledgedWhileAStartIsUnanswered fails; endsOfTheNextIncarnationAreNotAcknowledged, the test of the reviewed sequence by itself, fails if an incarnation in doubt is sent the number.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -163,7 +163,6 @@
     ++incarnationCount;
     hasLeft = false;
     endsStored = 0;
-    endsListed = 0;
     listedEnds.clear();
     newestClock = 0;
     holdUntil = 0;
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -176,6 +176,13 @@
         .write();
 }
 
+bool run_agent::state::hasStartInFlight() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto &item) {
+        return item.second.inFlight && item.second.mayTakeEffectLate;
+    });
+}
+
 void run_agent::state::sendStop(const run_id &run, ordered_run &ordered)
 {
     ordered.inFlight = true;
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -24,8 +24,11 @@
         return;
     isQuerying = true;
     const std::uint64_t number = ++queryNumber;
-    // Another incarnation would take the numbers and times of this one for its own.
-    host.queryStatus(token, isConfirmed ? endsStored : 0, isConfirmed ? holdUntil : 0,
+    // Another incarnation would take the numbers and times of this one for its own. It can have
+    // ends only of starts that it has carried out, the answer to which shows that it is another
+    // one.
+    const bool mayAcknowledge = isConfirmed && !hasStartInFlight();
+    host.queryStatus(token, mayAcknowledge ? endsStored : 0, isConfirmed ? holdUntil : 0,
                      isConfirmed ? wait : 0ms, backend->id,
                      guarded([this, number, sentAt = loop.now(), sentToken = token,
                               orders = ordersSeen](const result<host_status> &status) {
@@ -84,11 +87,9 @@
         advanceAll();
     newestClock = status.clock;
     newestClockAt = loop.now();
-    for (const ended_task &ended : status.ended)
-        endsListed = std::max(endsListed, ended.number);
     report(status, sentAt, ordersAtSend);
     if (!isQuerying)
-        scheduleQuery(endsListed > endsStored ? options.pauseForStoring : 0ms);
+        scheduleQuery(status.ended.empty() ? 0ms : options.pauseForStoring);
 }
 
 worker_report_message run_agent::state::makeReport() const
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -59,6 +59,7 @@
     void noteDoubt();
     bool confirmIncarnation(time_point sentAt);
     std::int64_t earliestClock() const;
+    bool hasStartInFlight() const;
     void takeStarts(const worker_orders_message &orders);
     void takeStops(const worker_orders_message &orders);
     void refuseOpenStarts();
@@ -128,7 +129,6 @@
     std::int64_t ordersSeen = 0;
     std::int64_t holdUntil = 0;
     std::int64_t endsStored = 0;
-    std::int64_t endsListed = 0;
     std::int64_t newestClock = 0; // of the backend server, in the last status; 0: no status yet
     time_point newestClockAt{};
     std::map<run_id, ordered_run> runs;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -616,10 +616,12 @@
 {
     worker_orders_message message = orders(5, 1);
     message.endsStored = 3;
-    message.starts.push_back({someRun, "spec", {}, {}});
     agent.onOrders(message);
     loop.advance(1ms);
     LONGS_EQUAL(3, host.statusQueries.back().endsStored);
+    message.sequence = 2;
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
     host.statusQueries.back().answer(makeFailure(code::BackendUnavailable, "connection reset"));
     host.starts[0].answer(makeFailure(code::BackendUnavailable, "connection refused"));
     // The next incarnation answers.
@@ -662,6 +664,25 @@
     CHECK(reports.at(1).startedRuns.empty());
 }
 
+// Guards against a task that runs again after it is done (review/1): the number of the last end
+// that the crashed incarnation had listed acknowledged an end of the next one, which was never
+// reported.
+TEST(run_agent, endsOfTheNextIncarnationAreNotAcknowledged)
+{
+    answerStatusQuery();
+    worker_orders_message message = orders(5, 1);
+    message.endsStored = 3;
+    agent.onOrders(message);
+    loop.advance(1ms);
+    LONGS_EQUAL(3, host.statusQueries.back().endsStored);
+    host.statusQueries.back().answer(makeFailure(code::BackendUnavailable, "connection reset"));
+    for (int i = 0; i < 5; ++i) {
+        loop.advance(200ms);
+        LONGS_EQUAL(0, host.statusQueries.back().endsStored);
+        answerAsTheNextIncarnation();
+    }
+}
+
 // Guards against a task that runs again after it is done (review/1): the next incarnation is behind
 // the same id without a failed call, and takes the number of an acknowledged end for one of its
 // own.
@@ -679,6 +700,28 @@
     LONGS_EQUAL(0, host.statusQueries.back().holdUntil);
 }
 
+// Guards against a task that runs again after it is done (review/1): its start is carried out by
+// the next incarnation, which has completed it before the start is answered.
+TEST(run_agent, noEndIsAcknowledgedWhileAStartIsUnanswered)
+{
+    answerStatusQuery();
+    loop.advance(1ms);
+    worker_orders_message message = orders(5, 1);
+    message.endsStored = 3;
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    loop.advance(1ms);
+    LONGS_EQUAL(0, host.statusQueries.back().endsStored);
+    // The withheld acknowledgement does not turn waiting queries into a busy loop.
+    const std::size_t asked = host.statusQueries.size();
+    answerStatusQuery({}, {{3, {"5c0e7a21d94b36f8.0.0.1", 1}, run_end::Done, {}}});
+    loop.advance(50ms);
+    LONGS_EQUAL(asked, host.statusQueries.size());
+    host.starts.at(0).answer(startedAt(clock + 60));
+    loop.advance(1ms);
+    LONGS_EQUAL(3, host.statusQueries.back().endsStored);
+}
+
 // Guards against a job that is failed without cause (review/3): a run that the next incarnation
 // started counted as lost in the crash of the one before, though no call had failed.
 TEST(run_agent, runThatTheNextIncarnationStartedIsNotLostInTheCrash)
