Stop at once what an unannounced incarnation has started

The first had hung until the lease of its run was over, crashed, and was replaced under its id; the next incarnation carried the start out, since the end of the lease lay far ahead on its clock, and went on until its first check-in, which may take 1.5 s.

Now each run whose start has no answer is stopped as soon as a status query shows another start of the server. An announcement of another incarnation also puts the known one in doubt, until a query shows it again; starts were sent in between.

Without this change startCarriedOutByTheNextIncarnationIsStoppedAtOnce and startWaitsWhileAnAnnouncedIncarnationIsNotConfirmed fail. leaseOfTheCrashedIncarnationIsNotUsedInTheNextOne, the test of the reviewed sequence by itself, fails if an incarnation in doubt is sent the lease, or the start.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -73,6 +73,10 @@
         self.updateAnnouncement(announcement);
         return;
     }
+    if (self.backend) {
+        self.noteDoubt();
+        self.queryNow();
+    }
     self.check->start(announcement, self.token);
 }
 
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -20,9 +20,9 @@
 // may be delayed.
 //
 // The next incarnation may be behind the same address and id without having been announced: after
-// a call without an answer, and after an answer whose clock is not that of the known incarnation.
-// Until a status query shows the known one again, no run is started, no end acknowledged and no
-// lease extended.
+// a call without an answer, after an answer whose clock is not that of the known incarnation, and
+// once another one is announced. Until a status query shows the known one again, no run is started,
+// no end acknowledged and no lease extended.
 //
 // When an incarnation of the backend server is gone, a final report completes it: with the ends
 // that it has listed, and with the starts that may still take effect in the next incarnation.
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -183,6 +183,19 @@
     });
 }
 
+// Stops the runs that the next incarnation may have started before it has announced itself. They
+// would go on beside the next run of their task.
+void run_agent::state::stopUnconfirmedRuns()
+{
+    for (auto &[run, ordered] : runs) {
+        if (!ordered.mayTakeEffectLate)
+            continue;
+        ordered.isStopping = true;
+        ordered.retryAt = loop.now();
+    }
+    advanceAll();
+}
+
 void run_agent::state::sendStop(const run_id &run, ordered_run &ordered)
 {
     ordered.inFlight = true;
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -74,8 +74,10 @@
     // Answers on different connections may arrive out of order, and another incarnation numbers its
     // ends differently.
     if (status.clock < newestClock || status.startedAtMs != backend->startedAtMs) {
-        if (status.startedAtMs != backend->startedAtMs)
+        if (status.startedAtMs != backend->startedAtMs) {
             noteDoubt();
+            stopUnconfirmedRuns();
+        }
         if (!isQuerying)
             scheduleQuery(options.retryPause);
         return;
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -60,6 +60,7 @@
     bool confirmIncarnation(time_point sentAt);
     std::int64_t earliestClock() const;
     bool hasStartInFlight() const;
+    void stopUnconfirmedRuns();
     void takeStarts(const worker_orders_message &orders);
     void takeStops(const worker_orders_message &orders);
     void refuseOpenStarts();
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -683,6 +683,25 @@
     }
 }
 
+// Guards against two runs of a task at the same time (review/4): a start that a server had not
+// answered for longer than the lease reached its next incarnation, whose clock starts anew, so that
+// the end of the lease lay far ahead.
+TEST(run_agent, leaseOfTheCrashedIncarnationIsNotUsedInTheNextOne)
+{
+    answerStatusQuery();
+    orderOneStartWithoutAnswer();
+    for (int i = 0; i < 60; ++i) {
+        loop.advance(200ms);
+        host.statusQueries.back().answer(makeFailure(code::BackendUnavailable, "no answer"));
+    }
+    for (int i = 0; i < 5; ++i) {
+        loop.advance(200ms);
+        LONGS_EQUAL(0, host.statusQueries.back().holdUntil);
+        answerAsTheNextIncarnation();
+    }
+    LONGS_EQUAL(1, host.starts.size());
+}
+
 // Guards against a task that runs again after it is done (review/1): the next incarnation is behind
 // the same id without a failed call, and takes the number of an acknowledged end for one of its
 // own.
@@ -756,6 +775,33 @@
     LONGS_EQUAL(1, reports.at(1).startedRuns.size());
 }
 
+// Guards against two runs of a task at the same time (review/4): a start without an answer is
+// carried out by the next incarnation, and went on until that one announced itself.
+TEST(run_agent, startCarriedOutByTheNextIncarnationIsStoppedAtOnce)
+{
+    answerStatusQuery();
+    orderOneStartWithoutAnswer();
+    answerAsTheNextIncarnation();
+    LONGS_EQUAL(1, host.starts.size());
+    LONGS_EQUAL(1, host.stops.size());
+}
+
+// Guards against two runs of a task at the same time (review/4): an announcement shows that the
+// next incarnation may be there, and it was still sent starts until it had confirmed itself.
+TEST(run_agent, startWaitsWhileAnAnnouncedIncarnationIsNotConfirmed)
+{
+    answerStatusQuery();
+    loop.advance(1ms);
+    agent.onAnnouncement(makeAnnouncement("i-1", 200));
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    LONGS_EQUAL(0, host.starts.size());
+    loop.advance(1ms);
+    answerStatusQuery();
+    LONGS_EQUAL(1, host.starts.size());
+}
+
 // Guards against a run that is replaced and started all the same: its start waited for the
 // incarnation to be confirmed, and a report showed it as carried out and not listed (TWICE and
 // LIMIT on a hunted day with late orders).
