Use advice tickets that are valid for a second or less

A start was only sent if its ticket was valid for 500 ms more. Of a ticket that is valid for 1 s, a request may take half; the rest was never enough, so that requestsLeaveTimeToUseTheTickets showed a request whose tickets could not be used. Found while looking for other places where an answer of the advice service is of no use for good.

Half of what is left of a ticket is kept for the start, 500 ms at most. A refused ticket removes the step's other tickets at once, which replaces the second expiry.

Measured: shortTicketsAreUsed fails without this change (lifetimes of 200, 500 and 1,000 ms).

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -192,7 +192,7 @@
     struct advice_ticket
     {
         std::string ticket;
-        time_point until{}; // when it expires
+        time_point usableUntil{}; // a start that is sent by then arrives before it expires
     };
 
     // Answers of the advice service for one step.
@@ -203,7 +203,6 @@
         // Servers that no answer was about may still be allowed.
         std::set<std::string> asked;
         std::set<std::string> allowed;
-        time_point until{}; // no ticket is used later; reset when the service's ticket is refused
         time_point retryAt{}; // after a failed request
     };
 
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -59,13 +59,11 @@
 // start arrives.
 bool run_planner::hasTicket(const unit &next, const pool_worker &worker, time_point now) const
 {
-    // A start takes a few milliseconds; the rest leaves time to repeat it if it is not answered.
-    constexpr duration startTime = 500ms;
     const auto advice = m_advice.find(adviceKeyOf(next.job->keyOf(next.step, 0)));
-    if (advice == m_advice.end() || now + startTime >= advice->second.until)
+    if (advice == m_advice.end())
         return false;
     const auto found = advice->second.tickets.find(worker.incarnation);
-    return found != advice->second.tickets.end() && now + startTime < found->second.until;
+    return found != advice->second.tickets.end() && now < found->second.usableUntil;
 }
 
 // Returns a placement for which the unit has all tickets and that is as fast as the one found, if
@@ -144,6 +142,9 @@
 {
     // Pause after a failed request, for example because the queue of the service was full.
     constexpr duration retryPause = 300ms;
+    // A start takes a few milliseconds; the rest leaves time to repeat it if it is not answered. Of
+    // tickets that are valid for less than twice as long, half of the time is left.
+    constexpr duration startTime = 500ms;
     m_isAdvicePending = false;
     m_isAdviceFailing = failureOf(answer) != nullptr;
     const result<task_key> key = parseTask(request.step + ".0");
@@ -156,19 +157,17 @@
         recordDecision("advice request failed", valueOf(key), 0, {}, error->reason);
         return;
     }
-    if (advice.until == time_point{})
-        advice.tickets.clear(); // one of them was refused, so that the others are in doubt
     // The lifetime of the tickets starts at the service's decision, which may be as early as the
     // request.
-    const time_point until = now - request.expected + valueOf(answer).lifetime;
-    advice.until = std::max(advice.until, until);
+    const duration left = valueOf(answer).lifetime - request.expected;
+    const time_point usableUntil = now + left - std::min(startTime, left / 2);
     for (std::size_t i = 0; i < request.machines.size(); ++i) {
         advice.asked.insert(request.machines[i]);
         const auto found = valueOf(answer).tickets.find(request.machines[i]);
         if (found == valueOf(answer).tickets.end())
             continue;
         advice.allowed.insert(request.machines[i]);
-        advice.tickets[request.incarnations[i]] = {found->second, until};
+        advice.tickets[request.incarnations[i]] = {found->second, usableUntil};
     }
     recordDecision("advice received", valueOf(key), 0, {}, {},
                    fmt::format("asked={} allowed={} lifetime_ms={}", request.machines.size(),
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -385,7 +385,7 @@
         if (failureOf(key) || worker.unresolved.count(refused.run) > 0)
             continue;
         if (refused.why == start_refusal::TicketRejected)
-            m_advice[adviceKeyOf(valueOf(key))].until = {};
+            m_advice[adviceKeyOf(valueOf(key))].tickets.clear(); // the others are in doubt too
         if (refused.why == start_refusal::Unhealthy || refused.why == start_refusal::NoCapacity)
             worker.avoidUntil = std::max(worker.avoidUntil, now + 1s);
         endRun(valueOf(key), refused.run.number, run_end::Stopped, {}, worker.id,
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1525,6 +1525,31 @@
     CHECK(question->expected == 500ms);
 }
 
+// Guards LOST: jobs never started where tickets are valid for a second or less, since the time that
+// was kept for a start was longer than what a request left of it (review/5).
+TEST(run_planner, shortTicketsAreUsed)
+{
+    for (const duration lifetime : {200ms, 500ms, 1000ms}) {
+        const std::string id = std::to_string(lifetime.count());
+        catalogue->queues[1].advice = advice_terms{lifetime / 4, 1ms, lifetime};
+        planner.onReport(reportOf("w1"), wall, now);
+        addJob(id, 1, makeStep(1, 1));
+        planAndStore();
+        const auto question = planner.takeAdviceRequest();
+        CHECK(question.has_value());
+        STRCMP_EQUAL((id + ".0.0").c_str(), question->step.c_str());
+        now += question->expected;
+        placement_advice advice;
+        advice.tickets["w1-machine"] = "c81e";
+        advice.lifetime = lifetime;
+        planner.onAdvice(*question, advice, now);
+        planAndStore();
+        CHECK_TEXT(*planner.stateOf(id) == graph_job_state::Running, id.c_str());
+        planner.cancelJob(id, wall);
+        store();
+    }
+}
+
 // Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
 TEST(run_planner, failingAdviceHoldsNoCapacity)
 {
