Rule no server out by a row of advice that can't be read

A row of an answer that could not be decoded was left out with a log line, and its server then counted as refused for good, since the request had named it. An answer without a list refused all servers that were named.

A partial answer rules no server out, and the service is asked again after the pause that follows a failed request. An answer without the list is an error.

--- a/goldcrest/placement_advisor.h
+++ b/goldcrest/placement_advisor.h
@@ -32,6 +32,7 @@
 {
     std::map<std::string, std::string> tickets; // by id of each machine that may run the step
     duration lifetime = 0ms; // of the tickets
+    bool isPartial = false; // rows could not be decoded and are left out
 };
 
 class placement_advisor
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -161,10 +161,15 @@
     // request.
     const duration left = valueOf(answer).lifetime - request.expected;
     const time_point usableUntil = now + left - std::min(startTime, left / 2);
+    if (valueOf(answer).isPartial)
+        advice.retryAt = now + retryPause;
     for (std::size_t i = 0; i < request.machines.size(); ++i) {
-        advice.asked.insert(request.machines[i]);
         const auto found = valueOf(answer).tickets.find(request.machines[i]);
-        if (found == valueOf(answer).tickets.end())
+        const bool isAllowed = found != valueOf(answer).tickets.end();
+        // A partial answer may lack a machine that may run the step.
+        if (isAllowed || !valueOf(answer).isPartial)
+            advice.asked.insert(request.machines[i]);
+        if (!isAllowed)
             continue;
         advice.allowed.insert(request.machines[i]);
         advice.tickets[request.incarnations[i]] = {found->second, usableUntil};
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -386,6 +386,12 @@
             R"({"validity_ms":900,"good":[["i-1",")" + std::string(70'000, 'x')
                 + R"("],7,["i-2"],["i-3",4],["i-4","t"]]})");
     LONGS_EQUAL(1, valueOf(advise()).tickets.size());
+    CHECK(valueOf(advise()).isPartial);
+    respond(200, R"({"validity_ms":900,"good":[]})");
+    CHECK(!valueOf(advise()).isPartial);
+    // An answer without a list refuses no machine.
+    respond(200, R"({"validity_ms":900})");
+    CHECK(failureOf(advise()));
     for (const char *time : {"-1", "9223372036854775807", "18446744073709551615", "1e300"}) {
         respond(200, R"({"good":[],"validity_ms":)" + std::string(time) + "}");
         CHECK_TEXT(failureOf(advise()), time);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1550,6 +1550,30 @@
     }
 }
 
+// Guards LOST: a row of an answer that can't be read ruled its server out for good, so that a job
+// that may run only there never started (review/5).
+TEST(run_planner, unreadableRowOfAdviceRulesNoServerOut)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question.has_value());
+    placement_advice partial;
+    partial.lifetime = 3s;
+    partial.isPartial = true;
+    planner.onAdvice(*question, partial, now);
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value()); // a service that answers so is not flooded
+    now += 1s;
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    CHECK(answerAdvice({"w1-machine"}) == std::vector<std::string>{"w1-machine"});
+    planAndStore();
+    CHECK(*planner.stateOf("a") == graph_job_state::Running);
+}
+
 // Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
 TEST(run_planner, failingAdviceHoldsNoCapacity)
 {
