Ask for advice about the next incarnation of a refused server

A refusal was kept by the id of the server. A server keeps its id over a restart and may be of another kind then, but it was never asked about again.

Looked at besides, and sound by reading: a successor asks anew, as advice is not stored; a restored job likewise; a request whose planner steps down is dropped with its planner.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -199,8 +199,9 @@
     struct step_advice
     {
         std::map<std::string, advice_ticket> tickets; // by incarnation of the backend server
-        // Ids of the backend servers that an answer was about, and of those that may run the step.
-        // Servers that no answer was about may still be allowed.
+        // Incarnations of the backend servers that an answer was about, and of those that may run
+        // the step. Others may still be allowed: the next incarnation of a server that was refused
+        // may be of another kind.
         std::set<std::string> asked;
         std::set<std::string> allowed;
         time_point retryAt{}; // after a failed request
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -51,8 +51,8 @@
     if (!advisedQueueOf(*next.job))
         return true;
     const auto advice = m_advice.find(adviceKeyOf(next.job->keyOf(next.step, 0)));
-    return advice == m_advice.end() || advice->second.asked.count(worker.machine) == 0
-        || advice->second.allowed.count(worker.machine) > 0;
+    return advice == m_advice.end() || advice->second.asked.count(worker.incarnation) == 0
+        || advice->second.allowed.count(worker.incarnation) > 0;
 }
 
 // Returns whether there is a ticket for the unit on this worker that will still be valid when the
@@ -121,7 +121,7 @@
             add(index);
     }
     for (const std::size_t index : *request.eligible) {
-        if (advice.asked.count(m_pool.workers().at(capacities[index].worker).machine) == 0)
+        if (advice.asked.count(m_pool.workers().at(capacities[index].worker).incarnation) == 0)
             add(index);
     }
     if (made.machines.empty())
@@ -168,10 +168,10 @@
         const bool isAllowed = found != valueOf(answer).tickets.end();
         // A partial answer may lack a machine that may run the step.
         if (isAllowed || !valueOf(answer).isPartial)
-            advice.asked.insert(request.machines[i]);
+            advice.asked.insert(request.incarnations[i]);
         if (!isAllowed)
             continue;
-        advice.allowed.insert(request.machines[i]);
+        advice.allowed.insert(request.incarnations[i]);
         advice.tickets[request.incarnations[i]] = {found->second, usableUntil};
     }
     recordDecision("advice received", valueOf(key), 0, {}, {},
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1574,6 +1574,24 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Running);
 }
 
+// Guards LOST: a server that may not run a step was ruled out for good by its id, which its next
+// incarnation keeps, though that one may be of another kind (review/5).
+TEST(run_planner, nextIncarnationOfARefusedServerIsAskedAbout)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    answerAdvice({});
+    planAndStore();
+    CHECK(!planner.takeAdviceRequest().has_value());
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    planAndStore();
+    CHECK(answerAdvice({"w1-machine"}) == std::vector<std::string>{"w1-machine"});
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+}
+
 // Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
 TEST(run_planner, failingAdviceHoldsNoCapacity)
 {
