Refuse jobs whose record would not fit, and let no large record hold up others

Its record is larger than the store accepts, and the planner repeated the transaction with it for good.

A front estimates the largest record of a job, with a run and a checkpoint for each task, and answers 400 at once with the bound if it does not fit: 10,919 tasks with the users' 1 MiB. The planner tells that failure from one that a retry may cure: it writes the records of the transaction one at a time, ends the job whose record can't be stored as failed, without its tasks, and goes on. That is for jobs that were accepted before, whose checkpoints are longer than usual, or whose occurrences overlap. A later planner stops what still runs of such a job as runs of no task.

--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -2,6 +2,8 @@
 
 #include "goldcrest/log_fields.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -145,6 +147,13 @@
                          std::function<void(result<done>)> callback)
 {
     state &self = *m_state;
+    const std::size_t largest = largestProgressBytes(job);
+    if (largest > self.options.maxRecordBytes)
+        return callback(makeFailure(code::StoreValueTooLarge,
+                                    fmt::format("the record of the job may need {} bytes, the "
+                                                "limit is {}; submit fewer tasks in one job",
+                                                largest, self.options.maxRecordBytes),
+                                    "steps"));
     const std::string key = graphJobKey(job.id);
     graph_intake_message stored{job.id, encodeGraphJob(job)};
     store_transaction creation;
--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -53,6 +53,8 @@
     // Pause for callers that were refused because of a failure that may concern all processes. By
     // then the load balancer has noticed which ones refuse requests.
     std::chrono::seconds retryPause{1};
+    // Size of the largest record of a job that the store accepts.
+    std::size_t maxRecordBytes = 1'048'576;
     // Timeout of a query to the planner, which normally answers within milliseconds. After it, the
     // store is read instead.
     duration queryTimeout = 250ms;
@@ -91,7 +93,8 @@
 
     // Stores a job. If a job with this id is already stored, it is left unchanged and the call
     // succeeds. Errors: StoreUnavailable, StoreOverBudget: the job was not stored. OutcomeUnknown:
-    // the job may have been stored.
+    // the job may have been stored. StoreValueTooLarge: the job's record would grow larger than the
+    // store accepts; the job was not stored.
     // @param timeLeft how long the caller still waits, here and below
     void submit(const graph_job &job, duration timeLeft,
                 std::function<void(result<done>)> callback);
--- a/goldcrest/graph_job.cc
+++ b/goldcrest/graph_job.cc
@@ -168,6 +168,19 @@
     return encodeRecord(progress);
 }
 
+std::size_t largestProgressBytes(const graph_job &job)
+{
+    // The name of a worker, its incarnation and a checkpoint have at most 24, 32 and 24 bytes on
+    // the users' platform; the counters have one byte each while they are below 24.
+    constexpr std::size_t bytesPerTask = 96;
+    constexpr std::size_t bytesPerStep = 16;
+    constexpr std::size_t otherBytes = 256;
+    std::size_t bytes = otherBytes;
+    for (const step_spec &step : job.steps)
+        bytes += bytesPerStep + bytesPerTask * static_cast<std::size_t>(step.count);
+    return bytes;
+}
+
 result<job_progress> decodeJobProgress(std::string_view value)
 {
     return decodeRecord<job_progress>(value);
--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -178,6 +178,10 @@
 
 std::string encodeJobProgress(const job_progress &progress);
 
+// Returns the size that the encoded progress of a job may grow to while all of its tasks have a run
+// and a checkpoint, with names of the usual lengths. Occurrences that overlap are not counted.
+std::size_t largestProgressBytes(const graph_job &job);
+
 // Errors: MalformedMessage, UnsupportedVersion.
 result<job_progress> decodeJobProgress(std::string_view value);
 
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -221,6 +221,7 @@
     log_line(log_level::Warning, "planner steps down").field("why", reason).write();
     isActive = false;
     isCommitting = false;
+    singleCommits = 0;
     isAdvicePending = false;
     isPlanScheduled = false;
     nextPassAt = {};
--- a/goldcrest/planner_service_records.cc
+++ b/goldcrest/planner_service_records.cc
@@ -78,7 +78,8 @@
     if (isCommitting || !isActive || !planner->hasChanges())
         return;
     isCommitting = true;
-    std::vector<stored_change> changes = planner->takeChanges(options.recordsPerCommit);
+    std::vector<stored_change> changes
+        = planner->takeChanges(singleCommits > 0 ? 1 : options.recordsPerCommit);
     store_transaction transaction;
     transaction.requireCreateRevision(leaderKey(options.cell), role->currentEpoch());
     writers.clear();
@@ -109,6 +110,8 @@
             .error(*error)
             .limit("commit")
             .write();
+        if (error->number == code::StoreValueTooLarge)
+            return onTooLarge(changes);
         // The next attempt has the same conditions: if this write took effect after all, the reply
         // to the next one shows it.
         commitTimer = loop.after(commitRetryPause, [this] { commit(); });
@@ -145,11 +148,25 @@
     commitTimer = loop.after(commitRetryPause, [this] { commit(); });
 }
 
+// A record is larger than the store accepts. Nothing was written, and repeating the write would
+// hold up all other jobs.
+void planner_service::state::onTooLarge(const std::vector<stored_change> &changes)
+{
+    if (changes.size() == 1) {
+        planner->abandonRecord(changes.front().job, wall());
+        writeDecisions();
+    } else {
+        singleCommits = changes.size();
+    }
+    commit();
+}
+
 void planner_service::state::onWritten(const std::vector<stored_change> &changes, store_revision at)
 {
     for (const stored_change &change : changes)
         revisions[graphProgressKey(change.job)] = at;
     planner->onStored(changes);
+    singleCommits -= std::min(singleCommits, changes.size());
     commit();
     sendOrders();
 }
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -59,6 +59,7 @@
     void onPlanTick();
     void plan();
     void commit();
+    void onTooLarge(const std::vector<stored_change> &changes);
     void onCommitted(const result<commit_reply> &outcome,
                      const std::vector<stored_change> &changes);
     bool wasWritten(const commit_reply &reply, const std::vector<stored_change> &changes) const;
@@ -117,6 +118,8 @@
     std::map<std::string, std::string> writers; // writer tokens of the write in progress, by key
     std::uint64_t writeCount = 0;
     bool isCommitting = false;
+    // Records that are left to be written one at a time, to find the one that is too large.
+    std::size_t singleCommits = 0;
     bool isAdvicePending = false;
     bool isPlanScheduled = false;
     time_point nextPassAt{}; // a pass before this would take too large a share of the processor
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -124,6 +124,22 @@
     recordDecision("job cancelled", {id, 0, 0, 0}, 0, {}, "requested by the caller");
 }
 
+void run_planner::abandonRecord(const std::string &id, unix_ms wall)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return;
+    tracked_job &job = found->second;
+    job.abandonRecord(wall);
+    m_needsPass = true;
+    noteChanged(job);
+    job.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
+        m_changedWorkers.insert(task.record.worker);
+    });
+    recordDecision("job ended", {id, 0, 0, 0}, 0, {}, std::string(nameOf(job.state())),
+                   "its record is larger than the store accepts");
+}
+
 void run_planner::setView(const operator_view &view)
 {
     m_view = view;
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -139,6 +139,10 @@
     // The changes are stored. Releases the orders and acknowledgements that depend on them.
     void onStored(const std::vector<stored_change> &changes);
 
+    // The store does not accept the record of this job because of its size. The job ends as failed,
+    // so that it holds up no others, and its record becomes small.
+    void abandonRecord(const std::string &id, unix_ms wall);
+
     // Returns the next orders message for a worker, or nothing if the worker has not reported in
     // this epoch. The caller must send it: the planner treats the orders as given.
     std::optional<worker_orders_message> ordersFor(const worker_id &worker, time_point now);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -90,6 +90,8 @@
     stored.state = m_state;
     stored.finishedAt = m_finishedAt;
     stored.occurrencesBegun = m_occurrencesOpened;
+    if (m_hasAbandonedRecord)
+        return stored;
     for (const tracked_occurrence &occurrence : m_occurrences) {
         occurrence_record record;
         record.number = occurrence.number;
@@ -396,4 +398,12 @@
     finish(graph_job_state::Cancelled, wall);
 }
 
+void tracked_job::abandonRecord(unix_ms wall)
+{
+    ++m_version;
+    m_hasAbandonedRecord = true;
+    if (!isFinished())
+        finish(graph_job_state::Failed, wall);
+}
+
 } // namespace goldcrest
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -173,6 +173,11 @@
     // Ends the job as cancelled unless it has already ended. Sets stopWanted on its active runs.
     void cancel(unix_ms wall);
 
+    // Ends the job as failed unless it has already ended, because its record is larger than the
+    // store accepts. Its record has no tasks from now on. Sets stopWanted on its active runs, which
+    // no later planner would know: it stops them as runs of no task.
+    void abandonRecord(unix_ms wall);
+
     // Returns whether any run may still exist.
     bool hasActive() const;
 
@@ -211,6 +216,7 @@
     std::uint64_t m_storedVersion = 0;
     std::int32_t m_occurrencesOpened = 0;
     std::vector<tracked_occurrence> m_occurrences;
+    bool m_hasAbandonedRecord = false;
 };
 
 } // namespace goldcrest
--- a/standins/store_model.cc
+++ b/standins/store_model.cc
@@ -376,6 +376,13 @@
 void fake_store::commit(store_transaction transaction, const call_options &options,
                         store_callback<commit_reply> callback)
 {
+    const bool isTooLarge = std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                                        [this](const auto &write) {
+                                            return m_faults.maxValueBytes > 0 && write.value
+                                                && write.value->size() > m_faults.maxValueBytes;
+                                        });
+    if (isTooLarge)
+        return callback(makeFailure(code::StoreValueTooLarge, "the value is too large"));
     const bool isWrite = !transaction.writes.empty();
     ++(isWrite ? m_counts.writes : m_counts.reads);
     m_callOrder.push_back(transaction.writes.empty() ? std::string()
--- a/standins/store_model.h
+++ b/standins/store_model.h
@@ -101,6 +101,7 @@
     int loseRequests = 0; // this many of the next writes take no effect and get no response
     bool refuseWrites = false; // writes fail with StoreOverBudget
     bool dropWatchEvents = false; // watches receive no events
+    std::size_t maxValueBytes = 0; // larger values are refused; 0: none is
 };
 
 // Numbers of calls by kind. A watch counts as one call.
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -100,6 +100,41 @@
     }
 };
 
+// Guards LOST: a job was accepted whose record is larger than the store takes while its tasks run,
+// so that it could never start. Just under the limit it is accepted.
+TEST(graph_front, refusesJobsWhoseRecordMayGrowTooLarge)
+{
+    confirm();
+    const auto jobOf = [](std::size_t count) {
+        return R"({"spec":"x","steps":[{"count":10000,"cpu":500,"mem_mb":256},{"count":)"
+            + std::to_string(count) + R"(,"cpu":500,"mem_mb":256}]})";
+    };
+    LONGS_EQUAL(400, send("POST", "/p/" + someId, "key", jobOf(1000)));
+    STRCMP_CONTAINS("the limit is 1048576", lastBody.c_str());
+    CHECK(store.counts().writes == 0);
+    LONGS_EQUAL(200, send("POST", "/p/" + someId, "key", jobOf(900)));
+}
+
+// Guards the bound above: the record of a job whose tasks all run, with names of the usual lengths,
+// is no larger than was assumed when the job was accepted.
+TEST(graph_front, largestRecordIsNoLargerThanAssumed)
+{
+    graph_job job;
+    job.steps.resize(3);
+    job_progress progress;
+    progress.writer = "1000000:1000000";
+    progress.occurrences.resize(1);
+    for (step_spec &step : job.steps) {
+        step.count = 200;
+        task_record record{
+            false, 9, 9, std::string(24, 'w'), std::string(32, 'i'), std::string(24, 's')};
+        record.crashes = record.startCrashes = record.possibleCrashes = 4;
+        record.countedCrash = 9;
+        progress.occurrences[0].steps.emplace_back().tasks.assign(200, record);
+    }
+    CHECK(encodeJobProgress(progress).size() <= largestProgressBytes(job));
+}
+
 TEST(graph_front, answersByConfigurationAndKey)
 {
     LONGS_EQUAL(503, send("POST", "/p/" + someId, "key", someBody, 0ms));
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -126,6 +126,35 @@
     }
 };
 
+// Guards LOST: one record that is larger than the store accepts was written again and again, so
+// that no other job ever started. It was accepted before there was a limit, or has grown.
+TEST(planner_service, recordThatIsTooLargeHoldsUpNoOthers)
+{
+    for (const char *id : {"a", "c"})
+        storeJob(id);
+    graph_job large;
+    large.id = "b";
+    large.queue = "q";
+    large.steps.emplace_back().count = 1000;
+    store_transaction creation;
+    creation.put(graphJobKey("b"), encodeGraphJob(large));
+    CHECK(!failureOf(model.commit(creation)));
+    elect();
+    store.faults().maxValueBytes = 4096;
+    for (const char *id : {"a", "b", "c"})
+        storeCancel(id);
+    loop.advance(1s);
+    checkState("a", graph_job_state::Cancelled);
+    checkState("b", graph_job_state::Cancelled);
+    checkState("c", graph_job_state::Cancelled);
+    // The record is small now, and a successor reads it.
+    service.reset();
+    loop.advance(20s);
+    setup();
+    elect();
+    checkState("b", graph_job_state::Cancelled);
+}
+
 // A listing is in the order of keys, so the cancel of a job comes before the job.
 TEST(planner_service, cancelInALostPartOfTheHistoryIsKept)
 {
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -90,6 +90,21 @@
     }
 };
 
+// Guards against a write that the store refuses for its size and that is sent again and again.
+TEST(platform_store, valuesThatAreTooLargeAreNotSent)
+{
+    const auto writeOf = [this](std::size_t size) {
+        return finish<commit_reply>([&](auto callback) {
+            store_transaction write;
+            write.put("k", std::string(size, 'x'));
+            store.commit(std::move(write), options, callback);
+        });
+    };
+    CHECK(!failureOf(writeOf(platform::defaultMaxValueBytes)));
+    const auto refused = writeOf(platform::defaultMaxValueBytes + 1);
+    CHECK(failureOf(refused)->number == code::StoreValueTooLarge);
+}
+
 // Guards against keys or values that change in transit, and a failed precondition that still
 // writes.
 TEST(platform_store, writesAndReadsAnyBytes)
