Order many large starts in several messages

The orders for the new process are larger than a frame (2 MiB) and never sent; the tasks don't start and their capacity stays taken.

New starts are added to the orders while these have less than half a frame of starts; the others follow once the worker has reported. A start that was ordered stays in the orders until it is listed, as before, since the agent stops what is no longer ordered. So what a new agent process is sent is no larger than what the one before was.

Measured: manyLargeStartsAreOrderedInSeveralMessages fails without the change (the first message is larger than a frame). The real processes were not tried.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/run_planner.h"
 
+#include "goldcrest/message_codec.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,6 +15,10 @@
 // Maximum number of decisions kept between two calls of takeDecisions(); further ones are dropped.
 constexpr std::size_t maxDecisions = 1000;
 
+// New starts are added to an orders message while it has fewer bytes of starts than this. A frame
+// of a link takes twice as much, so that there is room for the last start and for the stops.
+constexpr std::size_t maxStartBytes = maxFrameBytes / 2;
+
 // Removes the entries of all tasks of a job.
 template<typename T>
 void forgetTasks(std::map<task_key, T> &kept, const std::string &job)
@@ -263,6 +269,8 @@
         = std::max(worker->leaseEnds, worker->reportedAt + longest + m_options.leaseSlack);
     if (!hasCapacityForItsRuns(*worker))
         stopOpenStarts(*worker);
+    std::vector<task_key> newStarts;
+    std::size_t startBytes = 0;
     for (const task_key &key : worker->active) {
         tracked_job &job = m_jobs.at(key.job);
         tracked_task &task = *job.find(key);
@@ -274,17 +282,21 @@
                 task.stopOrderedIn = orders.sequence;
         } else if (!task.isListed && isStored
                    && task.record.workerIncarnation == worker->incarnation) {
-            orders.starts.push_back(
-                {run, job.spec().payload, task.record.saved, ticketOf(key, worker->incarnation)});
-            worker->recentStarts[run] = now;
-            if (task.startOrderedIn == 0) {
-                task.startOrderedIn = orders.sequence;
-                recordDecision("run ordered", key, run.number, id, {},
-                               fmt::format("epoch={} report_age_ms={}", m_epoch,
-                                           (now - worker->reportedAt).count()));
-            }
+            if (task.startOrderedIn == 0)
+                newStarts.push_back(key);
+            else
+                startBytes += addStart(*worker, key, orders, now);
         }
     }
+    // A start that was ordered stays in the orders until it is listed, since the agent stops what
+    // they no longer contain. So it is the new ones that wait.
+    worker->hasDeferredStarts = false;
+    for (const task_key &key : newStarts) {
+        if (startBytes < maxStartBytes)
+            startBytes += addStart(*worker, key, orders, now);
+        else
+            worker->hasDeferredStarts = true;
+    }
     orders.stops.insert(orders.stops.end(), worker->unassignedRuns.begin(),
                         worker->unassignedRuns.end());
     addPaces(*worker, orders);
@@ -295,6 +307,26 @@
     return orders;
 }
 
+// Adds the start of the current run of a task. Returns its size.
+std::size_t run_planner::addStart(pool_worker &worker, const task_key &key,
+                                  worker_orders_message &orders, time_point now)
+{
+    const tracked_job &job = m_jobs.at(key.job);
+    tracked_task &task = *m_jobs.at(key.job).find(key);
+    const run_id run{formatTask(key), task.record.lastRun};
+    orders.starts.push_back(
+        {run, job.spec().payload, task.record.saved, ticketOf(key, worker.incarnation)});
+    worker.recentStarts[run] = now;
+    if (task.startOrderedIn == 0) {
+        task.startOrderedIn = orders.sequence;
+        recordDecision(
+            "run ordered", key, run.number, worker.id, {},
+            fmt::format("epoch={} report_age_ms={}", m_epoch, (now - worker.reportedAt).count()));
+    }
+    const start_order &added = orders.starts.back();
+    return run.task.size() + added.payload.size() + added.saved.size() + added.ticket.size();
+}
+
 std::set<worker_id> run_planner::takeChangedWorkers()
 {
     return std::exchange(m_changedWorkers, {});
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -81,6 +81,8 @@
     endRunsNotListed(worker, report, wall);
     releaseFences(worker, report);
     acknowledgeStoredEnds(worker);
+    if (worker.hasDeferredStarts)
+        m_changedWorkers.insert(worker.id);
     return true;
 }
 
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -73,6 +73,7 @@
     // Recently ordered starts. After a restart of the backend server they may still reach its new
     // incarnation, which does not know them, so they are all stopped there first.
     std::map<run_id, time_point> recentStarts;
+    bool hasDeferredStarts = false; // the last orders had no room for some
     std::set<run_id> fenced; // starts that are being stopped for that reason
     std::int64_t fenceOrderedIn = 0; // first orders message with these stops; 0: none
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1,8 +1,10 @@
+#include "goldcrest/message_codec.h"
 #include "goldcrest/run_planner.h"
 
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -1592,6 +1594,53 @@
     LONGS_EQUAL(1, ordersOf("w1").starts.size());
 }
 
+// Guards LOST: the orders for a worker with many starts were larger than a frame and never sent, so
+// that none of its tasks started and its capacity stayed taken. A start stays in the orders until
+// it is listed: the agent would stop it otherwise.
+TEST(run_planner, manyLargeStartsAreOrderedInSeveralMessages)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.payload = std::string(12000, 'x');
+    job.steps.push_back(makeStep(200, 0));
+    job.steps[0].perTask = {100, 100, 0};
+    planner.addJob(job, {}, wall, now);
+    planAndStore();
+    std::set<std::string> started;
+    std::vector<running_task> running;
+    for (int message = 0; message < 10; ++message) {
+        planner.takeChangedWorkers();
+        const worker_orders_message orders = ordersOf("w1");
+        CHECK(encodeMessage(orders).size() <= maxFrameBytes);
+        CHECK(orders.stops.empty());
+        // Half of the starts are carried out until the next report; the others are still ordered.
+        std::set<std::string> listed;
+        for (const start_order &start : orders.starts) {
+            started.insert(start.run.task);
+            if (listed.size() * 2 < orders.starts.size() && listed.insert(start.run.task).second)
+                running.push_back({start.run, {}, 1, 0});
+        }
+        worker_report_message report = reportOf("w1");
+        report.ordersSeen = orders.sequence;
+        report.running = running;
+        for (const start_order &start : orders.starts) {
+            if (listed.count(start.run.task) == 0)
+                report.unresolved.push_back(start.run);
+        }
+        planner.onReport(report, wall, now);
+        if (started.size() < 200)
+            CHECK(planner.takeChangedWorkers().count("w1") > 0);
+        const worker_orders_message next = ordersOf("w1");
+        for (const run_id &run : report.unresolved)
+            CHECK(std::any_of(next.starts.begin(), next.starts.end(),
+                              [&](const start_order &start) { return start.run == run; }));
+    }
+    LONGS_EQUAL(200, started.size());
+}
+
 // Guards LOST: steps that waited for an advice service that fails kept their capacity from others.
 TEST(run_planner, failingAdviceHoldsNoCapacity)
 {
