Count a job as waiting until a run of it is listed

The count took the state, which changes once the first run is recorded, before it is ordered.

A job has begun once a backend server has listed a run of it, as running or ended. A restored job has begun if its record shows an end or a checkpoint, else with the next list: for a moment after a takeover the count may be too high, never too low. The state that callers read stays running from the record on; no rule compares it with the start.

Measured: jobWaitsUntilARunOfItIsListed and restoredJobHasBegunIfATaskIsDone fail without the change. The real processes were not tried.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -346,7 +346,7 @@
 {
     return std::count_if(m_unfinished.begin(), m_unfinished.end(), [&](const std::string &id) {
         const tracked_job &job = m_jobs.at(id);
-        return job.spec().queue == queue && job.storedState() == graph_job_state::Queued;
+        return job.spec().queue == queue && !job.hasBegun();
     });
 }
 
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -302,6 +302,9 @@
         pending_end pending{ended.number, {}, 0, {}};
         const result<task_key> key = parseTask(ended.run.task);
         if (!failureOf(key)) {
+            const auto begun = m_jobs.find(valueOf(key).job);
+            if (begun != m_jobs.end())
+                begun->second.noteBegun();
             noteHealth(worker, valueOf(key), ended.how, now);
             if (ended.how == run_end::Done)
                 observeRunTime(valueOf(key), ended.run.number, now);
@@ -360,6 +363,7 @@
             continue;
         }
         if (!task->isListed) {
+            job->second.noteBegun();
             task->isListed = true;
             task->listedAt = now;
             task->percentChangedAt = now;
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -49,11 +49,15 @@
         tracked_occurrence occurrence;
         occurrence.number = stored.number;
         occurrence.isDone = stored.isDone;
+        m_hasBegun = m_hasBegun || stored.isDone;
         for (const step_record &storedStep : stored.steps) {
             tracked_step step;
             step.failedRuns = storedStep.failedRuns;
+            m_hasBegun = m_hasBegun || step.failedRuns > 0;
             for (const task_record &record : storedStep.tasks) {
                 step.tasks.emplace_back().record = record;
+                m_hasBegun
+                    = m_hasBegun || record.isDone || record.failedRuns > 0 || !record.saved.empty();
                 step.tasks.back().stopWanted = progress->isFinished() || record.isDone;
             }
             occurrence.steps.push_back(std::move(step));
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -178,6 +178,13 @@
     // no later planner would know: it stops them as runs of no task.
     void abandonRecord(unix_ms wall);
 
+    // A backend server has listed a run of the job, as running or ended.
+    void noteBegun() { m_hasBegun = true; }
+
+    // Returns whether a run of the job is known to have started. A run that is recorded may not
+    // have been ordered yet, or not have reached its worker.
+    bool hasBegun() const { return m_hasBegun; }
+
     // Returns whether any run may still exist.
     bool hasActive() const;
 
@@ -216,6 +223,7 @@
     std::uint64_t m_storedVersion = 0;
     std::int32_t m_occurrencesOpened = 0;
     std::vector<tracked_occurrence> m_occurrences;
+    bool m_hasBegun = false;
     bool m_hasAbandonedRecord = false;
 };
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1656,6 +1656,44 @@
     CHECK(*planner.stateOf("b") == graph_job_state::Running);
 }
 
+// Guards MIXED: a job counted as begun once its first run was recorded, though its worker was out
+// of reach for seconds and no task had started.
+TEST(run_planner, jobWaitsUntilARunOfItIsListed)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(2, 1));
+    planAndStore();
+    LONGS_EQUAL(2, ordersOf("w1").starts.size());
+    LONGS_EQUAL(1, planner.waitingIn("q1"));
+    worker_report_message report = reportOf("w1");
+    report.running.push_back({{"a.0.0.0", 1}, {}, 5, 0});
+    report.unresolved.push_back({"a.0.0.1", 1});
+    planner.onReport(report, wall, now);
+    LONGS_EQUAL(0, planner.waitingIn("q1"));
+}
+
+// Guards the same across a change of planner: a job with a task that is done has begun.
+TEST(run_planner, restoredJobHasBegunIfATaskIsDone)
+{
+    for (const bool isDone : {false, true}) {
+        graph_job job;
+        job.id = isDone ? "a" : "b";
+        job.queue = isDone ? "q0" : "q1";
+        job.steps.push_back(makeStep(2, 1));
+        job_progress progress;
+        progress.state = graph_job_state::Running;
+        progress.occurrencesBegun = 1;
+        step_record &step = progress.occurrences.emplace_back().steps.emplace_back();
+        step.tasks.resize(2);
+        step.tasks[0].lastRun = 1;
+        step.tasks[0].isDone = isDone;
+        step.tasks[1] = task_record{false, 0, 1, "w1", "w1l1", {}};
+        planner.addJob(job, progress, wall, now);
+    }
+    LONGS_EQUAL(0, planner.waitingIn("q0"));
+    LONGS_EQUAL(1, planner.waitingIn("q1"));
+}
+
 TEST(run_planner, countsWaitingJobsAndForgetsOldOnes)
 {
     addJob("a", 1, makeStep(1, 1));
