Take an empty page that has more for an error

What callers would see (LOST, TWICE): jobs or records that are missing from a listing. A page without items that says that there are more ended the listing as if it were complete. A page that does not name its next page was an error already; this one names none either.

Measured: malformedPagesAreErrors, with such a page, fails without the change. The platform's store was not seen to send one.

--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -168,9 +168,10 @@
 TEST(platform_store, malformedPagesAreErrors)
 {
     for (const std::string body :
-         {R"({"items":[7],"has_more":true})", R"({"items":["x"],"has_more":true})",
-          R"({"items":[{"key":7}],"has_more":true})", R"({"items":[null],"has_more":true})",
-          R"({"items":{"a":1},"has_more":true})", R"([1])", "{", ""}) {
+         {R"({"items":[],"has_more":true})", R"({"items":[7],"has_more":true})",
+          R"({"items":["x"],"has_more":true})", R"({"items":[{"key":7}],"has_more":true})",
+          R"({"items":[null],"has_more":true})", R"({"items":{"a":1},"has_more":true})", R"([1])",
+          "{", ""}) {
         fixed_client client(body);
         platform::kv_store other(client, loop, "10.0.0.7:8524");
         std::optional<result<std::vector<store_entry>>> outcome;
