--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -311,8 +311,8 @@
 std::size_t run_planner::addStart(pool_worker &worker, const task_key &key,
                                   worker_orders_message &orders, time_point now)
 {
-    const tracked_job &job = m_jobs.at(key.job);
-    tracked_task &task = *m_jobs.at(key.job).find(key);
+    tracked_job &job = m_jobs.at(key.job);
+    tracked_task &task = *job.find(key);
     const run_id run{formatTask(key), task.record.lastRun};
     orders.starts.push_back(
         {run, job.spec().payload, task.record.saved, ticketOf(key, worker.incarnation)});
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -215,6 +215,9 @@
     void recordDecision(std::string_view event, const task_key &task, std::int32_t run,
                         const worker_id &worker, std::string reason, std::string inputs = {});
 
+    std::size_t addStart(pool_worker &worker, const task_key &key, worker_orders_message &orders,
+                         time_point now);
+
     // Handling of reports.
     void updateWorker(pool_worker &worker, const worker_report_message &report, time_point now);
     void fenceRecentStarts(pool_worker &worker, time_point now);
@@ -293,8 +296,6 @@
                                                   const placement_request &request,
                                                   const placement &found, time_point now) const;
     bool hasTicket(const unit &next, const pool_worker &worker, time_point now) const;
-    std::size_t addStart(pool_worker &worker, const task_key &key, worker_orders_message &orders,
-                         time_point now);
     static task_key adviceKeyOf(const task_key &task);
     std::string ticketOf(const task_key &task, const std::string &incarnation) const;
     const queue_entry *advisedQueueOf(const tracked_job &job) const;
