Count the crash of a run that has ended with its lease

What callers would see (BUDGET): a task that crashes its backend servers is started again three times after three crashes. Traced by its log: the agents of two of the crashed servers were cut off until the leases had ended, so that the planner gave the tasks to others; their final reports, which list the runs as started, came later and counted for nothing, as no task had a current run there.

A task keeps the number of its last run that ended with its lease, and for how long it had been seen to work. A final report that lists that run as started counts the crash, once. A planner that is elected in between doesn't know of the lapse and still doesn't count it.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -224,8 +224,12 @@
     void stopRunsOfOtherIncarnations(pool_worker &worker, unix_ms wall);
     void noteCrash(pool_worker &worker, const worker_report_message &report, unix_ms wall);
     void noteRunOfEarlierIncarnation(pool_worker &worker, const task_key &key, unix_ms wall);
-    void noteCrashedRun(pool_worker &worker, const task_key &key, std::optional<duration> worked,
-                        unix_ms wall);
+    void noteCrashedRun(const pool_worker &worker, const task_key &key,
+                        std::optional<duration> worked, unix_ms wall);
+    void noteCrashOfLapsedRuns(const pool_worker &worker, const worker_report_message &report,
+                               unix_ms wall);
+    void onCrashCounted(const pool_worker &worker, const task_key &key, std::int32_t run,
+                        std::optional<duration> worked, graph_job_state before);
     void releaseFences(pool_worker &worker, const worker_report_message &report);
     static void forgetOldStarts(pool_worker &worker, time_point now);
     void processEnds(pool_worker &worker, const worker_report_message &report, unix_ms wall,
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -60,10 +60,13 @@
             continue;
         const std::set<task_key> active = worker.active;
         for (const task_key &key : active) {
-            const tracked_task *task = m_jobs.at(key.job).find(key);
-            if (task->isActive() && task->record.worker == id)
-                endRun(key, task->record.lastRun, run_end::Lapsed, {}, id,
-                       "the worker's lease has certainly ended", wall);
+            tracked_job &job = m_jobs.at(key.job);
+            const tracked_task *task = job.find(key);
+            if (!task->isActive() || task->record.worker != id)
+                continue;
+            job.noteLapse(key, task->workedUntil(worker.listedAt));
+            endRun(key, task->record.lastRun, run_end::Lapsed, {}, id,
+                   "the worker's lease has certainly ended", wall);
         }
     }
 }
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -24,13 +24,6 @@
 // A backend server lists at most this many ends at a time, so a full list may be incomplete.
 constexpr std::size_t endsPerView = 500;
 
-// Returns for how long a run was seen to work.
-// @param listedAt last report that listed the runs of its incarnation
-duration workedTime(const tracked_task &task, time_point listedAt)
-{
-    return task.isListed ? std::max<duration>(0ms, listedAt - task.listedAt) : 0ms;
-}
-
 // Returns the number up to which ends may be acknowledged. A partial list may lack an end before a
 // later one, which would be acknowledged with it and be lost.
 std::int64_t lastReadableEnd(const worker_report_message &report, std::int64_t seen)
@@ -195,7 +188,7 @@
         if (task.record.workerIncarnation != report.incarnation)
             continue;
         if (task.isListed || started.count(run) > 0)
-            lost.emplace_back(key, workedTime(task, worker.listedAt));
+            lost.emplace_back(key, task.workedUntil(worker.listedAt));
         else if (worker.unresolved.count(run) > 0)
             lost.emplace_back(key, std::nullopt);
     }
@@ -204,6 +197,24 @@
                    fmt::format("life={} runs={}", report.incarnation, lost.size()));
     for (const auto &[key, worked] : lost)
         noteCrashedRun(worker, key, worked, wall);
+    noteCrashOfLapsedRuns(worker, report, wall);
+}
+
+// Counts the crash for the runs that had started there and were ended with the lease, because the
+// agent was out of reach until now.
+void run_planner::noteCrashOfLapsedRuns(const pool_worker &worker,
+                                        const worker_report_message &report, unix_ms wall)
+{
+    for (const run_id &run : report.startedRuns) {
+        const result<task_key> key = parseTask(run.task);
+        const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
+        if (job == m_jobs.end())
+            continue;
+        const graph_job_state before = job->second.state();
+        if (job->second.noteCrashOfLapsedRun(valueOf(key), run.number, wall))
+            onCrashCounted(worker, valueOf(key), run.number,
+                           job->second.find(valueOf(key))->lapsedRunWorked, before);
+    }
 }
 
 // Counts a crash of which the agent no longer knew, because its own process ended too.
@@ -213,7 +224,7 @@
     const tracked_task &task = *m_jobs.at(key.job).find(key);
     if (task.record.workerIncarnation == worker.crashedIncarnation) {
         if (task.isListed)
-            noteCrashedRun(worker, key, workedTime(task, worker.earlierListedAt), wall);
+            noteCrashedRun(worker, key, task.workedUntil(worker.earlierListedAt), wall);
     } else if (task.isRestored() && worker.departedIncarnation != task.record.workerIncarnation) {
         // An earlier planner may have started it, and it is not known when the crash came.
         noteCrashedRun(worker, key, startupTime, wall);
@@ -221,27 +232,33 @@
 }
 
 // Counts a crash against a task that ran on the crashed backend server, whose fault it may be.
-void run_planner::noteCrashedRun(pool_worker &worker, const task_key &key,
+void run_planner::noteCrashedRun(const pool_worker &worker, const task_key &key,
                                  std::optional<duration> worked, unix_ms wall)
 {
     tracked_job &job = m_jobs.at(key.job);
     const graph_job_state before = job.state();
-    const tracked_task &task = *job.find(key);
-    if (!job.noteCrash(key, worked, wall))
-        return;
-    recordDecision(
-        "run lost in a crash", key, task.record.lastRun, worker.id, "its backend server crashed",
-        fmt::format("worked_ms={} crashes={} at_start={} possible={}",
-                    worked ? std::to_string(worked->count()) : "unknown", task.record.crashes,
-                    task.record.startCrashes, task.record.possibleCrashes));
+    const std::int32_t run = job.find(key)->record.lastRun;
+    if (job.noteCrash(key, worked, wall))
+        onCrashCounted(worker, key, run, worked, before);
+}
+
+// @param before state of the job before the crash was counted, which may have ended it
+void run_planner::onCrashCounted(const pool_worker &worker, const task_key &key, std::int32_t run,
+                                 std::optional<duration> worked, graph_job_state before)
+{
+    tracked_job &job = m_jobs.at(key.job);
+    const task_record &record = job.find(key)->record;
+    const std::string counts = fmt::format("crashes={} at_start={} possible={}", record.crashes,
+                                           record.startCrashes, record.possibleCrashes);
+    recordDecision("run lost in a crash", key, run, worker.id, "its backend server crashed",
+                   fmt::format("worked_ms={} {}",
+                               worked ? std::to_string(worked->count()) : "unknown", counts));
     m_suspects.insert(key);
     noteChanged(job);
     if (job.state() == before)
         return;
     recordDecision("job ended", {key.job, 0, 0, 0}, 0, {}, std::string(nameOf(job.state())),
-                   fmt::format("crashing_task={} crashes={} at_start={} possible={}",
-                               formatTask(key), task.record.crashes, task.record.startCrashes,
-                               task.record.possibleCrashes));
+                   fmt::format("crashing_task={} {}", formatTask(key), counts));
     job.forEachActive([&](const task_key &, const step_spec &, tracked_task &other) {
         m_changedWorkers.insert(other.record.worker);
     });
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -13,8 +13,12 @@
     task_record record = std::move(task.record);
     record.worker.clear();
     record.workerIncarnation.clear();
+    const std::int32_t lapsedRun = task.lapsedRun;
+    const duration lapsedRunWorked = task.lapsedRunWorked;
     task = tracked_task{};
     task.record = std::move(record);
+    task.lapsedRun = lapsedRun;
+    task.lapsedRunWorked = lapsedRunWorked;
 }
 
 } // namespace
@@ -345,9 +349,33 @@
     tracked_task *task = find(key);
     if (!task || !task->isActive() || task->record.countedCrash == task->record.lastRun)
         return false;
+    countCrash(task->record, task->record.lastRun, worked, wall);
+    return true;
+}
+
+bool tracked_job::noteCrashOfLapsedRun(const task_key &key, std::int32_t run, unix_ms wall)
+{
+    tracked_task *task = find(key);
+    if (!task || task->lapsedRun != run || task->record.countedCrash >= run)
+        return false;
+    countCrash(task->record, run, task->lapsedRunWorked, wall);
+    return true;
+}
+
+void tracked_job::noteLapse(const task_key &key, duration worked)
+{
+    tracked_task *task = find(key);
+    if (!task)
+        return;
+    task->lapsedRun = task->record.lastRun;
+    task->lapsedRunWorked = worked;
+}
+
+void tracked_job::countCrash(task_record &record, std::int32_t run, std::optional<duration> worked,
+                             unix_ms wall)
+{
     ++m_version;
-    task_record &record = task->record;
-    record.countedCrash = record.lastRun;
+    record.countedCrash = run;
     if (!worked)
         ++record.possibleCrashes;
     else if (*worked >= harmlessAfter)
@@ -360,7 +388,6 @@
         && record.startCrashes + record.possibleCrashes >= startCrashesToGiveUp;
     if ((crashesAtStart || record.crashes >= crashesToGiveUp) && !record.isDone && !isFinished())
         finish(graph_job_state::Failed, wall);
-    return true;
 }
 
 std::vector<task_key> tracked_job::suspects() const
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -16,6 +16,7 @@
 #include "goldcrest/graph_job.h"
 #include "goldcrest/messages.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,6 +52,10 @@
     std::int32_t listedPercent = 0; // when it was first reported
     time_point percentChangedAt{};
     duration runEstimate = 0ms; // estimated run time of the current run on its worker
+    // The last run that was ended because the lease of its worker had ended, and for how long it
+    // had been seen to work. Its backend server may have crashed, of which the agent tells later.
+    std::int32_t lapsedRun = 0;
+    duration lapsedRunWorked = 0ms;
     // The current run started from the beginning and near its data, so its length tells how long
     // such tasks take.
     bool isTypical = false;
@@ -61,6 +66,12 @@
     {
         return isActive() && (!isListed || now - listedAt < startupTime);
     }
+    // Returns for how long the current run was seen to work.
+    // @param reportedAt last report that listed the runs of its incarnation
+    duration workedUntil(time_point reportedAt) const
+    {
+        return isListed ? std::max<duration>(0ms, reportedAt - listedAt) : 0ms;
+    }
     // Returns whether the current run was recorded by an earlier planner.
     bool isRestored() const { return isActive() && recordedIn == 0; }
     // Returns whether the task may crash backend servers that start it.
@@ -161,6 +172,13 @@
     // @return false if that was recorded before, or if the task has no current run
     bool noteCrash(const task_key &task, std::optional<duration> worked, unix_ms wall);
 
+    // The same for a run that had ended with the lease of its worker before the crash was known.
+    // @return false if that was recorded before, or if the run was not the last one to end so
+    bool noteCrashOfLapsedRun(const task_key &task, std::int32_t run, unix_ms wall);
+
+    // Records that the current run of a task ends because the lease of its worker has ended.
+    void noteLapse(const task_key &task, duration worked);
+
     // Returns the tasks that may crash backend servers that start them.
     std::vector<task_key> suspects() const;
 
@@ -211,6 +229,8 @@
     static void completeTask(tracked_task &task, std::int32_t run);
     static void dropIdleSteps(tracked_occurrence &occurrence);
     bool endRedundantRun(const task_key &key, tracked_task &task, std::int32_t run);
+    void countCrash(task_record &record, std::int32_t run, std::optional<duration> worked,
+                    unix_ms wall);
     void noteFailedRun(tracked_step &step, tracked_task &task, std::int32_t run, bool isGang);
     tracked_occurrence *findOccurrence(std::int32_t number);
 
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -965,6 +965,31 @@
     CHECK(*planner.stateOf("a") == graph_job_state::Failed);
 }
 
+// Guards BUDGET: a crash was not counted if the agent was out of reach until the lease of the
+// worker had ended, so that a task that crashes its servers was started again too often.
+TEST(run_planner, crashOfARunThatEndedWithItsLeaseIsCounted)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    now += 20s;
+    planAndStore();
+    worker_report_message final = reportOf("w1");
+    final.isFinal = true;
+    final.startedRuns = {{"a.0.0.0", 1}};
+    planner.takeDecisions();
+    planner.onReport(final, wall, now);
+    planner.onReport(final, wall, now); // the next planner is told again, so may be this one
+    const auto counted = [this] {
+        const std::vector<run_decision> decisions = planner.takeDecisions();
+        return std::count_if(decisions.begin(), decisions.end(), [](const run_decision &decision) {
+            return decision.event == "run lost in a crash";
+        });
+    };
+    LONGS_EQUAL(1, counted());
+}
+
 // Guards against tasks that are given up for the crashes of another: in a cell in which half of the
 // workers or more have crashed, the others started beside them (issue 20).
 TEST(run_planner, startsKeepAwayFromASuspectInASmallCell)
