Say which calls hasStartInFlight counts

A stop whose start had no answer counts too, which the name does not show. Found when reading the diff. Comments only: the file without its comments is unchanged.

--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -176,6 +176,8 @@
         .write();
 }
 
+// Returns whether a call is under way for a run that may have started without the agent knowing it.
+// That is its start, or the stop that follows a start without an answer.
 bool run_agent::state::hasStartInFlight() const
 {
     return std::any_of(runs.begin(), runs.end(), [](const auto &item) {
