Log the runs that the agent reports as gone, and the order of start and query

The planner's line "no longer listed" shows that a list was without the run, and not whether the list was made before or after the start, whether the agent had carried the orders out, or whether the server had lost the run.

The agent numbers its status queries and the answers to starts and stops, and logs each run that it has started and that a list is without with both numbers. It also logs orders that it does not carry out because they name another incarnation. No decision is changed.

--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -19,8 +19,18 @@
     if (orders.plannerEpoch != self.token || orders.sequence <= self.ordersSeen)
         return false;
     self.ordersSeen = orders.sequence;
-    if (!self.backend || orders.incarnation != self.backend->incarnation())
+    if (!self.backend || orders.incarnation != self.backend->incarnation()) {
+        log_line(log_level::Info, "orders for another incarnation")
+            .field("worker", self.worker)
+            .field("life", orders.incarnation)
+            .field("current", self.backend ? self.backend->incarnation() : std::string())
+            .field("sequence", orders.sequence)
+            .field("starts", static_cast<std::int64_t>(orders.starts.size()))
+            .field("stops", static_cast<std::int64_t>(orders.stops.size()))
+            .limit(self.worker)
+            .write();
         return true;
+    }
     self.holdUntil = std::max(self.holdUntil, orders.holdUntil);
     const bool acknowledges = orders.endsStored > self.endsStored;
     self.endsStored = std::max(self.endsStored, orders.endsStored);
@@ -125,6 +135,7 @@
     ordered_run &ordered = found->second;
     ordered.inFlight = false;
     ordered.settledAt = loop.now();
+    ordered.settledIn = ++lastEvent;
     const failure *error = failureOf(reply);
     const start_reply answer = error ? start_reply{} : valueOf(reply);
     if (error) {
@@ -208,6 +219,7 @@
                   ordered_run &stopped = found->second;
                   stopped.inFlight = false;
                   stopped.settledAt = loop.now();
+                  stopped.settledIn = ++lastEvent;
                   if (failureOf(reply)) {
                       stopped.retryAt = loop.now() + options.retryPause;
                       noteDoubt();
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -28,23 +28,23 @@
     // ends only of starts that it has carried out, the answer to which shows that it is another
     // one.
     const bool mayAcknowledge = isConfirmed && !hasStartInFlight();
-    host.queryStatus(token, mayAcknowledge ? endsStored : 0, isConfirmed ? holdUntil : 0,
-                     isConfirmed ? wait : 0ms, backend->id,
-                     guarded([this, number, sentAt = loop.now(), sentToken = token,
-                              orders = ordersSeen](const result<host_status> &status) {
-                         if (number == queryNumber)
-                             isQuerying = false;
-                         // A query with an earlier planner's token proves nothing to the current
-                         // planner.
-                         if (sentToken == token)
-                             onStatus(status, sentAt, orders);
-                         else if (!isQuerying)
-                             scheduleQuery(0ms);
-                     }));
+    host.queryStatus(
+        token, mayAcknowledge ? endsStored : 0, isConfirmed ? holdUntil : 0,
+        isConfirmed ? wait : 0ms, backend->id,
+        guarded([this, number, query = sent_query{++lastEvent, loop.now(), token, ordersSeen}](
+                    const result<host_status> &status) {
+            if (number == queryNumber)
+                isQuerying = false;
+            // A query with an earlier planner's token proves nothing to the current
+            // planner.
+            if (query.token == token)
+                onStatus(status, query);
+            else if (!isQuerying)
+                scheduleQuery(0ms);
+        }));
 }
 
-void run_agent::state::onStatus(const result<host_status> &outcome, time_point sentAt,
-                                std::int64_t ordersAtSend)
+void run_agent::state::onStatus(const result<host_status> &outcome, const sent_query &query)
 {
     const bool isOther = !failureOf(outcome) && valueOf(outcome).isOtherIncarnation;
     if (failureOf(outcome) || isOther) {
@@ -85,11 +85,12 @@
     if (!isReachable)
         log_line(log_level::Info, "backend server reachable").field("worker", worker).write();
     isReachable = true;
-    if (confirmIncarnation(sentAt))
+    if (confirmIncarnation(query.sentAt))
         advanceAll();
     newestClock = status.clock;
     newestClockAt = loop.now();
-    report(status, sentAt, ordersAtSend);
+    logMissingRuns(status, query);
+    report(status, query);
     if (!isQuerying)
         scheduleQuery(status.ended.empty() ? 0ms : options.pauseForStoring);
 }
@@ -164,11 +165,39 @@
     return true;
 }
 
-void run_agent::state::report(const host_status &status, time_point sentAt,
-                              std::int64_t ordersAtSend)
+// Logs the runs that the agent has started and that a list is without, so that the planner takes
+// them for gone. The order of the query and of the start's answer tells a list from before the
+// start from a backend server that has lost a run.
+void run_agent::state::logMissingRuns(const host_status &status, const sent_query &query) const
+{
+    std::set<run_id> listed;
+    for (const running_task &running : status.running)
+        listed.insert(running.run);
+    for (const ended_task &ended : status.ended)
+        listed.insert(ended.run);
+    for (const auto &[run, ordered] : runs) {
+        const bool isMissing = ordered.isStarted && ordered.isWanted && !ordered.isStopping
+            && listed.count(run) == 0;
+        if (!isMissing || !isSettled(ordered, query.sentAt))
+            continue;
+        log_line(log_level::Warning, "started run not listed")
+            .field("task", run.task)
+            .field("run", run.number)
+            .field("worker", worker)
+            .field("query_sent_in", static_cast<std::int64_t>(query.sentIn))
+            .field("start_answered_in", static_cast<std::int64_t>(ordered.settledIn))
+            .field("query_after_start_ms", (query.sentAt - ordered.settledAt).count())
+            .field("orders_seen", query.ordersSeen)
+            .field("clock_ms", status.clock)
+            .limit(worker)
+            .write();
+    }
+}
+
+void run_agent::state::report(const host_status &status, const sent_query &query)
 {
     worker_report_message message = makeReport();
-    message.ordersSeen = ordersAtSend;
+    message.ordersSeen = query.ordersSeen;
     message.running = status.running;
     message.ended = status.ended;
     message.isPartial = status.isPartial;
@@ -192,13 +221,13 @@
     paceSet = std::move(paces);
     applyPaces();
     for (const auto &[run, ordered] : runs) {
-        if (!isSettled(ordered, sentAt))
+        if (!isSettled(ordered, query.sentAt))
             message.unresolved.push_back(run);
         else if (ordered.refused && listed.count(run) == 0)
             message.refused.push_back({run, *ordered.refused});
     }
     if (sendDeparture() && send && send(message))
-        forgetSettled(sentAt);
+        forgetSettled(query.sentAt);
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -39,12 +39,22 @@
     bool isWanted = true; // the last orders list it
     std::optional<start_refusal> refused;
     time_point settledAt{}; // when the last call ended
+    std::uint64_t settledIn = 0; // number of that event
     time_point retryAt{};
 
     // Returns whether a start is still to be sent.
     bool isPending() const { return start && isWanted && !isStarted && !isStopping && !refused; }
 };
 
+// A status query and what the agent knew when it sent it.
+struct sent_query
+{
+    std::uint64_t sentIn = 0; // number of the event
+    time_point sentAt{};
+    epoch token = 0;
+    std::int64_t ordersSeen = 0;
+};
+
 struct run_agent::state : std::enable_shared_from_this<run_agent::state>
 {
     state(event_loop &eventLoop, run_host &backendHost)
@@ -79,8 +89,9 @@
     void applyPaces();
     void queryStatus(duration wait);
     void queryNow();
-    void onStatus(const result<host_status> &outcome, time_point sentAt, std::int64_t ordersAtSend);
-    void report(const host_status &status, time_point sentAt, std::int64_t ordersAtSend);
+    void onStatus(const result<host_status> &outcome, const sent_query &query);
+    void report(const host_status &status, const sent_query &query);
+    void logMissingRuns(const host_status &status, const sent_query &query) const;
     worker_report_message makeReport() const;
     worker_report_message makeDepartureReport() const;
     void reportDeparture();
@@ -138,6 +149,9 @@
     std::map<run_id, std::int32_t> paceSet; // runs that the backend server lists
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
+    // Numbers status queries when they are sent, and starts and stops when they are answered, in
+    // their order. Times do not tell the order of two events in one millisecond.
+    std::uint64_t lastEvent = 0;
     bool isReachable = false;
     timer_handle queryTimer;
     timer_handle retryTimer;
