Tell what a list shows by the order of calls, not by their times

Cause: a status query that overtakes a start on its way to the backend server gets a list without the run. The agent took the list for later than the start if the query had been sent no earlier than the start was answered, in whole milliseconds. When both take less than a millisecond the two times are equal, the run counted as gone, and the planner gave its task to another server. Many starts at a time make it likely, since the answer to each sends a query while the others are under way.

The agent numbers its events: a list shows the outcome of a start or a stop only if its query was sent after the answer to that call had arrived, whatever the clock says. A query that was sent before may be overtaken or not; both count as not proven, and the next query decides.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -212,11 +212,11 @@
     return newestClock + scaled(since, 1 - options.clockError).count();
 }
 
-// The incarnation has answered a query that was sent at this time. Returns whether that confirms an
-// incarnation that was in doubt.
-bool run_agent::state::confirmIncarnation(time_point sentAt)
+// The incarnation has answered this query. Returns whether that confirms an incarnation that was in
+// doubt.
+bool run_agent::state::confirmIncarnation(const sent_query &query)
 {
-    if (isConfirmed || sentAt < doubtedAt)
+    if (isConfirmed || query.sentAt < doubtedAt)
         return false;
     isConfirmed = true;
     return true;
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -241,12 +241,14 @@
     return isYoung || paceSet.count(run) > 0 || unconfirmedStarts.count(run) > 0;
 }
 
-// Returns whether a status that was queried at this time shows the outcome of all calls for a run.
-bool run_agent::state::isSettled(const ordered_run &ordered, time_point at) const
+// Returns whether the answer to a status query shows the outcome of all calls for a run. A query
+// that was sent before the last of them was answered may have overtaken it.
+bool run_agent::state::isSettled(const ordered_run &ordered, const sent_query &query) const
 {
     if (ordered.inFlight || ordered.mayTakeEffectLate || ordered.isPending())
         return false;
-    return at >= ordered.settledAt + stopTimeOf(ordered);
+    return query.sentIn > ordered.settledIn
+        && query.sentAt >= ordered.settledAt + stopTimeOf(ordered);
 }
 
 // Returns for how long after the last call a run may still be ended by a stop. A start that is
@@ -311,10 +313,10 @@
     retryTimer = loop.after(options.retryPause, [this] { advanceAll(); });
 }
 
-void run_agent::state::forgetSettled(time_point sentAt)
+void run_agent::state::forgetSettled(const sent_query &query)
 {
     for (auto it = runs.begin(); it != runs.end();) {
-        const bool isOver = isSettled(it->second, sentAt) && !it->second.isWanted;
+        const bool isOver = isSettled(it->second, query) && !it->second.isWanted;
         it = isOver ? runs.erase(it) : std::next(it);
     }
 }
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -85,7 +85,7 @@
     if (!isReachable)
         log_line(log_level::Info, "backend server reachable").field("worker", worker).write();
     isReachable = true;
-    if (confirmIncarnation(query.sentAt))
+    if (confirmIncarnation(query))
         advanceAll();
     newestClock = status.clock;
     newestClockAt = loop.now();
@@ -178,7 +178,7 @@
     for (const auto &[run, ordered] : runs) {
         const bool isMissing = ordered.isStarted && ordered.isWanted && !ordered.isStopping
             && listed.count(run) == 0;
-        if (!isMissing || !isSettled(ordered, query.sentAt))
+        if (!isMissing || !isSettled(ordered, query))
             continue;
         log_line(log_level::Warning, "started run not listed")
             .field("task", run.task)
@@ -221,13 +221,13 @@
     paceSet = std::move(paces);
     applyPaces();
     for (const auto &[run, ordered] : runs) {
-        if (!isSettled(ordered, query.sentAt))
+        if (!isSettled(ordered, query))
             message.unresolved.push_back(run);
         else if (ordered.refused && listed.count(run) == 0)
             message.refused.push_back({run, *ordered.refused});
     }
     if (sendDeparture() && send && send(message))
-        forgetSettled(query.sentAt);
+        forgetSettled(query);
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -67,7 +67,7 @@
     void refuseAnnouncement(const host_announcement &announcement, std::string_view why);
     void beginIncarnation(const host_announcement &announcement);
     void noteDoubt();
-    bool confirmIncarnation(time_point sentAt);
+    bool confirmIncarnation(const sent_query &query);
     std::int64_t earliestClock() const;
     bool hasStartInFlight() const;
     void stopUnconfirmedRuns();
@@ -82,7 +82,7 @@
     void onStartUnanswered(const run_id &run, ordered_run &ordered, const failure &error);
     void noteUnconfirmedStart(const run_id &run);
     bool mayHaveStartedBefore(const run_id &run) const;
-    bool isSettled(const ordered_run &ordered, time_point at) const;
+    bool isSettled(const ordered_run &ordered, const sent_query &query) const;
     duration stopTimeOf(const ordered_run &ordered) const;
     void scheduleSettlement();
     void scheduleRetry();
@@ -96,7 +96,7 @@
     worker_report_message makeDepartureReport() const;
     void reportDeparture();
     bool sendDeparture();
-    void forgetSettled(time_point sentAt);
+    void forgetSettled(const sent_query &query);
     void scheduleQuery(duration delay);
 
     // Wraps a callback so that it runs only if the agent still exists and the backend server is
@@ -150,7 +150,8 @@
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
     // Numbers status queries when they are sent, and starts and stops when they are answered, in
-    // their order. Times do not tell the order of two events in one millisecond.
+    // their order. What a list shows follows from that order: times are cut to milliseconds and do
+    // not tell the order of two events in one.
     std::uint64_t lastEvent = 0;
     bool isReachable = false;
     timer_handle queryTimer;
