Confirm an incarnation only by a query that was sent after the doubt

What callers would see (TWICE): a start, or the acknowledgement of an end, reaches the next incarnation of a backend server, which takes it for its own.

After a call has failed, the known incarnation is confirmed by the answer to a query that was sent no earlier than the failure, in whole milliseconds. A query of the same millisecond may have been answered before.

The doubt gets a number among the agent's events, like the queries. answerToAQueryFromBeforeADoubtDoesNotConfirm fails without the change: the start is sent again. It has not been seen outside of the test.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -197,7 +197,7 @@
 void run_agent::state::noteDoubt()
 {
     isConfirmed = false;
-    doubtedAt = loop.now();
+    doubtedIn = ++lastEvent;
 }
 
 // Returns the least that the clock of the known incarnation can show by now. That of a later
@@ -216,7 +216,7 @@
 // doubt.
 bool run_agent::state::confirmIncarnation(const sent_query &query)
 {
-    if (isConfirmed || query.sentAt < doubtedAt)
+    if (isConfirmed || query.sentIn < doubtedIn)
         return false;
     isConfirmed = true;
     return true;
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -124,7 +124,8 @@
     std::uint64_t incarnationCount = 0;
     // The last answer came from this incarnation. Otherwise the next one may have taken its place.
     bool isConfirmed = false;
-    time_point doubtedAt{}; // when the next incarnation may last have taken its place
+    // Number of the event after which the next incarnation may have taken its place.
+    std::uint64_t doubtedIn = 0;
     time_point createdAt = loop.now();
     time_point announcedAt{};
     bool hasLeft = false;
@@ -149,9 +150,9 @@
     std::map<run_id, std::int32_t> paceSet; // runs that the backend server lists
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
-    // Numbers status queries when they are sent, and starts and stops when they are answered, in
-    // their order. What a list shows follows from that order: times are cut to milliseconds and do
-    // not tell the order of two events in one.
+    // Numbers status queries when they are sent, starts and stops when they are answered, and
+    // doubts about the incarnation, in their order. What a list shows follows from that order:
+    // times are cut to milliseconds and do not tell the order of two events in one.
     std::uint64_t lastEvent = 0;
     bool isReachable = false;
     timer_handle queryTimer;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1047,3 +1047,21 @@
     LONGS_EQUAL(1, reports.size());
     CHECK(reports[0].unresolved.empty());
 }
+
+// Guards against starts and acknowledgements that reach the next incarnation (TWICE): an answer to
+// a query that was sent before a call failed, in the same millisecond, confirmed the incarnation.
+TEST(run_agent, answerToAQueryFromBeforeADoubtDoesNotConfirm)
+{
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    message.endsStored = 1; // is acknowledged with a query
+    agent.onOrders(message);
+    loop.advance(0ms);
+    host.starts.back().answer(makeFailure(code::BackendUnavailable, "connection reset"));
+    answerStatusQuery();
+    LONGS_EQUAL(1, host.starts.size());
+    loop.advance(run_agent_options{}.retryPause);
+    LONGS_EQUAL(1, host.starts.size());
+    answerStatusQuery();
+    LONGS_EQUAL(2, host.starts.size());
+}
