Report no list that may be older than the last one

What callers would see (LIMIT): a worker gets more than fits. Two status queries, one of which waits for an end, may be answered in the same millisecond and arrive in either order.

Equal times were taken for order.

Of two answers with the same clock, the second one counts only if it was queried after the first one had arrived.

overtakenListOfTheSameMillisecondIsNotReported fails without the change. It has not been seen outside of the test.

--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -71,17 +71,19 @@
             listedEnds.emplace(ended.number, ended);
         listedEnds.erase(listedEnds.begin(), listedEnds.upper_bound(endsStored));
     }
-    // Answers on different connections may arrive out of order, and another incarnation numbers its
-    // ends differently.
-    if (status.clock < newestClock || status.startedAtMs != backend->startedAtMs) {
-        if (status.startedAtMs != backend->startedAtMs) {
-            noteDoubt();
-            stopUnconfirmedRuns();
-        }
+    if (status.startedAtMs != backend->startedAtMs) {
+        noteDoubt();
+        stopUnconfirmedRuns();
         if (!isQuerying)
             scheduleQuery(options.retryPause);
         return;
     }
+    const duration pause = status.ended.empty() ? 0ms : options.pauseForStoring;
+    if (isOvertaken(status, query)) {
+        if (!isQuerying)
+            scheduleQuery(pause);
+        return;
+    }
     if (!isReachable)
         log_line(log_level::Info, "backend server reachable").field("worker", worker).write();
     isReachable = true;
@@ -89,10 +91,21 @@
         advanceAll();
     newestClock = status.clock;
     newestClockAt = loop.now();
+    newestStatusIn = ++lastEvent;
     logMissingRuns(status, query);
     report(status, query);
     if (!isQuerying)
-        scheduleQuery(status.ended.empty() ? 0ms : options.pauseForStoring);
+        scheduleQuery(pause);
+}
+
+// Returns whether a status may be older than the last one: answers on different connections
+// overtake each other. Two of the same millisecond are in order only if the second was queried
+// after the first had arrived.
+bool run_agent::state::isOvertaken(const host_status &status, const sent_query &query) const
+{
+    if (status.clock == newestClock)
+        return query.sentIn < newestStatusIn;
+    return status.clock < newestClock;
 }
 
 worker_report_message run_agent::state::makeReport() const
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -90,6 +90,7 @@
     void queryStatus(duration wait);
     void queryNow();
     void onStatus(const result<host_status> &outcome, const sent_query &query);
+    bool isOvertaken(const host_status &status, const sent_query &query) const;
     void report(const host_status &status, const sent_query &query);
     void logMissingRuns(const host_status &status, const sent_query &query) const;
     worker_report_message makeReport() const;
@@ -143,6 +144,7 @@
     std::int64_t holdUntil = 0;
     std::int64_t endsStored = 0;
     std::int64_t newestClock = 0; // of the backend server, in the last status; 0: no status yet
+    std::uint64_t newestStatusIn = 0; // number of the event in which it arrived
     time_point newestClockAt{};
     std::map<run_id, ordered_run> runs;
     std::map<run_id, time_point> unconfirmedStarts; // when each can no longer take effect
@@ -150,8 +152,8 @@
     std::map<run_id, std::int32_t> paceSet; // runs that the backend server lists
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
-    // Numbers status queries when they are sent, starts and stops when they are answered, and
-    // doubts about the incarnation, in their order. What a list shows follows from that order:
+    // Numbers status queries when they are sent and when a status is taken, starts and stops when
+    // they are answered, and doubts about the incarnation, in their order. What a list shows follows from that order:
     // times are cut to milliseconds and do not tell the order of two events in one.
     std::uint64_t lastEvent = 0;
     bool isReachable = false;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1065,3 +1065,31 @@
     answerStatusQuery();
     LONGS_EQUAL(2, host.starts.size());
 }
+
+// Guards against capacity that counts as free while it is in use (LIMIT): two lists of the same
+// millisecond may arrive in either order, and the earlier one was reported after the later one.
+TEST(run_agent, overtakenListOfTheSameMillisecondIsNotReported)
+{
+    answerStatusQuery();
+    loop.advance(1ms);
+    const auto waiting = host.statusQueries.back().answer;
+    worker_orders_message message = orders(5, 1);
+    message.endsStored = 1; // is acknowledged with a second query
+    agent.onOrders(message);
+    loop.advance(1ms);
+    const std::size_t queries = host.statusQueries.size();
+    reports.clear();
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    host_status earlier;
+    earlier.startedAtMs = 100;
+    earlier.clock = clock;
+    waiting(earlier);
+    LONGS_EQUAL(1, reports.size());
+    LONGS_EQUAL(1, reports[0].running.size());
+    // A query that is sent after the later list has arrived is answered after it was made.
+    loop.advance(1ms);
+    CHECK(host.statusQueries.size() > queries);
+    --clock;
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.size());
+}
