Report only those orders as seen that were carried out

What callers would see (TWICE): a task runs on two backend servers. An order to stop a run reaches the agent when its backend server has just begun another incarnation. The agent ignores the order, and reported it as seen; the planner then takes the run for gone. A start that an earlier process of the agent had sent may still reach the new incarnation, and nothing stops it there.

Orders count as seen when they have been taken for the incarnation that the report is about; the next orders repeat the stop.

ordersThatAreNotCarriedOutAreNotReportedAsSeen fails without the change. It has not been seen outside of the test; it takes a killed agent, a late start and a restart at the same moment.

--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -419,7 +419,8 @@
 };
 
 // Agent to planner: state of the agent's backend server and of all runs on it. The state was read
-// after all orders up to `ordersSeen` had been received, with `plannerEpoch` as the fencing token.
+// after all orders for this incarnation up to `ordersSeen` had been received, with `plannerEpoch`
+// as the fencing token.
 struct worker_report_message
 {
     epoch plannerEpoch = 0;
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -167,6 +167,7 @@
     ++incarnationCount;
     hasLeft = false;
     endsStored = 0;
+    ordersCarriedOut = 0;
     listedEnds.clear();
     newestClock = 0;
     holdUntil = 0;
@@ -231,6 +232,7 @@
     if (number > self.token) {
         self.token = number;
         self.ordersSeen = 0;
+        self.ordersCarriedOut = 0;
     }
     self.check->askAgain(self.token);
     self.queryNow();
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -31,6 +31,7 @@
             .write();
         return true;
     }
+    self.ordersCarriedOut = orders.sequence;
     self.holdUntil = std::max(self.holdUntil, orders.holdUntil);
     const bool acknowledges = orders.endsStored > self.endsStored;
     self.endsStored = std::max(self.endsStored, orders.endsStored);
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -28,20 +28,20 @@
     // ends only of starts that it has carried out, the answer to which shows that it is another
     // one.
     const bool mayAcknowledge = isConfirmed && !hasStartInFlight();
-    host.queryStatus(
-        token, mayAcknowledge ? endsStored : 0, isConfirmed ? holdUntil : 0,
-        isConfirmed ? wait : 0ms, backend->id,
-        guarded([this, number, query = sent_query{++lastEvent, loop.now(), token, ordersSeen}](
-                    const result<host_status> &status) {
-            if (number == queryNumber)
-                isQuerying = false;
-            // A query with an earlier planner's token proves nothing to the current
-            // planner.
-            if (query.token == token)
-                onStatus(status, query);
-            else if (!isQuerying)
-                scheduleQuery(0ms);
-        }));
+    host.queryStatus(token, mayAcknowledge ? endsStored : 0, isConfirmed ? holdUntil : 0,
+                     isConfirmed ? wait : 0ms, backend->id,
+                     guarded([this, number,
+                              query = sent_query{++lastEvent, loop.now(), token, ordersCarriedOut}](
+                                 const result<host_status> &status) {
+                         if (number == queryNumber)
+                             isQuerying = false;
+                         // A query with an earlier planner's token proves nothing to the current
+                         // planner.
+                         if (query.token == token)
+                             onStatus(status, query);
+                         else if (!isQuerying)
+                             scheduleQuery(0ms);
+                     }));
 }
 
 void run_agent::state::onStatus(const result<host_status> &outcome, const sent_query &query)
@@ -200,7 +200,7 @@
             .field("query_sent_in", static_cast<std::int64_t>(query.sentIn))
             .field("start_answered_in", static_cast<std::int64_t>(ordered.settledIn))
             .field("query_after_start_ms", (query.sentAt - ordered.settledAt).count())
-            .field("orders_seen", query.ordersSeen)
+            .field("orders_seen", query.ordersCarriedOut)
             .field("clock_ms", status.clock)
             .limit(worker)
             .write();
@@ -210,7 +210,7 @@
 void run_agent::state::report(const host_status &status, const sent_query &query)
 {
     worker_report_message message = makeReport();
-    message.ordersSeen = query.ordersSeen;
+    message.ordersSeen = query.ordersCarriedOut;
     message.running = status.running;
     message.ended = status.ended;
     message.isPartial = status.isPartial;
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -52,7 +52,7 @@
     std::uint64_t sentIn = 0; // number of the event
     time_point sentAt{};
     epoch token = 0;
-    std::int64_t ordersSeen = 0;
+    std::int64_t ordersCarriedOut = 0;
 };
 
 struct run_agent::state : std::enable_shared_from_this<run_agent::state>
@@ -141,6 +141,7 @@
     epoch token = 0;
     bool isConnected = false;
     std::int64_t ordersSeen = 0;
+    std::int64_t ordersCarriedOut = 0; // the last orders for this incarnation
     std::int64_t holdUntil = 0;
     std::int64_t endsStored = 0;
     std::int64_t newestClock = 0; // of the backend server, in the last status; 0: no status yet
@@ -153,8 +154,9 @@
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
     // Numbers status queries when they are sent and when a status is taken, starts and stops when
-    // they are answered, and doubts about the incarnation, in their order. What a list shows follows from that order:
-    // times are cut to milliseconds and do not tell the order of two events in one.
+    // they are answered, and doubts about the incarnation, in their order. What a list shows
+    // follows from that order: times are cut to milliseconds and do not tell the order of two
+    // events in one.
     std::uint64_t lastEvent = 0;
     bool isReachable = false;
     timer_handle queryTimer;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1093,3 +1093,30 @@
     answerStatusQuery();
     LONGS_EQUAL(2, reports.size());
 }
+
+// Guards against a task that runs twice: orders to stop a run, made for the earlier incarnation of
+// a backend server, counted as carried out on the next one, which a start of an earlier process of
+// the agent may still reach.
+TEST(run_agent, ordersThatAreNotCarriedOutAreNotReportedAsSeen)
+{
+    worker_orders_message other = orders(5, 1);
+    other.incarnation = "i-0/50";
+    other.starts.push_back({someRun, "spec", {}, {}});
+    CHECK(agent.onOrders(other));
+    CHECK(!agent.onOrders(other));
+    LONGS_EQUAL(0, host.starts.size());
+    agent.onPlanner(5);
+    loop.advance(1ms);
+    answerStatusQuery();
+    LONGS_EQUAL(0, reports.back().ordersSeen);
+    worker_orders_message own = orders(5, 2);
+    own.endsStored = 1;
+    agent.onOrders(own);
+    loop.advance(1ms);
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.back().ordersSeen);
+    // Orders for the earlier incarnation were not carried out on this one.
+    announce("i-2", 200);
+    answerStatusQuery();
+    LONGS_EQUAL(0, reports.back().ordersSeen);
+}
