Replace no run after a single list without it

What callers would see (TWICE): a run is given to another backend server while it works. A run that was listed before counts as gone once it is missing for longer than a stop takes; one that was never listed counted as gone after one list. A backend server whose list lags behind its answer to a start, for example because it answers from a copy, would lose the run.

Both need the time of a stop now. A run that was stopped is gone as before, since the agent waits for its stop. Refused starts are reported as such and don't come this way.

runThatIsNotListedYetIsNotReplaced fails without the change: run 2 is ordered after one list.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -24,6 +24,13 @@
 // A backend server lists at most this many ends at a time, so a full list may be incomplete.
 constexpr std::size_t endsPerView = 500;
 
+// Returns whether the runs that a report shows were read after an order had been carried out.
+// @param orderedIn sequence of the first orders message with the order; 0: it was not ordered
+bool isCarriedOut(std::int64_t orderedIn, const worker_report_message &report)
+{
+    return orderedIn != 0 && orderedIn <= report.ordersSeen;
+}
+
 // Returns the number up to which ends may be acknowledged. A partial list may lack an end before a
 // later one, which would be acknowledged with it and be lost.
 std::int64_t lastReadableEnd(const worker_report_message &report, std::int64_t seen)
@@ -461,6 +468,9 @@
         // fill the list may wait for it.
         if (mayLackEnds && !task->record.isDone)
             continue;
+        const bool hasStarted = task->isListed || isCarriedOut(task->startOrderedIn, report);
+        if (!hasStarted && !isCarriedOut(task->stopOrderedIn, report))
+            continue;
         const auto known = worker.missingSince.find(run);
         missingSince[run] = known == worker.missingSince.end() ? report.clock : known->second;
         if (!isGone(*task, missingSince[run], report))
@@ -477,16 +487,14 @@
 }
 
 // Returns whether a run that is missing from complete lists does not exist. The agent waits until a
-// stop has ended its run before it reports it as carried out. A run that was listed may be missing
-// for as long while the backend server ends it for another reason.
+// stop has ended its run before it reports it as carried out. Another run may be missing for as
+// long while the backend server ends it for another reason.
 bool run_planner::isGone(const tracked_task &task, std::int64_t missingSince,
                          const worker_report_message &report) const
 {
-    const std::int64_t orderedIn = task.stopWanted ? task.stopOrderedIn : task.startOrderedIn;
-    const bool isCarriedOut = orderedIn != 0 && orderedIn <= report.ordersSeen;
-    if (isCarriedOut && (task.stopWanted || !task.isListed))
+    if (task.stopWanted && isCarriedOut(task.stopOrderedIn, report))
         return true;
-    return task.isListed && duration(report.clock - missingSince) > m_options.stopTime;
+    return duration(report.clock - missingSince) > m_options.stopTime;
 }
 
 // Forgets fenced starts once the orders to stop them have been carried out.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -707,6 +707,29 @@
     LONGS_EQUAL(1, ordersOf("w1").starts.size() + ordersOf("w2").starts.size());
 }
 
+// Guards against a run that is replaced while it is at work, as one list was made before the
+// backend server listed it (TWICE).
+TEST(run_planner, runThatIsNotListedYetIsNotReplaced)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    const std::int64_t ordered = ordersOf("w1").sequence;
+    const auto reportMissing = [&] {
+        worker_report_message report = reportOf("w1");
+        report.ordersSeen = ordered;
+        planner.onReport(report, wall, now);
+        planAndStore();
+    };
+    reportMissing();
+    clock += run_planner_options{}.stopTime.count() - 1;
+    reportMissing();
+    LONGS_EQUAL(1, ordersOf("w1").starts.at(0).run.number);
+    // Longer than a stop takes: the run is gone.
+    reportMissing();
+    LONGS_EQUAL(2, ordersOf("w1").starts.at(0).run.number);
+}
+
 // A worker that is only silent keeps its gang: the progress of the others shows that it is
 // complete.
 TEST(run_planner, silentMemberOfAWorkingGangIsLeftAlone)
