Test that lists from before a start do not count as missing it

Guards the rule that a run is gone only after the stop time without it: that time counts from the first list after the start was carried out. The test fails on the code before that rule, and on a form of it that counts earlier lists.

--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1838,3 +1838,22 @@
     planner.onReport(report, wall, now);
     LONGS_EQUAL(0, ordersOf("w1").endsStored);
 }
+
+// The same if lists from before the start were without the run for long, as they must be.
+TEST(run_planner, listsFromBeforeAStartDoNotCountAsMissing)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    planner.onReport(reportOf("w1"), wall, now);
+    clock += 10 * run_planner_options{}.stopTime.count();
+    const std::int64_t ordered = ordersOf("w1").sequence;
+    planner.onReport(reportOf("w2"), wall, now);
+    worker_report_message report = reportOf("w1");
+    report.ordersSeen = ordered;
+    planner.onReport(report, wall, now);
+    planAndStore();
+    CHECK(ordersOf("w2").starts.empty());
+    for (const start_order &order : ordersOf("w1").starts)
+        LONGS_EQUAL(1, order.run.number);
+}
