Wait for the stop of a run that its backend server may be ending

What callers would see (TWICE, LIMIT): a run is replaced while its backend server ends it for a reason of its own, for example with its gang, and has it in neither list meanwhile. A stop that is ordered then was taken for one of a run that had never been there, so that the run counted as gone as soon as the stop was answered.

Cause: only the last list told whether a run may exist. Runs that have vanished from it count for as long as a stop may take, on the clock of the backend server, unless they are listed as ended.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -182,6 +182,7 @@
     runs.clear();
     paceWanted.clear();
     paceSet.clear();
+    vanishedRuns.clear();
     for (const auto &[run, until] : unconfirmedStarts) {
         if (loop.now() > until)
             continue;
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -234,12 +234,14 @@
               }));
 }
 
-// Returns whether a run that was not ordered since may have started in this incarnation: it was
-// listed, or a start of it may have taken effect late.
+// Returns whether a run that was not ordered since may have started in this incarnation and not
+// ended yet: it is listed, or was within the time of a stop, or a start of it may have taken effect
+// late.
 bool run_agent::state::mayHaveStartedBefore(const run_id &run) const
 {
     const bool isYoung = loop.now() - createdAt < lateOrderLimit;
-    return isYoung || paceSet.count(run) > 0 || unconfirmedStarts.count(run) > 0;
+    return isYoung || paceSet.count(run) > 0 || vanishedRuns.count(run) > 0
+        || unconfirmedStarts.count(run) > 0;
 }
 
 // Returns whether the answer to a status query shows the outcome of all calls for a run. A query
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -2,6 +2,7 @@
 #include "goldcrest/run_agent_state.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace goldcrest {
@@ -89,6 +90,7 @@
     isReachable = true;
     if (confirmIncarnation(query))
         advanceAll();
+    noteVanishedRuns(status);
     newestClock = status.clock;
     newestClockAt = loop.now();
     newestStatusIn = ++lastEvent;
@@ -178,6 +180,22 @@
     return true;
 }
 
+// Keeps the runs that the last list has and this one lacks for the time of a stop, in which the
+// backend server may be ending them.
+void run_agent::state::noteVanishedRuns(const host_status &status)
+{
+    for (const auto &[run, percent] : paceSet)
+        vanishedRuns.emplace(run, newestClock);
+    for (const running_task &running : status.running)
+        vanishedRuns.erase(running.run);
+    for (const ended_task &ended : status.ended)
+        vanishedRuns.erase(ended.run);
+    for (auto it = vanishedRuns.begin(); it != vanishedRuns.end();) {
+        const bool hasEnded = duration(status.clock - it->second) > options.stopTime;
+        it = hasEnded ? vanishedRuns.erase(it) : std::next(it);
+    }
+}
+
 // Logs the runs that the agent has started and that a list is without, so that the planner takes
 // them for gone. The order of the query and of the start's answer tells a list from before the
 // start from a backend server that has lost a run.
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -92,6 +92,7 @@
     void onStatus(const result<host_status> &outcome, const sent_query &query);
     bool isOvertaken(const host_status &status, const sent_query &query) const;
     void report(const host_status &status, const sent_query &query);
+    void noteVanishedRuns(const host_status &status);
     void logMissingRuns(const host_status &status, const sent_query &query) const;
     worker_report_message makeReport() const;
     worker_report_message makeDepartureReport() const;
@@ -151,6 +152,9 @@
     std::map<run_id, time_point> unconfirmedStarts; // when each can no longer take effect
     std::map<run_id, std::int32_t> paceWanted;
     std::map<run_id, std::int32_t> paceSet; // runs that the backend server lists
+    // Runs that it does not list any more, with the time on its clock of the last list that has
+    // them. It may be ending them.
+    std::map<run_id, std::int64_t> vanishedRuns;
     bool isQuerying = false;
     std::uint64_t queryNumber = 0;
     // Numbers status queries when they are sent and when a status is taken, starts and stops when
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -247,3 +247,21 @@
     failing += countFailing(options, first, count);
     LONGS_EQUAL(0, failing);
 }
+
+// Guards against gang members that are replaced while their host ends them after another member,
+// when the lists are without them (TWICE, LIMIT).
+TEST(graph_model, slowEndsOfGangsBreakNoPromise)
+{
+    graph_model_options options;
+    options.endsGangsSlowly = true;
+    options.reordersCalls = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", faultFreeSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    options.hasFaults = true;
+    failing += countFailing(options, 7066, 1); // a member ran beside its next run
+    failing += countFailing(options, 7162, 1); // a host was over its capacity
+    LONGS_EQUAL(0, failing);
+}
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1178,3 +1178,24 @@
     loop.advance(run_agent_options{}.retryPause);
     LONGS_EQUAL(2, host.stops.size());
 }
+
+// Guards against a run that is replaced while its backend server ends it for a reason of its own,
+// for example with its gang: the lists are without it already when the stop is ordered, so the
+// agent takes the stop for one of a run that was never there (TWICE, LIMIT).
+TEST(run_agent, stopOfARunThatIsBeingEndedIsUnresolved)
+{
+    loop.advance(20s);
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    loop.advance(1ms);
+    answerStatusQuery(); // is being ended and not listed
+    loop.advance(1ms);
+    worker_orders_message stop = orders(5, 1);
+    stop.stops = {someRun};
+    agent.onOrders(stop);
+    host.stops.at(0).answer(done{});
+    loop.advance(1ms);
+    reports.clear();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.at(0).ordersSeen);
+    LONGS_EQUAL(1, reports.at(0).unresolved.size());
+}
