Stop a start that is refused on a draining server and may have been sent before

What callers would see (TWICE): a killed agent had sent a start that takes effect late; its next process refuses the repeated start, since the backend server drains by now, and the task starts elsewhere beside the late one.

Cause: the refusal rested on what this process has sent. In its first 15 s a stop goes out, and the refusal is reported once it is answered.

startThatAnEarlierProcessMayHaveSentIsStoppedWhenRefused failed before. startsNothingOnADrainingBackendServer used a young agent; it lets 15 s pass now, and the other test has the same checks for a young one.

--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -64,8 +64,11 @@
             continue;
         if (!ordered.start)
             ordered.start = order;
-        if ((backend->draining || hasLeft) && !ordered.everSent)
+        if ((backend->draining || hasLeft) && !ordered.everSent && !ordered.refused) {
             ordered.refused = start_refusal::Unhealthy;
+            // An earlier process of this agent may have sent the start.
+            ordered.isStopping = ordered.mayHaveStarted = mayHaveStartedBefore(order.run);
+        }
     }
 }
 
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -882,6 +882,7 @@
 // Guards DRAIN: a backend server that is leaving gets no start, whatever the planner knows.
 TEST(run_agent, startsNothingOnADrainingBackendServer)
 {
+    loop.advance(20s); // no start of an earlier process can take effect any more
     announce("i-1", 100, true);
     worker_orders_message message = orders(5, 1);
     message.starts.push_back({someRun, "spec", {}, {}});
@@ -1199,3 +1200,25 @@
     LONGS_EQUAL(1, reports.at(0).ordersSeen);
     LONGS_EQUAL(1, reports.at(0).unresolved.size());
 }
+
+// Guards against a task that runs twice: an earlier process of the agent has sent the start, which
+// is carried out late. This process refuses the start of a server that drains, and nothing keeps
+// the late one from running beside the next run.
+TEST(run_agent, startThatAnEarlierProcessMayHaveSentIsStoppedWhenRefused)
+{
+    announce("i-1", 100, true);
+    worker_orders_message message = orders(5, 1);
+    message.starts.push_back({someRun, "spec", {}, {}});
+    agent.onOrders(message);
+    LONGS_EQUAL(0, host.starts.size());
+    loop.advance(1ms);
+    reports.clear();
+    answerStatusQuery();
+    CHECK(reports.at(0).refused.empty());
+    LONGS_EQUAL(1, host.stops.size());
+    host.stops.back().answer(done{});
+    loop.advance(stopTimeWithMargin);
+    reports.clear();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.at(0).refused.size());
+}
