Measure the time of a stop on the clock of the backend server

What callers would see (TWICE, LIMIT): a run is replaced while its backend server is still ending it. The machine is suspended during the stop: the time of the agent goes on, the clock of the backend server stands still, and the first list after the suspension settled the run.

Cause: a duration that runs on one clock was measured on another. It counts now from the first list that is queried after the stop's answer, by the clocks in the lists. That list follows the answer at once, so a stop settles one query later than before.

suspensionDoesNotCountAsTimeOfAStop failed before. Three tests that let the stop time pass by the agent's clock alone let it pass on both clocks now, with the same checks, since the backend server of the tests has a clock that only its answers advance.

--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -140,6 +140,7 @@
     ordered.inFlight = false;
     ordered.settledAt = loop.now();
     ordered.settledIn = ++lastEvent;
+    ordered.settledClock.reset();
     const failure *error = failureOf(reply);
     const start_reply answer = error ? start_reply{} : valueOf(reply);
     if (error) {
@@ -168,7 +169,6 @@
             .field("run", run.number)
             .field("why", static_cast<std::int64_t>(*answer.refused))
             .write();
-        scheduleSettlement();
     }
     advanceAll();
     queryNow();
@@ -224,6 +224,7 @@
                   stopped.inFlight = false;
                   stopped.settledAt = loop.now();
                   stopped.settledIn = ++lastEvent;
+                  stopped.settledClock.reset();
                   if (failureOf(reply)) {
                       stopped.retryAt = loop.now() + options.retryPause;
                       noteDoubt();
@@ -231,7 +232,6 @@
                       stopped.isStopped = true;
                       stopped.mayTakeEffectLate = false;
                   }
-                  scheduleSettlement();
                   advanceAll();
                   queryNow();
               }));
@@ -256,34 +256,42 @@
     // A stop without an answer may not have been carried out yet.
     if (ordered.isStopping && !ordered.isStopped)
         return false;
-    return query.sentIn > ordered.settledIn
-        && query.sentAt >= ordered.settledAt + stopTimeOf(ordered);
+    if (query.sentIn < ordered.settledIn)
+        return false;
+    return !mayBeStopping(ordered)
+        || (ordered.settledClock
+            && duration(newestClock - *ordered.settledClock) > options.stopTime);
 }
 
-// Returns for how long after the last call a run may still be ended by a stop. A start that is
-// refused as superseded may have been stopped by an earlier process of this agent.
-duration run_agent::state::stopTimeOf(const ordered_run &ordered) const
+// Returns whether a stop may still be ending a run after the last call. A start that is refused as
+// superseded may have been stopped by an earlier process of this agent.
+bool run_agent::state::mayBeStopping(const ordered_run &ordered)
 {
-    const bool mayBeStopping = (ordered.isStopped && ordered.mayHaveStarted)
+    return (ordered.isStopped && ordered.mayHaveStarted)
         || ordered.refused == start_refusal::Superseded;
-    return mayBeStopping ? scaled(options.stopTime, 1 + options.clockError) + stopSlack : 0ms;
 }
 
-// Queries the status as soon as it shows the outcome of the next stop.
-void run_agent::state::scheduleSettlement()
+// Notes the backend server's clock after the last call for each run. The time of a stop counts on
+// that clock, which stands still while the machine is suspended.
+void run_agent::state::noteSettledClocks(const host_status &status, const sent_query &query)
 {
-    std::optional<time_point> next;
-    for (const auto &[run, ordered] : runs) {
-        const time_point at = ordered.settledAt + stopTimeOf(ordered);
-        if (!ordered.inFlight && at > loop.now())
-            next = std::min(next.value_or(at), at);
+    bool isNew = false;
+    for (auto &[run, ordered] : runs) {
+        if (ordered.inFlight || !mayBeStopping(ordered) || ordered.settledClock
+            || query.sentIn < ordered.settledIn)
+            continue;
+        ordered.settledClock = status.clock;
+        isNew = true;
     }
-    if (!next)
-        return;
-    settlementTimer = loop.after(*next - loop.now(), [this] {
-        queryStatus(0ms);
+    if (isNew)
         scheduleSettlement();
-    });
+}
+
+// Queries the status once it shows the outcome of the stops that were noted last.
+void run_agent::state::scheduleSettlement()
+{
+    const duration stopTime = scaled(options.stopTime, 1 + options.clockError) + stopSlack;
+    settlementTimer = loop.after(stopTime, [this] { queryStatus(0ms); });
 }
 
 void run_agent::state::noteUnconfirmedStart(const run_id &run)
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -94,6 +94,7 @@
     newestClock = status.clock;
     newestClockAt = loop.now();
     newestStatusIn = ++lastEvent;
+    noteSettledClocks(status, query);
     logMissingRuns(status, query);
     report(status, query);
     if (!isQuerying)
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -40,6 +40,8 @@
     std::optional<start_refusal> refused;
     time_point settledAt{}; // when the last call ended
     std::uint64_t settledIn = 0; // number of that event
+    // Clock of the backend server in the first list that was queried after that, ms.
+    std::optional<std::int64_t> settledClock;
     time_point retryAt{};
 
     // Returns whether a start is still to be sent.
@@ -83,7 +85,8 @@
     void noteUnconfirmedStart(const run_id &run);
     bool mayHaveStartedBefore(const run_id &run) const;
     bool isSettled(const ordered_run &ordered, const sent_query &query) const;
-    duration stopTimeOf(const ordered_run &ordered) const;
+    static bool mayBeStopping(const ordered_run &ordered);
+    void noteSettledClocks(const host_status &status, const sent_query &query);
     void scheduleSettlement();
     void scheduleRetry();
     void applyPaces();
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -161,6 +161,17 @@
         answer(view);
     }
 
+    // Lets the time of a stop pass, which counts on the backend server's clock and from the first
+    // list after the stop.
+    void passStopTime()
+    {
+        loop.advance(1ms);
+        answerStatusQuery();
+        clock += run_agent_options{}.stopTime.count();
+        loop.advance(stopTimeWithMargin);
+        reports.clear();
+    }
+
     void orderOneStartWithoutAnswer()
     {
         worker_orders_message message = orders(5, 1);
@@ -267,8 +278,7 @@
     // The other run was never there.
     LONGS_EQUAL(1, reports.at(0).unresolved.size());
     STRCMP_EQUAL(someRun.task.c_str(), reports.at(0).unresolved[0].task.c_str());
-    reports.clear();
-    loop.advance(stopTimeWithMargin);
+    passStopTime();
     answerStatusQuery();
     CHECK(reports.at(0).unresolved.empty());
 }
@@ -385,7 +395,7 @@
     CHECK(reports.back().refused.empty());
     host.stops[0].answer(done{});
     host.stops[1].answer(done{});
-    loop.advance(stopTimeWithMargin);
+    passStopTime();
     answerStatusQuery();
     CHECK(reports.back().unresolved.empty());
     LONGS_EQUAL(2, reports.back().refused.size());
@@ -1217,8 +1227,23 @@
     CHECK(reports.at(0).refused.empty());
     LONGS_EQUAL(1, host.stops.size());
     host.stops.back().answer(done{});
-    loop.advance(stopTimeWithMargin);
-    reports.clear();
+    passStopTime();
     answerStatusQuery();
     LONGS_EQUAL(1, reports.at(0).refused.size());
 }
+
+// Guards against a run that is replaced while its stop lasts: its machine was suspended meanwhile,
+// which the agent's time counts and the clock of the backend server doesn't (TWICE, LIMIT).
+TEST(run_agent, suspensionDoesNotCountAsTimeOfAStop)
+{
+    loop.advance(20s);
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    worker_orders_message stop = orders(5, 1);
+    stop.stops = {someRun};
+    agent.onOrders(stop);
+    host.stops.at(0).answer(done{});
+    loop.advance(5s); // of which the backend server's clock shows 1 ms
+    reports.clear();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.at(0).unresolved.size());
+}
