Tie the answer to a list of tasks to its call in the gang API

What callers would see: a job of the gang API runs twice. A list of tasks that was requested before a start proved the task gone when the start was answered in the millisecond in which it was sent, or when another list call had been sent in between, so that the answer counted as that of the later call. The agent then reported the task as stopped, and the planner started the job again.

Times cut to milliseconds stood for an order, equal times marked adopted tasks, and an answer did not name its call.

--- a/goldcrest/agent_core.cc
+++ b/goldcrest/agent_core.cc
@@ -232,7 +232,7 @@
         member_task *task = member.findTask(id);
         if (!task)
             continue;
-        task->startAnswered = now;
+        task->startAnswered = ++m_lastEvent;
         if (!failureOf(answer)) {
             task->started = true;
             if (member.state() == member_state::Stopping)
@@ -342,11 +342,16 @@
     if (m_listRequestedAt && now - *m_listRequestedAt < listTimeout)
         return;
     m_listRequestedAt = now;
-    m_actions.emplace_back(list_tasks{});
+    m_listCall = ++m_lastEvent;
+    m_actions.emplace_back(list_tasks{m_listCall});
 }
 
-void agent_core::taskListAnswered(const result<std::vector<listed_task>> &answer, time_point now)
+void agent_core::taskListAnswered(std::uint64_t call,
+                                  const result<std::vector<listed_task>> &answer, time_point now)
 {
+    // The answer to an earlier call may be older than starts that the last call was made after.
+    if (call != m_listCall)
+        return;
     if (failureOf(answer)) {
         m_listRequestedAt.reset();
         m_backendReachable = false;
@@ -416,9 +421,7 @@
         return;
     for (member_task &task : member.tasks) {
         // Only a list that was requested after the start was answered proves that a task is gone.
-        // For an adopted member, whose tasks started before this process, any list does.
-        const bool decided = task.startAnswered && m_listRequestedAt
-            && (*task.startAnswered < *m_listRequestedAt || task.startAnswered == member.startedAt);
+        const bool decided = task.startAnswered && *task.startAnswered < m_listCall;
         if (task.ended || !decided)
             continue;
         const bool present
--- a/goldcrest/agent_core.h
+++ b/goldcrest/agent_core.h
@@ -85,7 +85,9 @@
 };
 
 struct list_tasks
-{ };
+{
+    std::uint64_t call = 0; // to be passed on with the answer
+};
 
 struct forget_task
 {
@@ -139,7 +141,9 @@
 
     // The backend server answered a start call or a list call, or the call failed.
     void taskStartAnswered(const std::string &id, const result<done> &answer, time_point now);
-    void taskListAnswered(const result<std::vector<listed_task>> &answer, time_point now);
+    // @param call number of the list_tasks action that is answered
+    void taskListAnswered(std::uint64_t call, const result<std::vector<listed_task>> &answer,
+                          time_point now);
 
     // The link to the planner opened or closed. `known` is the epoch that the entry reported.
     void plannerLinkOpened(epoch known, time_point now);
@@ -221,6 +225,9 @@
     bool m_backendReachable = false;
     std::uint64_t m_heartbeatSequence = 0;
     std::optional<time_point> m_listRequestedAt; // set while a list call is open
+    std::uint64_t m_listCall = 0; // number of the last list call
+    // Numbers list calls when they are made and starts when they are answered, in their order.
+    std::uint64_t m_lastEvent = 0;
     time_point m_nextList;
     time_point m_nextHeartbeat;
     time_point m_nextPulse;
--- a/goldcrest/agent_daemon.cc
+++ b/goldcrest/agent_daemon.cc
@@ -336,11 +336,11 @@
     m_backend.forget(action.id, [](const result<done> &) {});
 }
 
-void agent_daemon::impl::execute(const list_tasks &)
+void agent_daemon::impl::execute(const list_tasks &action)
 {
-    m_backend.list([this](const result<std::vector<backend_task>> &answer) {
+    m_backend.list([this, call = action.call](const result<std::vector<backend_task>> &answer) {
         if (const failure *error = failureOf(answer)) {
-            m_core.taskListAnswered(*error, now());
+            m_core.taskListAnswered(call, *error, now());
             executeActions();
             return;
         }
@@ -356,7 +356,7 @@
             else
                 tasks.push_back({task, valueOf(gang)});
         }
-        m_core.taskListAnswered(std::move(tasks), now());
+        m_core.taskListAnswered(call, std::move(tasks), now());
         executeActions();
     });
 }
--- a/goldcrest/gang_member.cc
+++ b/goldcrest/gang_member.cc
@@ -27,7 +27,7 @@
     member.startedAt = now;
     member.m_state = member_state::Running;
     for (member_task &task : member.tasks)
-        task.startAnswered = now;
+        task.startAnswered = 0;
     return member;
 }
 
--- a/goldcrest/gang_member.h
+++ b/goldcrest/gang_member.h
@@ -38,7 +38,8 @@
     std::int32_t index = 0; // within the gang
     bool started = false; // the backend server is known to have the task
     bool ended = false;
-    std::optional<time_point> startAnswered;
+    // Number of the event in which its start was answered; 0: before this process.
+    std::optional<std::uint64_t> startAnswered;
     task_state state = task_state::Running;
     std::string output;
     double progress = 0;
--- a/testing/agent_core_test.cc
+++ b/testing/agent_core_test.cc
@@ -54,6 +54,17 @@
     return count;
 }
 
+// Returns the number of the list call among these actions.
+std::uint64_t listCallIn(const std::vector<agent_action> &actions)
+{
+    std::uint64_t call = 0;
+    for (const agent_action &action : actions) {
+        if (const auto *list = std::get_if<list_tasks>(&action))
+            call = list->call;
+    }
+    return call;
+}
+
 agent_core makeAgent()
 {
     agent_options options;
@@ -62,7 +73,7 @@
     options.worker.slots = 2;
     agent_core agent(options);
     agent.begin(start);
-    agent.taskListAnswered(std::vector<listed_task>{}, start);
+    agent.taskListAnswered(listCallIn(agent.takeActions()), std::vector<listed_task>{}, start);
     agent.plannerLinkOpened(firstEpoch, start);
     agent.takeActions();
     return agent;
@@ -188,11 +199,12 @@
     agent_core agent({});
     agent.begin(start);
     agent.plannerLinkOpened(firstEpoch, start);
-    LONGS_EQUAL(0, messagesIn<inventory_message>(agent.takeActions()).size());
+    const std::vector<agent_action> first = agent.takeActions();
+    LONGS_EQUAL(0, messagesIn<inventory_message>(first).size());
     const gang_info gang = gangOf(3, firstEpoch);
     backend_task task;
     task.id = taskIdOf(gang, 0);
-    agent.taskListAnswered(std::vector<listed_task>{{task, gang}}, start + 10ms);
+    agent.taskListAnswered(listCallIn(first), std::vector<listed_task>{{task, gang}}, start + 10ms);
     const std::vector<agent_action> actions = agent.takeActions();
     LONGS_EQUAL(1, messagesIn<inventory_message>(actions).at(0).parts.size());
     LONGS_EQUAL(0, countOf<start_task>(actions) + countOf<forget_task>(actions));
@@ -229,3 +241,53 @@
     CHECK(makeMajorityPolicy()->mayContinue(oneMissing));
     CHECK(!makeStoppingPolicy()->mayContinue(silent));
 }
+
+namespace {
+
+// Holds and begins a gang of one task, whose start is answered with success at this time.
+void startAnswered(agent_core &agent, const gang_info &gang, time_point begun, time_point answered)
+{
+    hold(agent, gang, begun);
+    begin(agent, gang, begun);
+    agent.taskStartAnswered(taskIdOf(gang, gang.own.firstTask), done{}, answered);
+}
+
+} // namespace
+
+// Guards against a job that runs twice: a task list that was requested before a start proved the
+// task gone if the start was answered in the millisecond in which it was sent.
+TEST(agent_core, listFromBeforeAQuickStartDoesNotProveItsTaskGone)
+{
+    agent_core agent = makeAgent();
+    agent.tick(start + 10s);
+    const std::uint64_t call = listCallIn(agent.takeActions());
+    CHECK(call != 0);
+    const gang_info gang = gangOf(1, firstEpoch);
+    startAnswered(agent, gang, start + 10s + 5ms, start + 10s + 5ms);
+    agent.takeActions();
+    agent.taskListAnswered(call, std::vector<listed_task>{}, start + 10s + 6ms);
+    LONGS_EQUAL(0, messagesIn<task_finished_message>(agent.takeActions()).size());
+}
+
+// Guards against a job that runs twice: the answer to a task list call from before a start counted
+// as that of the later call, which another start that failed had caused.
+TEST(agent_core, answerToAnEarlierListCallDoesNotProveATaskGone)
+{
+    agent_core agent = makeAgent();
+    agent.tick(start + 10s);
+    const std::uint64_t call = listCallIn(agent.takeActions());
+    CHECK(call != 0);
+    const gang_info gang = gangOf(1, firstEpoch);
+    startAnswered(agent, gang, start + 10s + 1ms, start + 10s + 3ms);
+    gang_info other = gangOf(2, firstEpoch);
+    hold(agent, other, start + 10s + 4ms);
+    begin(agent, other, start + 10s + 4ms);
+    agent.taskStartAnswered(taskIdOf(other, 0), makeFailure(code::BackendUnavailable, "no answer"),
+                            start + 10s + 5ms);
+    LONGS_EQUAL(1, countOf<list_tasks>(agent.takeActions()));
+    // The first call is answered, with a list from before both starts.
+    agent.taskListAnswered(call, std::vector<listed_task>{}, start + 10s + 6ms);
+    for (const task_finished_message &finished :
+         messagesIn<task_finished_message>(agent.takeActions()))
+        CHECK(!(finished.attempt == gang.attempt));
+}
--- a/testing/cell_model_support.cc
+++ b/testing/cell_model_support.cc
@@ -1191,14 +1191,15 @@
                     found->second.leaseEnd = m_now + renew.lease;
             }
         });
-    } else if (std::holds_alternative<list_tasks>(action)) {
-        after(between(1, 5), [this, &worker, run] {
+    } else if (const auto *list = std::get_if<list_tasks>(&action)) {
+        after(between(1, 5), [this, &worker, run, call = list->call] {
             std::vector<listed_task> tasks;
             for (const auto &[id, task] : worker.tasks)
                 tasks.push_back({task.task, task.gang});
-            after(between(1, 5), [this, &worker, run, tasks = std::move(tasks)] {
+            after(between(1, 5), [this, &worker, run, call, tasks = std::move(tasks)] {
                 if (worker.run == run)
-                    onAgent(worker, [=](agent_core &core) { core.taskListAnswered(tasks, m_now); });
+                    onAgent(worker,
+                            [=](agent_core &core) { core.taskListAnswered(call, tasks, m_now); });
             });
         });
     } else if (const auto *forget = std::get_if<forget_task>(&action)) {
