Ignore inventories on an earlier link of an agent

What callers would see: a job of the gang API runs twice. An agent opens another link while an inventory of it is still under way on the one before. The planner took that inventory for the latest, switched back to the earlier link, and took a gang that had been started meanwhile for gone.

Cause: the arrival of a message stood for its age. The planner keeps the newest link that an inventory of a worker came on, as planner_service does for reports.

cell_planner.inventoryOnAnEarlierLinkDoesNotProveAGangGone fails before: the gang is started twice.

--- a/goldcrest/cell_planner_agents.cc
+++ b/goldcrest/cell_planner_agents.cc
@@ -1,6 +1,7 @@
 // Messages between the planner and agents, and recovery of the gangs of an earlier planner.
 
 #include "goldcrest/cell_planner_state.h"
+#include "goldcrest/log_fields.h"
 
 #include <utility>
 
@@ -140,6 +141,16 @@
     if (m_steppedDown)
         return;
     worker_state &worker = workerOf(inventory.worker.id, now);
+    // An agent that has opened another link sends nothing on the earlier one, so what still arrives
+    // there is older than what the other one has brought.
+    if (link < worker.newestLink) {
+        log_line(log_level::Info, "inventory on an earlier link ignored")
+            .field("worker", inventory.worker.id)
+            .limit(inventory.worker.id)
+            .write();
+        return;
+    }
+    worker.newestLink = link;
     const bool newLink = worker.link != link;
     if (newLink && worker.link != 0)
         m_agentLinks.erase(worker.link);
--- a/goldcrest/cell_planner_state.h
+++ b/goldcrest/cell_planner_state.h
@@ -107,6 +107,7 @@
 {
     worker_info info;
     link_id link = 0; // 0: not connected
+    link_id newestLink = 0; // that an inventory came on, also if it has closed
     bool inventoryRead = false;
     bool draining = false;
     bool backendReachable = true;
