Extend the wait for a lease while an agent is paused, and probe closer at its end

Cause: a probe each 0.5 s may miss the last 0.5 s of the wait, and an accepted connection counted as no answer although the process behind it was paused.

Change: the planner probes each 0.2 s in the last second of the wait. The probe sends a request; if the connection is accepted and the request is not answered within 0.4 s, the process is paused, and the wait is extended by the time since the last report, within the same bound of 10 s. A process that works answers and extends nothing.

--- a/goldcrest/asio_host_probe.cc
+++ b/goldcrest/asio_host_probe.cc
@@ -1,11 +1,17 @@
 #include "goldcrest/asio_host_probe.h"
 
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <array>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace goldcrest {
@@ -30,13 +36,8 @@
     return asio::ip::tcp::endpoint(host, static_cast<std::uint16_t>(std::stoul(port)));
 }
 
-probe_outcome outcomeOf(const asio::error_code &error)
-{
-    if (!error)
-        return probe_outcome::Accepted;
-    return error == asio::error::connection_refused ? probe_outcome::Refused
-                                                    : probe_outcome::NoAnswer;
-}
+// A server of links answers it with an error.
+constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: probe\r\n\r\n";
 
 } // namespace
 
@@ -46,8 +47,27 @@
         : socket(context)
     { }
 
+    // Sends the request and waits for the first bytes of an answer.
+    void ask()
+    {
+        isConnected = true;
+        // The request fits into the send buffer of a new connection.
+        asio::error_code error;
+        socket.write_some(asio::buffer(request.data(), request.size()), error);
+        if (error)
+            return finish(probe_outcome::NoAnswer);
+        socket.async_read_some(asio::buffer(received),
+                               [finish = finish](const asio::error_code &readError, std::size_t) {
+                                   finish(readError ? probe_outcome::NoAnswer
+                                                    : probe_outcome::Served);
+                               });
+    }
+
     asio::ip::tcp::socket socket;
+    std::array<char, 64> received{};
+    bool isConnected = false;
     timer_handle limit;
+    std::function<void(probe_outcome)> finish;
 };
 
 asio_host_probe::asio_host_probe(asio_event_loop &loop)
@@ -67,18 +87,30 @@
     auto made = std::make_shared<attempt>(m_loop.context());
     m_attempts->insert(made);
     // Whichever comes first removes the attempt, which closes its connection.
-    const auto finish = [attempts = std::weak_ptr(m_attempts), weak = std::weak_ptr(made),
-                         callback = std::move(callback)](probe_outcome outcome) {
+    made->finish = [attempts = std::weak_ptr(m_attempts), weak = std::weak_ptr(made),
+                    callback = std::move(callback)](probe_outcome outcome) {
         const auto pending = attempts.lock();
         const std::shared_ptr<attempt> ended = weak.lock();
         if (pending && ended && pending->erase(ended) > 0)
             callback(outcome);
     };
     if (!endpoint)
-        return m_loop.post([finish] { finish(probe_outcome::NoAnswer); });
-    made->limit = m_loop.after(limit, [finish] { finish(probe_outcome::NoAnswer); });
-    made->socket.async_connect(
-        *endpoint, [finish](const asio::error_code &error) { finish(outcomeOf(error)); });
+        return m_loop.post([finish = made->finish] { finish(probe_outcome::NoAnswer); });
+    made->limit = m_loop.after(limit, [made = made.get()] {
+        made->finish(made->isConnected ? probe_outcome::Unserved : probe_outcome::NoAnswer);
+    });
+    made->socket.async_connect(*endpoint,
+                               [weak = std::weak_ptr(made)](const asio::error_code &error) {
+                                   const std::shared_ptr<attempt> connecting = weak.lock();
+                                   if (!connecting)
+                                       return;
+                                   if (!error)
+                                       connecting->ask();
+                                   else
+                                       connecting->finish(error == asio::error::connection_refused
+                                                              ? probe_outcome::Refused
+                                                              : probe_outcome::NoAnswer);
+                               });
 }
 
 } // namespace goldcrest
--- a/goldcrest/host_probe.h
+++ b/goldcrest/host_probe.h
@@ -17,9 +17,11 @@
 enum class probe_outcome {
     // Nothing answered within the limit, or the address is not valid. Proves nothing.
     NoAnswer,
-    // A connection was accepted. A paused process also accepts connections, so that this proves
-    // nothing.
-    Accepted,
+    // A process answered a request. It works, though it may have lost its peers.
+    Served,
+    // A connection was accepted, but no request was answered within the limit: the process is
+    // paused or hangs, and its machine may be suspended as far as its processes can tell.
+    Unserved,
     // The machine refused the connection: it runs, and no process listens at the address.
     Refused,
 };
@@ -29,9 +31,10 @@
 public:
     virtual ~host_probe() = default;
 
-    // Tries to connect to an address and closes the connection at once.
+    // Connects to an address, sends an HTTP request, and closes the connection after the first
+    // bytes of an answer.
     // @param address host:port, with a numeric host
-    // @param limit after which the outcome is NoAnswer
+    // @param limit after which the outcome is NoAnswer or Unserved
     // @param callback runs once, unless the probe is destroyed before
     virtual void probe(const std::string &address, duration limit,
                        std::function<void(probe_outcome)> callback)
--- a/goldcrest/planner_service_probes.cc
+++ b/goldcrest/planner_service_probes.cc
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr duration probeInterval = 500ms;
-// Shorter than the interval, so that each probe ends before the next one.
+// A suspension that ends shortly before the wait for the lease must still be noticed.
+constexpr duration lastProbesTime = 1s;
+constexpr duration lastProbesInterval = 200ms;
+// A process that works answers within this time, also on a slow machine.
 constexpr duration probeLimit = 400ms;
 
 } // namespace
@@ -20,7 +23,11 @@
         return;
     for (const worker_id &worker : planner->silentWorkers(loop.now())) {
         const auto agent = knownAgents.find(worker);
-        if (agent != knownAgents.end() && loop.now() - agent->second.probedAt >= probeInterval)
+        if (agent == knownAgents.end())
+            continue;
+        const duration left = planner->workers().workers().at(worker).leaseEnds - loop.now();
+        const duration interval = left < lastProbesTime ? lastProbesInterval : probeInterval;
+        if (loop.now() - agent->second.probedAt >= interval)
             probe(worker, agent->second);
     }
 }
@@ -40,6 +47,8 @@
     options.probe->probe(agent.address, probeLimit, guarded([this, worker](probe_outcome outcome) {
                              if (outcome == probe_outcome::Refused)
                                  planner->noteProcessDown(worker, loop.now());
+                             else if (outcome == probe_outcome::Unserved)
+                                 planner->noteProcessPaused(worker, loop.now());
                          }));
 }
 
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -171,6 +171,10 @@
     // lease may end later by that time.
     void noteProcessDown(const worker_id &worker, time_point now);
 
+    // The machine of a worker accepts connections, but the agent there answers none. The machine
+    // may have been suspended since it last showed that it ran.
+    void noteProcessPaused(const worker_id &worker, time_point now);
+
     // Returns the pending request to the advice service, if any. It concerns the unit of highest
     // rank that needs advice.
     std::optional<advice_request> takeAdviceRequest();
@@ -232,6 +236,7 @@
         time_point retryAt{}; // after a failed request
     };
 
+    void extendLease(pool_worker &worker, duration extension) const;
     static void endLeaseExtension(pool_worker &worker);
     void noteChanged(tracked_job &job);
     void recordDecision(std::string_view event, const task_key &task, std::int32_t run,
--- a/goldcrest/run_planner_leases.cc
+++ b/goldcrest/run_planner_leases.cc
@@ -36,10 +36,8 @@
     worker->provenAt = now;
     if (!isFirst && gap <= m_options.longestProofGap)
         return;
-    const duration extension
-        = std::min(gap, m_options.longestLeaseExtension - worker->leaseExtension);
-    worker->leaseExtension += extension;
-    worker->leaseEnds += extension;
+    worker->provenExtension += gap;
+    extendLease(*worker, worker->provenExtension);
     recordDecision("worker lease may last longer", {}, 0, id,
                    "its agent is down, and its machine may have been suspended before",
                    fmt::format("silence_ms={} extension_ms={} lease_left_ms={}",
@@ -47,11 +45,36 @@
                                (worker->leaseEnds - now).count()));
 }
 
+// The suspension may go on, so that the next answer extends the lease further.
+void run_planner::noteProcessPaused(const worker_id &id, time_point now)
+{
+    pool_worker *worker = m_pool.find(id);
+    if (!worker || !worker->isReported || worker->active.empty())
+        return;
+    const duration gap = now - std::max(worker->provenAt, worker->listedAt);
+    if (worker->leaseExtension == 0ms)
+        recordDecision("worker lease may last longer", {}, 0, id, "its agent is paused",
+                       fmt::format("silence_ms={}", (now - worker->listedAt).count()));
+    extendLease(*worker, worker->provenExtension + gap);
+}
+
+// Lets the lease of a worker end later than without suspensions by this time, or by more if that
+// was found before.
+void run_planner::extendLease(pool_worker &worker, duration extension) const
+{
+    extension = std::min(extension, m_options.longestLeaseExtension);
+    if (extension <= worker.leaseExtension)
+        return;
+    worker.leaseEnds += extension - worker.leaseExtension;
+    worker.leaseExtension = extension;
+}
+
 // A report shows how much of the lease is left on the clock of the backend server.
 void run_planner::endLeaseExtension(pool_worker &worker)
 {
     worker.leaseEnds -= worker.leaseExtension;
     worker.leaseExtension = 0ms;
+    worker.provenExtension = 0ms;
 }
 
 } // namespace goldcrest
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -58,6 +58,7 @@
     time_point leaseEnds{}; // no granted lease ends later
     time_point provenAt{}; // last time at which its machine ran although its agent was down
     duration leaseExtension = 0ms; // part of leaseEnds, for suspensions since the last report
+    duration provenExtension = 0ms; // part of leaseExtension, for those that ended before provenAt
     std::map<run_id, running_task> running; // as reported
     // Tasks of the reported runs; without a value: the name could not be parsed.
     std::vector<std::optional<task_key>> runningTasks;
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -559,6 +559,32 @@
     CHECK(timeUntilReplaced() <= 1800ms);
 }
 
+// The agent is paused with the machine, and is killed later.
+TEST(run_planner, pausedAgentExtendsTheWaitAsLongAsItIsPaused)
+{
+    loseWorkerWithATask();
+    for (int i = 0; i < 10; ++i) {
+        passTime(1s);
+        planner.noteProcessPaused("w1", now);
+    }
+    passTimeWithAgentDown(8s); // 18 s of 8.16 s and 10 s
+    CHECK(ordersOf("w2").starts.empty());
+    CHECK(timeUntilReplaced() <= 800ms);
+}
+
+// A pause and the following end of the agent are one gap, which counts once.
+TEST(run_planner, pauseBeforeTheEndOfTheAgentCountsOnce)
+{
+    loseWorkerWithATask();
+    passTime(2s);
+    planner.noteProcessPaused("w1", now);
+    passTime(500ms);
+    planner.noteProcessDown("w1", now);
+    passTimeWithAgentDown(8s); // 10.5 s of 8.66 s and 2.5 s
+    CHECK(ordersOf("w2").starts.empty());
+    CHECK(timeUntilReplaced() <= 800ms);
+}
+
 // Guards the time that work waits: the machine of an agent that was killed has run all the time.
 TEST(run_planner, killedAgentHardlyDelaysItsTasks)
 {
