Repeat a final report until the planner has taken it

Callers could see a task run again after it was done (TWICE), and a task that crashes backend servers be started more often than allowed (BUDGET): an agent sent the final report of an incarnation once per planner, and a planner drops all messages while it reads its records. The ends in it and the crash were lost. Two restarts in a row also replaced the first final report by the second.

Cause: a report that was written to the link counted as delivered.

Orders now name the incarnation whose final report was taken last. The agent keeps the final reports in order, repeats the first that was not taken with each status answer, and holds other reports back until all were taken. After a new link only an answer to one that was sent on it counts. The planner also takes a final report with a lower clock than the reports before it, since an agent that was restarted may not know the clock; otherwise the agent would wait for good.

endsAreReportedBeforeTheNextIncarnation and eachPlannerIsToldOfACrash expected the next report at once; they now expect none before the planner has taken the final one.

--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -483,6 +483,8 @@
     std::vector<start_order> starts;
     std::vector<run_id> stops;
     std::vector<pace_order> paces; // for runs that would slow others
+    // Incarnation whose final report the planner has taken, if none was reported after it.
+    std::string departedIncarnation;
 };
 
 // Entry to planner: query for the state of a job, or, if `job` is empty, for the number of waiting
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -15,6 +15,10 @@
 constexpr std::int64_t maxSequenceGap = 100;
 constexpr duration minAnnouncementInterval = 100ms;
 
+// Limit on the final reports that are kept, for a backend server that restarts again and again
+// while no planner can be reached.
+constexpr std::size_t maxFinalReports = 64;
+
 } // namespace
 
 run_agent::run_agent(event_loop &loop, run_host &host, std::string worker,
@@ -158,8 +162,9 @@
         .write();
     // The new incarnation shows that the earlier one is gone.
     if (backend)
-        departure = makeDepartureReport();
-    departureSentTo = 0;
+        finalReports.push_back({makeDepartureReport()});
+    if (finalReports.size() > maxFinalReports)
+        finalReports.pop_front();
     backend = announcement;
     isConfirmed = true;
     announcedAt = loop.now();
@@ -239,6 +244,8 @@
         self.ordersSeen = 0;
         self.ordersTaken = 0;
     }
+    for (final_report &last : self.finalReports)
+        last.isSent = false;
     self.check->askAgain(self.token);
     self.queryNow();
 }
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -28,7 +28,8 @@
 // server's own clock stands still while their machine is suspended.
 //
 // When an incarnation of the backend server is gone, a final report completes it: with the ends
-// that it has listed, and with the starts that may still take effect in the next incarnation.
+// that it has listed, and with the starts that may still take effect in the next incarnation. It is
+// repeated until the planner's orders show that it was taken; other reports wait for that.
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/messages.h"
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -19,6 +19,7 @@
     if (orders.plannerEpoch != self.token || orders.sequence <= self.ordersSeen)
         return false;
     self.ordersSeen = orders.sequence;
+    self.onFinalReportTaken(orders.departedIncarnation);
     if (!self.backend || orders.incarnation != self.backend->incarnation()) {
         log_line(log_level::Info, "orders for another incarnation")
             .field("worker", self.worker)
--- a/goldcrest/run_agent_reports.cc
+++ b/goldcrest/run_agent_reports.cc
@@ -165,23 +165,40 @@
     if (departureReportedAt != time_point{}
         && loop.now() - departureReportedAt < options.statusQueryWait)
         return;
-    if (send && send(makeDepartureReport()))
+    if (sendFinalReports() && send && send(makeDepartureReport()))
         departureReportedAt = loop.now();
 }
 
-// Returns whether the planner has been told of the earlier incarnation's departure, if there was
-// one.
-bool run_agent::state::sendDeparture()
+// Sends the first final report that the planner has not taken yet. Returns whether it has taken all
+// of them. Others wait until then: the planner drops what comes while it reads its records, and a
+// later report would make the earlier incarnation's runs look lost without an end.
+bool run_agent::state::sendFinalReports()
 {
-    if (!departure || departureSentTo == token)
-        return true;
-    departure->plannerEpoch = token;
-    if (!send || !send(*departure))
+    for (final_report &next : finalReports) {
+        if (next.takenBy == token)
+            continue;
+        next.content.plannerEpoch = token;
+        next.isSent = send && send(next.content);
         return false;
-    departureSentTo = token;
+    }
     return true;
 }
 
+// @param incarnation whose final report the planner has taken last; empty: it has taken none
+void run_agent::state::onFinalReportTaken(const std::string &incarnation)
+{
+    const auto taken = std::find_if(finalReports.begin(), finalReports.end(),
+                                    [&](const final_report &candidate) {
+                                        return candidate.isSent && candidate.takenBy != token
+                                            && candidate.content.incarnation == incarnation;
+                                    });
+    if (taken == finalReports.end())
+        return;
+    taken->takenBy = token;
+    finalReports.erase(finalReports.begin(), taken);
+    queryNow();
+}
+
 // Keeps the runs that the last list has and this one lacks for the time of a stop, in which the
 // backend server may be ending them.
 void run_agent::state::noteVanishedRuns(const host_status &status)
@@ -259,7 +276,7 @@
             message.refused.push_back({run, *ordered.refused});
     }
     clockReadings.emplace(message.clock, loop.now());
-    if (sendDeparture() && send && send(message))
+    if (sendFinalReports() && send && send(message))
         forgetSettled(query);
 }
 
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -9,6 +9,7 @@
 #include "goldcrest/run_agent.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +59,14 @@
     std::int64_t ordersTaken = 0;
 };
 
+// The final report of an incarnation, which must be known to the planner before any later report.
+struct final_report
+{
+    worker_report_message content;
+    bool isSent = false; // on the current link
+    epoch takenBy = 0; // last planner that has taken it
+};
+
 struct run_agent::state : std::enable_shared_from_this<run_agent::state>
 {
     state(event_loop &eventLoop, run_host &backendHost)
@@ -104,7 +113,8 @@
     worker_report_message makeReport() const;
     worker_report_message makeDepartureReport() const;
     void reportDeparture();
-    bool sendDeparture();
+    bool sendFinalReports();
+    void onFinalReportTaken(const std::string &incarnation);
     void forgetSettled(const sent_query &query);
     void scheduleQuery(duration delay);
 
@@ -142,10 +152,10 @@
     time_point departureReportedAt{};
     // Ends that the backend server has listed and that may not be stored yet, by number.
     std::map<std::int64_t, ended_task> listedEnds;
-    // The departure of the earlier incarnation. Each planner is told, since the one that was told
-    // first may have been lost before it stored what follows from it.
-    std::optional<worker_report_message> departure;
-    epoch departureSentTo = 0;
+    // Final reports of earlier incarnations, in their order: the last one that was taken, and those
+    // that were not. Each planner is told, since the one that was told first may have been lost
+    // before it stored what follows from it.
+    std::deque<final_report> finalReports;
     epoch token = 0;
     bool isConnected = false;
     std::int64_t ordersSeen = 0;
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -261,6 +261,8 @@
     orders.sequence = ++worker->sequence;
     orders.incarnation = worker->incarnation;
     orders.endsStored = worker->endsStored;
+    if (worker->isDeparted)
+        orders.departedIncarnation = worker->departedIncarnation;
     // The lease is relative to the backend server's clock at its last report, so that a delayed
     // orders message can't extend it.
     orders.holdUntil = worker->clock + m_options.workerLease.count();
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -52,11 +52,13 @@
         return false;
     pool_worker &worker = m_pool.at(report.worker);
     // A report that was overtaken by a later one would seem to prove that new runs have ended.
-    const bool isOvertaken = !report.incarnation.empty() && report.incarnation == worker.incarnation
-        && report.clock < worker.clock;
+    // A final report is the last one, and an agent that was restarted may not know the clock.
+    const bool isOvertaken = !report.isFinal && !report.incarnation.empty()
+        && report.incarnation == worker.incarnation && report.clock < worker.clock;
     if (isOvertaken)
         return false;
     updateWorker(worker, report, now);
+    worker.isDeparted = report.isFinal;
     if (report.incarnation.empty())
         return true;
     processEnds(worker, report, wall, now);
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -54,6 +54,7 @@
     // Incarnation before the current one, if its backend server left without an announcement.
     std::string crashedIncarnation;
     std::string departedIncarnation; // of the last final report
+    bool isDeparted = false; // the last report was a final one
     std::int64_t clock = 0; // of the backend server at the last report, ms
     time_point leaseEnds{}; // no granted lease ends later
     time_point provenAt{}; // last time at which its machine ran although its agent was down
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -358,6 +358,37 @@
     STRCMP_EQUAL("newest", service->planner()->workers().workers().at("w2").incarnation.c_str());
 }
 
+// Guards against a final report that is lost: a planner that still reads its records drops it, and
+// must not seem to have taken it (TWICE, BUDGET).
+TEST(planner_service, finalReportIsTakenOnlyOnceTheRecordsAreRead)
+{
+    const auto ordersIn = [](const recording_link &link) {
+        std::vector<std::string> departed;
+        for (const message &sent : link.sent) {
+            if (const auto *orders = std::get_if<worker_orders_message>(&sent))
+                departed.push_back(orders->departedIncarnation);
+        }
+        return departed;
+    };
+    store.faults().delay = 100ms;
+    service->onNoLeader();
+    CHECK(loop.advanceUntil([this] { return service->isElected(); }, 2s));
+    CHECK(!service->isActive());
+    const auto agent = connectAgent("w2");
+    worker_report_message report;
+    report.plannerEpoch = service->currentEpoch();
+    report.worker = "w2";
+    report.incarnation = "old";
+    report.isFinal = true;
+    agent->receive(report);
+    CHECK(loop.advanceUntil([this] { return service->isActive(); }, 2s));
+    loop.advance(1s);
+    CHECK(ordersIn(*agent).empty());
+    agent->receive(report);
+    LONGS_EQUAL(1, ordersIn(*agent).size());
+    STRCMP_EQUAL("old", ordersIn(*agent).back().c_str());
+}
+
 // Load pattern: a recovery storm, in which the planner is late for everything. Its confirmations
 // arrive, but it handles them late. A successor would be just as late.
 TEST(planner_service, busyPlannerStaysInOffice)
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -85,6 +85,7 @@
                     }};
     std::int64_t clock = 1000;
     std::int64_t sequence = 0;
+    std::int64_t finalReportsTaken = 0;
 
     host_announcement makeAnnouncement(const std::string &id, std::int64_t startedAtMs)
     {
@@ -181,6 +182,18 @@
         loop.advance(1ms);
     }
 
+    // The planner has taken the final report of this incarnation, and knows no later one.
+    void takeFinalReport(const std::string &incarnation, epoch from = 5)
+    {
+        worker_orders_message message;
+        message.plannerEpoch = from;
+        message.sequence = 1000 + ++finalReportsTaken;
+        message.incarnation = incarnation;
+        message.departedIncarnation = incarnation;
+        CHECK(agent.onOrders(message));
+        loop.advance(1ms);
+    }
+
     // Answers the last status query as the next incarnation does, which has not announced itself.
     void answerAsTheNextIncarnation()
     {
@@ -315,14 +328,88 @@
     reports.clear();
     canSend = true;
     answerStatusQuery();
-    LONGS_EQUAL(2, reports.size());
+    LONGS_EQUAL(1, reports.size());
     STRCMP_EQUAL("i-1/100", reports[0].incarnation.c_str());
     CHECK(reports[0].isFinal);
     LONGS_EQUAL(1, reports[0].ended.size());
+    takeFinalReport("i-1/100");
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.size());
     STRCMP_EQUAL("i-2/200", reports[1].incarnation.c_str());
     CHECK(!reports[1].isFinal);
 }
 
+// Guards against a task that runs again after it is done, and a crash that is not counted: a
+// planner that still reads its records drops the final report, as it drops all messages (TWICE,
+// BUDGET).
+TEST(run_agent, finalReportIsRepeatedUntilThePlannerHasTakenIt)
+{
+    answerStatusQuery({}, {{1, someRun, run_end::Done, {}}});
+    loop.advance(1ms);
+    announce("i-2", 200);
+    reports.clear();
+    for (int i = 0; i < 3; ++i) {
+        answerStatusQuery();
+        loop.advance(600ms);
+    }
+    LONGS_EQUAL(3, reports.size());
+    for (const worker_report_message &report : reports) {
+        CHECK(report.isFinal);
+        STRCMP_EQUAL("i-1/100", report.incarnation.c_str());
+        LONGS_EQUAL(1, report.ended.size());
+    }
+    takeFinalReport("i-1/100");
+    answerStatusQuery();
+    CHECK(!reports.back().isFinal);
+    STRCMP_EQUAL("i-2/200", reports.back().incarnation.c_str());
+}
+
+// The same for each of several incarnations that end before the planner takes messages.
+TEST(run_agent, finalReportsOfSeveralIncarnationsAreSentInTheirOrder)
+{
+    answerStatusQuery({}, {{1, someRun, run_end::Done, {}}});
+    loop.advance(1ms);
+    announce("i-2", 200);
+    announce("i-3", 300);
+    reports.clear();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.size());
+    STRCMP_EQUAL("i-1/100", reports[0].incarnation.c_str());
+    LONGS_EQUAL(1, reports[0].ended.size());
+    takeFinalReport("i-1/100");
+    answerStatusQuery();
+    LONGS_EQUAL(2, reports.size());
+    STRCMP_EQUAL("i-2/200", reports[1].incarnation.c_str());
+    CHECK(reports[1].isFinal);
+    takeFinalReport("i-2/200");
+    answerStatusQuery();
+    LONGS_EQUAL(3, reports.size());
+    STRCMP_EQUAL("i-3/300", reports[2].incarnation.c_str());
+    CHECK(!reports[2].isFinal);
+}
+
+// A final report without an answer is repeated on the next link, and only one that was sent there
+// counts as taken.
+TEST(run_agent, finalReportIsRepeatedOnTheNextLink)
+{
+    answerStatusQuery();
+    loop.advance(1ms);
+    announce("i-2", 200);
+    answerStatusQuery();
+    CHECK(reports.back().isFinal);
+    agent.onPlanner(0);
+    agent.onPlanner(5);
+    loop.advance(1ms);
+    takeFinalReport("i-1/100"); // sent before the link closed
+    reports.clear();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.size());
+    CHECK(reports[0].isFinal);
+    takeFinalReport("i-1/100");
+    answerStatusQuery();
+    CHECK(!reports.back().isFinal);
+}
+
 // A start without an answer may still reach the next incarnation.
 // Guards the count of crashes under a task: a planner that was told of a crash may be lost before
 // it stored the count, so that its successor must be told too.
@@ -342,6 +429,7 @@
         CHECK(!reports.at(0).wasAnnounced);
         LONGS_EQUAL(1, reports.at(0).startedRuns.size());
         LONGS_EQUAL(planner, reports.at(0).plannerEpoch);
+        takeFinalReport("i-1/100", planner);
         reports.clear();
         loop.advance(600ms);
         answerStatusQuery();
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -680,6 +680,34 @@
     CHECK(ordersOf("w2").starts.empty());
 }
 
+// Guards against a final report that the agent takes for delivered, or sends for ever: the orders
+// name the incarnation whose final report was taken last, until another report follows.
+TEST(run_planner, ordersNameTheFinalReportThatWasTaken)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    CHECK(ordersOf("w1").departedIncarnation.empty());
+    worker_report_message report = reportOf("w1");
+    report.isFinal = true;
+    for (int i = 0; i < 2; ++i) {
+        CHECK(planner.onReport(report, wall, now));
+        STRCMP_EQUAL("w1l1", ordersOf("w1").departedIncarnation.c_str());
+    }
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    CHECK(ordersOf("w1").departedIncarnation.empty());
+}
+
+// An agent that was restarted has no status of the earlier incarnation, so its final report has a
+// lower clock than the reports of its earlier process.
+TEST(run_planner, finalReportOfARestartedAgentIsTaken)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    worker_report_message report = reportOf("w1");
+    report.isFinal = true;
+    report.clock = 0;
+    CHECK(planner.onReport(report, wall, now));
+    STRCMP_EQUAL("w1l1", ordersOf("w1").departedIncarnation.c_str());
+}
+
 // Load pattern: workers taken away at short notice. A gang that would lose a member before its end
 // is stopped as a whole, one that ends in time goes on.
 TEST(run_planner, stopsAGangThatALeavingWorkerWouldBreak)
