Refuse starts that were placed on a larger capacity

Cause: orders did not say which capacity they were made for.

Orders now carry the capacity of the backend server as the planner knew it, by which it has checked its starts. The agent refuses new starts in orders whose capacity its backend server no longer covers. A version of the capacity would be smaller, but would start anew with each process of the agent; the capacity itself needs no state. The agent does not check by itself, since it does not know the demand of the runs.

Before: run_agent.startPlacedOnALargerCapacityIsRefused failed (1 start instead of 0), and run_planner.ordersCarryTheCapacityThatTheyWereMadeFor.

--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -631,10 +631,10 @@
     static void visit(Archive &fields, Struct &value)
     {
         fields.count("plannerEpoch", value.plannerEpoch)
-            .count("sequence", value.sequence)("life", value.incarnation)("holdUntil",
-                                                                          value.holdUntil)(
-                "endsStored", value.endsStored)("starts", value.starts)("stops", value.stops)(
-                "paces", value.paces)("departedLife", value.departedIncarnation);
+            .count("sequence", value.sequence)("life", value.incarnation)(
+                "holdUntil", value.holdUntil)("endsStored", value.endsStored)(
+                "starts", value.starts)("stops", value.stops)("paces", value.paces)(
+                "departedLife", value.departedIncarnation)("capacity", value.capacity);
     }
 };
 
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -485,6 +485,7 @@
     std::vector<pace_order> paces; // for runs that would slow others
     // Incarnation whose final report the planner has taken, if none was reported after it.
     std::string departedIncarnation;
+    resources capacity; // of the backend server, as the planner knew it when it made the orders
 };
 
 // Entry to planner: query for the state of a job, or, if `job` is empty, for the number of waiting
--- a/goldcrest/run_agent_orders.cc
+++ b/goldcrest/run_agent_orders.cc
@@ -58,6 +58,9 @@
 
 void run_agent::state::takeStarts(const worker_orders_message &orders)
 {
+    // The planner placed these starts before it knew that the capacity has shrunk.
+    const bool hasShrunk = !backend->capacity.covers(orders.capacity);
+    const bool isLeaving = backend->draining || hasLeft;
     for (const start_order &order : orders.starts) {
         ordered_run &ordered = runs[order.run];
         ordered.isWanted = true;
@@ -65,8 +68,8 @@
             continue;
         if (!ordered.start)
             ordered.start = order;
-        if ((backend->draining || hasLeft) && !ordered.everSent && !ordered.refused) {
-            ordered.refused = start_refusal::Unhealthy;
+        if ((isLeaving || hasShrunk) && !ordered.everSent && !ordered.refused) {
+            ordered.refused = isLeaving ? start_refusal::Unhealthy : start_refusal::NoCapacity;
             // An earlier process of this agent may have sent the start.
             ordered.isStopping = ordered.mayHaveStarted = mayHaveStartedBefore(order.run);
         }
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -261,6 +261,7 @@
     orders.sequence = ++worker->sequence;
     orders.incarnation = worker->incarnation;
     orders.endsStored = worker->endsStored;
+    orders.capacity = worker->capacity;
     if (worker->isDeparted)
         orders.departedIncarnation = worker->departedIncarnation;
     // The lease is relative to the backend server's clock at its last report, so that a delayed
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -490,6 +490,39 @@
     LONGS_EQUAL(2, host.starts.size());
 }
 
+// The same for a start that arrives after the capacity has shrunk, in orders that were made before
+// the planner knew of that. One that was placed on the smaller capacity is carried out.
+TEST(run_agent, startPlacedOnALargerCapacityIsRefused)
+{
+    loop.advance(20s); // no start of an earlier process can take effect any more
+    announceAccelerators(8);
+    worker_orders_message early = orders(5, 1);
+    early.capacity.accelerators = 8;
+    early.starts.push_back({someRun, "spec", {}, {}});
+    const run_id other{"5c0e7a21d94b36f8.0.0.1", 1};
+    announceAccelerators(4);
+    agent.onOrders(early);
+    LONGS_EQUAL(0, host.starts.size());
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.back().refused.size());
+    CHECK(reports.back().refused[0].run == someRun);
+    CHECK(reports.back().refused[0].why == start_refusal::NoCapacity);
+    worker_orders_message late = orders(5, 2);
+    late.capacity.accelerators = 4;
+    late.starts.push_back({other, "spec", {}, {}});
+    agent.onOrders(late);
+    LONGS_EQUAL(1, host.starts.size());
+    CHECK(host.starts[0].order.run == other);
+    // Its start goes on being ordered until it is listed, and stays started.
+    host.starts[0].answer(start_reply{});
+    announceAccelerators(2);
+    late.sequence = 3;
+    agent.onOrders(late);
+    loop.advance(1s);
+    LONGS_EQUAL(1, host.starts.size());
+    LONGS_EQUAL(0, host.stops.size());
+}
+
 TEST(run_agent, announcedDepartureIsNoCrash)
 {
     announce("i-1", 100, true);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1378,6 +1378,17 @@
     LONGS_EQUAL(1, orders.stops.size());
 }
 
+// An agent refuses starts that were placed on a capacity that is larger than the current one.
+TEST(run_planner, ordersCarryTheCapacityThatTheyWereMadeFor)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    CHECK(ordersOf("w1").capacity == reportOf("w1").capacity);
+    worker_report_message report = reportOf("w1");
+    report.capacity.accelerators = 4;
+    planner.onReport(report, wall, now);
+    CHECK(ordersOf("w1").capacity == report.capacity);
+}
+
 // A start that was stopped because the capacity shrank is not ordered again when the capacity grows
 // back, as its stop may be carried out before or after it. Its task keeps the capacity until then.
 TEST(run_planner, startStoppedByAShrinkIsNotOrderedWhenTheCapacityGrowsBack)
