Take calls of a backend server only from the agent's own machine

Operators of the gang API could see all tasks of a worker end at once: POST /v1/announce carries no id, start or token, so a process anywhere in the network could point the agent at another server, and the empty task list of that one ended all tasks. POST /v1/drain was open in the same way.

Ways weighed: - A secret that the backend server sends: it has to be given to all programs of the backend servers, which run the callers' work, and by default there would be none. - A confirmation by the announced server: a foreign server confirms itself as well. It would need an id and a start in the announcement and in each list, a new interface. - Listening on loopback only: the metrics are served at the same address, and are read from other machines. - The agent checks the sender, which is what was done: the interface says that the backend server is beside its agent, and no setting is needed.

Calls from other machines get 404 and a log line. What remains: another server of the same machine that calls the wrong agent is still taken (docs/backend-interface.md).

Before: http_backend.callsFromOtherMachinesAreRefused failed with the check of the sender left out; the sender was not known to handlers. Now it passes, and http_server.tellsClientsOnTheSameMachine. No test calls a real agent from another machine, since tests use loopback only.

--- a/goldcrest/agent_daemon.cc
+++ b/goldcrest/agent_daemon.cc
@@ -382,13 +382,15 @@
         handleMetrics(request, respond);
         return;
     }
-    const bool isAnnouncement = request.path == "/v1/announce";
-    const bool isDrain = request.path == "/v1/drain";
-    if (!isAnnouncement && !isDrain)
-        answerFailure(respond, makeFailure(code::NotFound, "the path does not exist"));
-    else if (request.method != "POST")
-        answerFailure(respond, makeFailure(code::MethodNotAllowed, "only POST is allowed"));
-    else if (isAnnouncement)
+    if (const std::optional<failure> refused = checkBackendCall(request)) {
+        log_line(log_level::Warning, "call to the agent refused")
+            .error(*refused)
+            .field("path", request.path)
+            .field("sender", request.peer)
+            .limit("agent call")
+            .write();
+        answerFailure(respond, *refused);
+    } else if (request.path == "/v1/announce")
         handleAnnouncement(request, respond);
     else
         handleDrain(request, respond);
--- a/goldcrest/http_backend.cc
+++ b/goldcrest/http_backend.cc
@@ -206,6 +206,17 @@
     return announcement;
 }
 
+std::optional<failure> checkBackendCall(const server_request &request)
+{
+    if (request.path != "/v1/announce" && request.path != "/v1/drain")
+        return makeFailure(code::NotFound, "the path does not exist");
+    if (!request.isLocal)
+        return makeFailure(code::NotFound, "only a backend server on this machine may call this");
+    if (request.method != "POST")
+        return makeFailure(code::MethodNotAllowed, "only POST is allowed");
+    return std::nullopt;
+}
+
 std::string formatAnnouncement(const backend_announcement &announcement)
 {
     return json{{"address", announcement.address},
--- a/goldcrest/http_backend.h
+++ b/goldcrest/http_backend.h
@@ -13,8 +13,10 @@
 
 #include "goldcrest/backend_server.h"
 #include "goldcrest/http_client.h"
+#include "goldcrest/http_server.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -33,6 +35,12 @@
 result<backend_announcement> parseAnnouncement(std::string_view body);
 std::string formatAnnouncement(const backend_announcement &announcement);
 
+// Checks a request to the paths at which an agent takes the calls of its backend server.
+// @return why it is refused; empty if it may be handled. Calls from other machines are refused: a
+//     backend server is beside its agent, and the task list of another server would end all tasks.
+// Errors: NotFound, MethodNotAllowed.
+std::optional<failure> checkBackendCall(const server_request &request);
+
 // Returns whether the backend server is draining.
 // Errors: MalformedJson, MissingField, InvalidValue.
 result<bool> parseDrain(std::string_view body);
--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -74,6 +74,7 @@
     std::weak_ptr<server_state> server;
     http_socket *socket; // null once the connection is closed
     net::ip::tcp::endpoint remote;
+    bool isLocal = false; // the client is on this machine
     request_inspector inspector;
     bool parsing = false; // RESTinio is handling received bytes
     bool peerClosed = false;
@@ -400,6 +401,8 @@
         const bool limitReached = server->connections.size() >= server->limits.maxConnections
             || peerConnections >= server->limits.maxConnectionsPerPeer;
         m_state = std::make_shared<connection_state>(server, this, remote);
+        m_state->isLocal
+            = isFromSameMachine(remote.address().to_string(), local.address().to_string());
         server->connections[remote] = m_state;
         if (!limitReached)
             return;
@@ -625,6 +628,7 @@
         return;
     }
     server_request converted = convertRequest(*request);
+    converted.isLocal = connection && connection->isLocal;
     const restinio::string_view_t query = request->header().query();
     auto parameters = parseQuery({query.data(), query.size()});
     if (const failure *error = failureOf(parameters)) {
@@ -738,6 +742,13 @@
     return std::nullopt;
 }
 
+bool isFromSameMachine(std::string_view remote, std::string_view local)
+{
+    net::error_code error;
+    const net::ip::address client = net::ip::make_address(std::string(remote), error);
+    return !error && (client.is_loopback() || remote == local);
+}
+
 bool hasBearerToken(const server_request &request, std::string_view token)
 {
     if (token.empty())
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -35,12 +35,18 @@
     std::vector<std::pair<std::string, std::string>> headers; // names in lower case
     std::string body;
     std::string peer; // host:port of the client, for the log
+    bool isLocal = false; // the client is on the machine of the server
 
     // Returns the first header or query parameter of this name, or std::nullopt if there is none.
     std::optional<std::string> header(std::string_view lowerCaseName) const;
     std::optional<std::string> parameter(std::string_view name) const;
 };
 
+// Returns whether a connection comes from the machine of the server.
+// @param remote IP address of the client
+// @param local  IP address at which the server has taken the connection
+bool isFromSameMachine(std::string_view remote, std::string_view local);
+
 // Returns whether a request carries the bearer token. Always true if `token` is empty, which turns
 // authentication off.
 bool hasBearerToken(const server_request &request, std::string_view token);
--- a/testing/http_backend_test.cc
+++ b/testing/http_backend_test.cc
@@ -53,6 +53,23 @@
     }
 }
 
+// Guards against tasks that are all ended because a process on another machine points the agent at
+// another server, whose task list is empty.
+TEST(http_backend, callsFromOtherMachinesAreRefused)
+{
+    for (const char *path : {"/v1/announce", "/v1/drain"}) {
+        server_request request;
+        request.path = path;
+        request.method = "POST";
+        CHECK(checkBackendCall(request).has_value());
+        CHECK(checkBackendCall(request)->number == code::NotFound);
+        request.isLocal = true;
+        CHECK(!checkBackendCall(request));
+        request.method = "GET";
+        CHECK(checkBackendCall(request)->number == code::MethodNotAllowed);
+    }
+}
+
 // Guards against a heartbeat that the planner refuses because of the times or sizes in it.
 TEST(http_backend, refusesTasksOutOfRange)
 {
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -99,6 +99,21 @@
     }
 };
 
+// Guards against calls that are taken from other machines, and against none that are taken at all.
+TEST(http_server, tellsClientsOnTheSameMachine)
+{
+    CHECK(isFromSameMachine("127.0.0.1", "127.0.0.1"));
+    CHECK(isFromSameMachine("::1", "::1"));
+    CHECK(isFromSameMachine("10.0.0.5", "10.0.0.5"));
+    CHECK(!isFromSameMachine("10.0.0.6", "10.0.0.5"));
+    CHECK(!isFromSameMachine("10.0.0.6", "127.0.0.1"));
+    CHECK(!isFromSameMachine("", ""));
+    start({});
+    raw_connection client(server->listenAddress());
+    exchange(client, get("/seen"), "seen");
+    CHECK(last.isLocal);
+}
+
 // Guards against requests that reach the handlers changed, and connections that are not reused.
 TEST(http_server, passesRequestsAndKeepsTheConnection)
 {
