Keep a failure domain out of service while no catalogue has it

Operators who had taken a failure domain out, put a catalogue without it and later one with it again, had it back in service without having asked for that, and work was placed there.

Cause: a catalogue without the domain also removed it from the domains that are out.

The set is now changed only by the operators' own call, which brings back a domain that no catalogue has, too.

Before: configPublisher.domainStaysOutWhileNoCatalogueHasIt failed (0 domains out instead of 1).

--- a/goldcrest/config_publisher.cc
+++ b/goldcrest/config_publisher.cc
@@ -284,11 +284,8 @@
         return callback(faults.front());
     catalogue entries = valueOf(parseCatalogue(text));
     const auto edit = [entries = std::move(entries)](configuration &config) {
+        // A domain that is out of service stays out if a later catalogue has it again.
         config.entries = entries;
-        // Forgets domains that are in no cell of the new catalogue. A domain that a later catalogue
-        // adds again is in service.
-        for (auto name = config.domainsOut.begin(); name != config.domainsOut.end();)
-            name = hasDomain(entries, *name) ? std::next(name) : config.domainsOut.erase(name);
         return std::optional<failure>();
     };
     m_impl->start(edit, ifMatch, false, std::move(callback));
@@ -300,7 +297,8 @@
 {
     const auto edit = [name = std::string(failureDomain),
                        out](configuration &config) -> std::optional<failure> {
-        if (!hasDomain(config.entries, name))
+        const bool isKnown = hasDomain(config.entries, name) || config.domainsOut.count(name) > 0;
+        if (!isKnown)
             return makeFailure(code::UnknownFailureDomain,
                                "failure domain \"" + name + "\" is in no cell of the catalogue");
         setMember(config.domainsOut, name, out);
--- a/testing/config_publisher_test.cc
+++ b/testing/config_publisher_test.cc
@@ -217,6 +217,30 @@
     LONGS_EQUAL(1, stored().number);
 }
 
+// Guards against work that is placed in a failure domain which operators have taken out: a
+// catalogue without the domain, followed by one that has it again, brought it back.
+TEST(configPublisher, domainStaysOutWhileNoCatalogueHasIt)
+{
+    putFirst();
+    publisher.setDomainOutOfService("Matane", true, std::nullopt, recordAnswer());
+    loop.advance(1ms);
+    catalogue without = twoDomains();
+    without.cells["main"].failureDomains = {"Amqui"};
+    publisher.putCatalogue(formatCatalogue(without), 2, recordAnswer());
+    loop.advance(1ms);
+    publisher.putCatalogue(formatCatalogue(twoDomains()), 3, recordAnswer());
+    loop.advance(1ms);
+    CHECK(failureOf(answers.back()) == nullptr);
+    LONGS_EQUAL(1, stored().domainsOut.count("Matane"));
+    // It can be brought back while no catalogue has it.
+    publisher.putCatalogue(formatCatalogue(without), 4, recordAnswer());
+    loop.advance(1ms);
+    publisher.setDomainOutOfService("Matane", false, std::nullopt, recordAnswer());
+    loop.advance(1ms);
+    CHECK(failureOf(answers.back()) == nullptr);
+    CHECK(stored().domainsOut.empty());
+}
+
 TEST_GROUP(configTracker)
 {
     config_tracker tracker;
