Fix a deadline, a limit and a delay in the gang scheduler

A job that may finish in a failure domain that is out could be stopped before its 30 s: the deadline was kept by job, so that the one of an earlier attempt stopped the next one when the domain came back and went out again. It now names the attempt by the time of its placement.

A decision could take long in a large cell: the limit on the reservations that are planned at once skipped one job and then planned all others. The selection is now a function of reservation_table, and goes by the order of the queue instead of the numbers of the jobs.

Capacity that the claim of a cancelled job had held stayed free until the next event or tick. The engine now decides at once.

--- a/goldcrest/cell_engine.cc
+++ b/goldcrest/cell_engine.cc
@@ -430,12 +430,15 @@
     }
     if (entry.state == run_state::Stopping)
         return;
-    if (entry.state == run_state::Claiming)
+    const bool wasClaiming = entry.state == run_state::Claiming;
+    if (wasClaiming)
         abortClaim(*index);
     dequeue(*index);
     --m_waiting;
     --m_teams[std::size_t(entry.team)].queued;
     removeJob(*index);
+    if (wasClaiming)
+        schedule(); // the claim held capacity
 }
 
 void cell_engine::jobStarted(const job_key &, time_point now)
--- a/goldcrest/gang_scheduler.cc
+++ b/goldcrest/gang_scheduler.cc
@@ -67,7 +67,7 @@
 // Planning a reservation examines many workers. So it is done at most once per interval, for this
 // many jobs, and with this many racks of each failure domain plus two for each task of the gang.
 constexpr duration reservationInterval = 20s;
-constexpr int reservationsPerInterval = 2;
+constexpr std::size_t reservationsPerInterval = 2;
 constexpr std::int32_t reservationRacks = 16;
 
 // A reservation is dropped and planned again if its gang has not started this long after the
@@ -92,6 +92,14 @@
 // Returns whether a job may be stopped for the job that is being placed.
 using stop_rule = std::function<bool(job_index)>;
 
+// Until when an attempt may finish in a failure domain that is out.
+struct finish_deadline
+{
+    time_point at;
+    job_key job;
+    time_point placedAt; // tells the attempt from later ones of the job
+};
+
 class gang_scheduler final : public cell_engine
 {
 public:
@@ -225,8 +233,7 @@
     bool m_fullPassDue = false;
     time_point m_nextFullPass;
     std::set<std::string> m_outDomains; // failure domains that are out
-    // Jobs that may finish in those domains until this time.
-    std::deque<std::pair<time_point, job_key>> m_finishDeadlines;
+    std::deque<finish_deadline> m_finishDeadlines;
     // Usage of jobs that exceeded their declaration.
     std::unordered_map<job_index, std::vector<usage_record>> m_usage;
     std::set<job_index> m_exceeded; // jobs that were stopped for exceeding it
@@ -930,21 +937,19 @@
     m_nextReservation = now() + reservationInterval;
     const std::size_t limit
         = std::max<std::size_t>(1, cell().workers().size() / workersPerReservation);
-    std::set<job_index> keep;
+    std::vector<job_index> first; // in the order of the queue
     for (const auto &[order, index] : blocked) {
-        if (keep.size() >= limit || !isLarge(job(index)))
+        if (first.size() >= limit || !isLarge(job(index)))
             break;
-        keep.insert(index);
+        first.push_back(index);
     }
+    const std::set<job_index> keep(first.begin(), first.end());
     for (const job_index index : m_reservations.jobs()) {
         const bool late = now() > m_reservations.find(index)->expected + reservationTimeout;
         if (keep.count(index) == 0 || late)
             m_reservations.remove(index);
     }
-    int planned = 0;
-    for (const job_index index : keep) {
-        if (m_reservations.find(index) || planned++ == reservationsPerInterval)
-            continue;
+    for (const job_index index : m_reservations.firstWithout(first, reservationsPerInterval)) {
         const job_entry &entry = job(index);
         const placement_request request{entry.perTask, entry.spec.tasks, entry.spec.closeness};
         if (std::optional<reservation> best
@@ -1224,7 +1229,8 @@
                     if (entry.spec.canCheckpoint || left > finishInsteadOfMove)
                         stop(index, stop_reason::DomainOut);
                     else
-                        m_finishDeadlines.emplace_back(now() + finishInsteadOfMove, entry.spec.key);
+                        m_finishDeadlines.push_back(
+                            {now() + finishInsteadOfMove, entry.spec.key, entry.placedAt});
                 }
             }
         }
@@ -1234,10 +1240,12 @@
 // Stops jobs that were allowed to finish in a domain that is out but did not do so in time.
 void gang_scheduler::stopAfterFinishDeadline()
 {
-    while (!m_finishDeadlines.empty() && m_finishDeadlines.front().first <= now()) {
-        const std::optional<job_index> index = findJob(m_finishDeadlines.front().second);
+    while (!m_finishDeadlines.empty() && m_finishDeadlines.front().at <= now()) {
+        const finish_deadline passed = m_finishDeadlines.front();
         m_finishDeadlines.pop_front();
-        if (!index || job(*index).state != run_state::Running)
+        const std::optional<job_index> index = findJob(passed.job);
+        if (!index || job(*index).state != run_state::Running
+            || job(*index).placedAt != passed.placedAt)
             continue;
         const std::vector<placed_part> &parts = job(*index).parts;
         if (std::any_of(parts.begin(), parts.end(), [&](const placed_part &part) {
--- a/testing/gang_scheduler_test.cc
+++ b/testing/gang_scheduler_test.cc
@@ -2,6 +2,7 @@
 // scheduler_invariant_test do not check individually.
 
 #include "goldcrest/guarantee_check.h"
+#include "goldcrest/reservations.h"
 #include "goldcrest/scheduler.h"
 
 #include <string>
@@ -204,6 +205,60 @@
     CHECK(stopped.front().reason == stop_reason::DomainOut);
 }
 
+// Guards against a job that is stopped though it may finish: the deadline of its earlier attempt,
+// from the first time that the domain was out, ended the next one.
+TEST(gang_scheduler, finishDeadlineIsThatOfTheAttempt)
+{
+    small_cell cell(1);
+    job_spec job = small_cell::spec("a", "short", 4);
+    job.canCheckpoint = false;
+    job.declaredRunTime = 10s;
+    cell.queue(job);
+    LONGS_EQUAL(1, cell.take<place_action>().size());
+    cell.config.domainsOut.insert("even");
+    cell.apply();
+    cell.now += 10s;
+    stopped_event gone;
+    gone.how = stop_result::Stopped;
+    gone.requeue = true;
+    cell.engine->jobStopped(job.key, gone, cell.now);
+    cell.config.domainsOut.clear();
+    cell.apply();
+    LONGS_EQUAL(1, cell.take<place_action>().size());
+    cell.now += 15s;
+    cell.config.domainsOut.insert("even");
+    cell.apply();
+    cell.now += 6s; // 31 s after the first time, 6 s after the second
+    cell.engine->tick(cell.now);
+    LONGS_EQUAL(0, cell.take<stop_action>().size());
+    cell.now += 25s;
+    cell.engine->tick(cell.now);
+    LONGS_EQUAL(1, cell.take<stop_action>().size());
+}
+
+// Guards against free capacity that waits for the next event: a claim that is cancelled before its
+// borrowers have stopped gives back the capacity that it held.
+TEST(gang_scheduler, capacityOfACancelledClaimIsUsedAtOnce)
+{
+    small_cell cell(2);
+    cell.config.entries.teams["a"].guarantees.push_back({"whole", 2, "cell"});
+    cell.apply();
+    cell.queue(small_cell::spec("b", "borrower", 8));
+    LONGS_EQUAL(1, cell.take<place_action>().size());
+    job_spec claim = small_cell::spec("a", "claim", 8);
+    claim.shape = "whole";
+    claim.perTask = cell.config.entries.shapes["whole"].perTask;
+    claim.tasks = 2;
+    cell.queue(claim);
+    LONGS_EQUAL(1, cell.take<stop_action>().size());
+    cell.queue(small_cell::spec("b", "next", 8));
+    LONGS_EQUAL(0, cell.take<place_action>().size());
+    cell.engine->jobCancelled(claim.key, cell.now);
+    const std::vector<place_action> placed = cell.take<place_action>();
+    LONGS_EQUAL(1, placed.size());
+    CHECK(placed.front().job.requestId == "next");
+}
+
 // Guards the reclaim of a guarantee: a borrower stops, and the owner starts once the borrower has
 // ended.
 TEST(gang_scheduler, reclaimsAGuaranteeFromItsBorrower)
@@ -256,6 +311,19 @@
     CHECK(rejected.front().why.number == code::ExceededDeclaration);
 }
 
+// Guards against a decision that takes long: the limit on the reservations that are planned at once
+// left out one job and planned all others.
+TEST(gang_scheduler, fewReservationsArePlannedAtOnce)
+{
+    reservation_table reservations;
+    reservations.add(3, {});
+    const std::vector<reservation_table::job_number> next
+        = reservations.firstWithout({3, 7, 1, 5, 2}, 2);
+    LONGS_EQUAL(2, next.size());
+    LONGS_EQUAL(7, next[0]);
+    LONGS_EQUAL(1, next[1]);
+}
+
 // Guards against accepting a catalogue whose guarantees fit in sum but not on the workers.
 TEST(gang_scheduler, guaranteeCheckCountsWhatFitsOnWorkers)
 {
