Show that the largest record fits into a store value

That is no fault: the limit of the decoder only bounds what a malformed value costs, and a record that is written stays below 1 MiB. job_record.largestRecordFitsIntoAStoreValue builds the largest one (256 KiB payload, 1,024 tasks with 256 KiB of results, workers and reason) and passes on the code as it was.

--- a/testing/job_record_test.cc
+++ b/testing/job_record_test.cc
@@ -1,4 +1,6 @@
 #include "goldcrest/job_record.h"
+#include "goldcrest/job_request.h"
+#include "goldcrest/positional_fields.h"
 
 #include <random>
 #include <string>
@@ -102,6 +104,25 @@
     }
 }
 
+// Guards against a record that the store refuses: the largest one that a planner writes is below
+// the 1 MiB of a store value, so that the larger limit of the decoder loses nothing.
+TEST(job_record, largestRecordFitsIntoAStoreValue)
+{
+    const request_limits limits;
+    const std::size_t inlineBytes = maxResultPartBytes / 2;
+    const auto tasks = static_cast<std::size_t>(limits.maxTasks);
+    job_record record = finishedRecord();
+    record.spec.payload = std::string(limits.maxPayloadBytes, '\xff');
+    record.why = makeFailure(code::TaskFailed, std::string(positional::maxTextBytes, 'r'));
+    record.intentWorkers.assign(tasks, std::string(64, 'w'));
+    record.results.assign(tasks,
+                          {0, true, std::string(inlineBytes / tasks, '\xff'), inlineBytes / tasks,
+                           0, std::string(64, 'd')});
+    const std::string bytes = encodeJobRecord(record);
+    CHECK(bytes.size() < 1024 * 1024);
+    CHECK(!failureOf(decodeJobRecord(bytes)));
+}
+
 // Guards against many small results that exceed a store value by their overhead.
 TEST(job_record, manySmallResultsStayBelowThePartSize)
 {
