--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -141,7 +141,7 @@
         view.catalogue = catalogue;
         view.confirmedAt = loop.now();
         service->setView(view);
-        const auto link = connectAgent(worker);
+        auto link = connectAgent(worker);
         reportRunningTask(*link, worker);
         storeJob("5c0e7a21d94b36f8");
         loop.advance(1s);
@@ -273,6 +273,20 @@
     CHECK(extensionOf("w2") < 500ms);
 }
 
+// Guards the cost of days on which machines are lost: they are probed until their lease is over,
+// and their tasks wait no longer than without probes.
+TEST(planner_service, lostMachineIsProbedForAsLongAsItsLease)
+{
+    elect();
+    const auto link = startATask("w2");
+    loop.advance(8500ms);
+    CHECK(service->planner()->hasRunsOn("w2"));
+    loop.advance(300ms);
+    CHECK(!service->planner()->hasRunsOn("w2"));
+    loop.advance(10s);
+    LONGS_EQUAL(18, probe.addresses.size());
+}
+
 // An agent without runs has no lease that matters.
 TEST(planner_service, agentWithoutRunsIsNotProbed)
 {
