Apply changed bounds in a running sidecar

Cause: sidecar_daemon::reload applied nothing, and the file was read only on SIGHUP.

The daemons that can reload now compare the content of the file every 2 s. A sidecar applies the bounds to its agent and to its planner, also in the current term. Other settings, such as addresses, take effect at the next start, and a warning says so. A restart by itself was weighed: it would apply all settings, but all sidecars would restart at once.

Before: platform_process.sidecarAppliesChangedSettingsWithoutASignal failed after its limit of 60 s. Now it passes, with run_agent.changedStopTimeAppliesAtOnce and planner_service.changedOptionsApplyInTheNextAndInTheCurrentTerm.

--- a/goldcrest/daemon_program.cc
+++ b/goldcrest/daemon_program.cc
@@ -2,6 +2,9 @@
 
 #include <cxxopts.hpp>
 
+#include <fstream>
+#include <iterator>
+
 namespace goldcrest {
 
 std::variant<program_options, int> parseProgramOptions(const program_description &program, int argc,
@@ -31,6 +34,14 @@
     }
 }
 
+std::optional<std::string> settingsText(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
 void printSettingsErrors(const std::string &path, const std::vector<failure> &errors)
 {
     for (const failure &error : errors)
--- a/goldcrest/daemon_program.h
+++ b/goldcrest/daemon_program.h
@@ -15,6 +15,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -41,6 +42,12 @@
 std::variant<program_options, int> parseProgramOptions(const program_description &program, int argc,
                                                        char **argv);
 
+// The platform may change a settings file without a signal.
+constexpr duration settingsCheckInterval = 2s;
+
+// Returns the content of a settings file; nothing if it can't be read.
+std::optional<std::string> settingsText(const std::string &path);
+
 // Prints every error of a settings file to standard error, one per line with the path of its field.
 void printSettingsErrors(const std::string &path, const std::vector<failure> &errors);
 
@@ -84,13 +91,23 @@
         return EXIT_FAILURE;
     }
     loop.onSignal([&] { process.shutDown([&] { loop.stop(); }); });
+    timer_handle check;
     if constexpr (reloads_settings<daemon, settings>::value) {
-        loop.onReload([&] {
+        std::string known = settingsText(options.settingsPath).value_or("");
+        const auto reload = [&] {
             const settings_result<settings> reloaded = loadSettings(options.settingsPath);
             for (const failure &error : reloaded.errors)
                 log_line(log_level::Error, "settings kept").error(error).write();
             if (reloaded.errors.empty())
                 process.reload(reloaded.value);
+        };
+        loop.onReload(reload);
+        check = loop.every(settingsCheckInterval, [&options, reload, known]() mutable {
+            const std::optional<std::string> text = settingsText(options.settingsPath);
+            if (!text || *text == known)
+                return;
+            known = *text;
+            reload();
         });
     }
     loop.run();
--- a/goldcrest/planner_bounds.h
+++ b/goldcrest/planner_bounds.h
@@ -10,6 +10,8 @@
 #include "goldcrest/clock.h"
 #include "goldcrest/run_planner.h"
 
+#include <tuple>
+
 namespace goldcrest {
 
 // What the backend servers of a deployment do, and what its users are promised.
@@ -23,6 +25,16 @@
     duration changeTime = 5s; // within which evacuations must take effect
     duration stateTime = 120s; // for which callers can query a finished job
     double remoteFactor = 3; // slowdown of tasks away from their data
+
+    friend bool operator==(const planner_bounds &a, const planner_bounds &b)
+    {
+        const auto fields = [](const planner_bounds &bounds) {
+            return std::tie(bounds.stopTime, bounds.gangTimeout, bounds.longestLease,
+                            bounds.checkpointInterval, bounds.reclaimTime, bounds.changeTime,
+                            bounds.stateTime, bounds.remoteFactor);
+        };
+        return fields(a) == fields(b);
+    }
 };
 
 // Returns the options of a planner that keeps the bounds.
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -178,6 +178,13 @@
     }
 }
 
+void planner_service::setPlannerOptions(const run_planner_options &options)
+{
+    m_state->options.planner = options;
+    if (m_state->planner)
+        m_state->planner->setOptions(options);
+}
+
 void planner_service::resign(std::function<void()> then)
 {
     state &self = *m_state;
--- a/goldcrest/planner_service.h
+++ b/goldcrest/planner_service.h
@@ -92,6 +92,10 @@
     // Sets what operators ask for, which all later decisions use.
     void setView(const operator_view &view);
 
+    // Sets planner_service_options::planner, for changed settings. It applies to the current term
+    // too.
+    void setPlannerOptions(const run_planner_options &options);
+
     // Serves a link of an agent or an entry. The link is closed when this process steps down, or at
     // once if it is not the planner.
     void accept(std::shared_ptr<peer_link> link);
--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -56,6 +56,11 @@
     return m_state->backend;
 }
 
+void run_agent::setStopTime(duration stopTime)
+{
+    m_state->options.stopTime = stopTime;
+}
+
 epoch run_agent::currentEpoch() const
 {
     return m_state->token;
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -146,6 +146,13 @@
                    "its record is larger than the store accepts");
 }
 
+void run_planner::setOptions(const run_planner_options &options)
+{
+    const duration predecessorLease = m_options.predecessorLease;
+    m_options = options;
+    m_options.predecessorLease = predecessorLease;
+}
+
 void run_planner::setView(const operator_view &view)
 {
     m_view = view;
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -126,6 +126,9 @@
     // Cancels a job and stops its runs. Has no effect on unknown and finished jobs.
     void cancelJob(const std::string &id, unix_ms wall);
 
+    // Replaces the options, for changed settings. The lease of the predecessor stays as it was.
+    void setOptions(const run_planner_options &options);
+
     // Replaces the configuration and the operators' requests.
     void setView(const operator_view &view);
 
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -490,6 +490,27 @@
     CHECK(!service->planner()->stateOf("a").has_value());
 }
 
+// Guards against a planner that goes on with earlier bounds after the settings have changed.
+TEST(planner_service, changedOptionsApplyInTheNextAndInTheCurrentTerm)
+{
+    run_planner_options options;
+    options.retention = 10s;
+    service->setPlannerOptions(options);
+    storeJob("a");
+    storeCancel("a");
+    elect();
+    loop.advance(20s);
+    CHECK(model.range(graphJobKey("a"), {}).empty());
+    options.retention = 60s;
+    service->setPlannerOptions(options);
+    storeJob("b");
+    storeCancel("b");
+    loop.advance(40s);
+    CHECK(!model.range(graphJobKey("b"), {}).empty());
+    loop.advance(40s);
+    CHECK(model.range(graphJobKey("b"), {}).empty());
+}
+
 // Guards against tasks that are done and run again, since the record that says so can't be decoded
 // and counted as absent (TWICE).
 TEST(planner_service, jobWithAnUnreadableRecordIsHeldBack)
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -46,6 +46,16 @@
         return failureOf(answer) ? 0 : valueOf(answer).status;
     }
 
+    // Without a store and without a backend server.
+    std::string sidecarSettings(const std::string &service, int stopTimeMs) const
+    {
+        return R"({"name": "side-1", "failureDomain": "north", "controlListen": ")" + addressOf(0)
+            + R"(", "linkListen": ")" + addressOf(1) + R"(", "metricsListen": ")" + addressOf(2)
+            + R"(", "storeAddress": ")" + addressOf(3) + R"(", "backendAddress": ")" + addressOf(4)
+            + R"(", "service": ")" + service + R"(", "stopTimeMs": )" + std::to_string(stopTimeMs)
+            + "}";
+    }
+
     bool hasLogged(const std::string &name, const std::string &text)
     {
         return waitFor(
@@ -72,6 +82,25 @@
     CHECK(hasLogged("front", "event=\"front stopped\""));
 }
 
+// Guards against a sidecar that goes on with earlier bounds, such as a shorter time of a stop,
+// after the platform has changed its settings file, which it may do without a signal.
+TEST(platform_process, sidecarAppliesChangedSettingsWithoutASignal)
+{
+    const std::string path = directory + "/sidecar.json";
+    writeFile(path, sidecarSettings("svc", 500));
+    processes.start("sidecar", {binary("goldcrest-sidecar"), "--settings", path});
+    CHECK(hasLogged("sidecar", "event=\"sidecar started\""));
+    writeFile(path, sidecarSettings("svc", 700));
+    CHECK(hasLogged("sidecar", "event=\"bounds changed\" name=side-1 stop_time_ms=700"));
+    writeFile(path, sidecarSettings("other", 700));
+    CHECK(hasLogged("sidecar", "event=\"changed settings need a restart\""));
+    writeFile(path, "{");
+    CHECK(hasLogged("sidecar", "event=\"settings kept\""));
+    CHECK(processes.isRunning("sidecar"));
+    processes.terminate("sidecar");
+    LONGS_EQUAL(0, processes.waitForExit("sidecar").value_or(-1));
+}
+
 // Guards against a sidecar that needs the store to accept announcements or to shut down cleanly,
 // against one that takes the announcement of another writer for that of its backend server, and
 // against one that ends or stops listening after an announcement that can't be used.
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -296,6 +296,25 @@
     CHECK(reports.at(0).unresolved.empty());
 }
 
+// The same with a longer time of a stop, after the settings have changed.
+TEST(run_agent, changedStopTimeAppliesAtOnce)
+{
+    loop.advance(20s);
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    worker_orders_message stop = orders(5, 1);
+    stop.stops = {someRun};
+    agent.onOrders(stop);
+    host.stops.at(0).answer(done{});
+    agent.setStopTime(run_agent_options{}.stopTime + 1s);
+    passStopTime();
+    answerStatusQuery();
+    LONGS_EQUAL(1, reports.at(0).unresolved.size());
+    clock += 1000;
+    loop.advance(1100ms);
+    answerStatusQuery();
+    CHECK(reports.back().unresolved.empty());
+}
+
 // Guards against a task that runs twice: an end that the backend server listed must not be lost
 // with it, even if the planner could not be told at the time.
 TEST(run_agent, endsOfADepartedBackendServerAreReported)
