Release the task of a timer that has run

A timer of the daemons' event loop kept its task until its handle was destroyed. Where the task owns the object that has the handle, as for a change of the configuration that is retried, neither was ever freed. A timer that runs once now gives up its task when it runs.

timerThatHasRunReleasesItsTask failed before.

--- a/goldcrest/asio_event_loop.cc
+++ b/goldcrest/asio_event_loop.cc
@@ -40,8 +40,9 @@
     void fire()
     {
         const auto now = std::chrono::steady_clock::now();
-        // The task may destroy the handle, so it runs from a copy.
-        const std::function<void()> running = task;
+        // The task may destroy the handle, so it does not run in place. A timer that runs once
+        // releases its task, because that may own the object that has the handle.
+        const std::function<void()> running = periodic ? task : std::exchange(task, nullptr);
         if (periodic) {
             // Missed periods, such as during a suspension of the process, result in one call only.
             auto next = waiter.expiry() + period;
--- a/testing/asio_event_loop_test.cc
+++ b/testing/asio_event_loop_test.cc
@@ -5,6 +5,7 @@
 #include "testing/quiet_log.h"
 
 #include <ctime>
+#include <memory>
 #include <stdexcept>
 
 #include <sys/syscall.h>
@@ -57,3 +58,22 @@
     suspendedSeconds = 0;
     CHECK(elapsed >= 7s);
 }
+
+// Guards against a memory leak: an object that has the handle of a timer, and that the timer's task
+// owns, was kept after the task had run.
+TEST(event_loop_of_daemons, timerThatHasRunReleasesItsTask)
+{
+    struct owner
+    {
+        timer_handle timer;
+    };
+    asio_event_loop loop;
+    auto object = std::make_shared<owner>();
+    const std::weak_ptr<owner> weak = object;
+    bool wasRun = false;
+    object->timer = loop.after(1ms, [&wasRun, kept = object] { wasRun = true; });
+    object.reset();
+    CHECK(!weak.expired());
+    CHECK(loop.runUntil([&] { return wasRun; }, 5s));
+    CHECK(weak.expired());
+}
