Don't retry a change of a destroyed config_publisher

The retry timer of a change is owned by the change, which the timer's task owned. The task now checks that the publisher exists.

destroyedWhileARetryIsPending ended before with a heap-use-after-free in config_publisher::impl::read, called by the timer.

--- a/goldcrest/config_publisher.cc
+++ b/goldcrest/config_publisher.cc
@@ -251,15 +251,17 @@
                 ? makeFailure(code::StoreAmbiguous,
                               "the store did not answer; the change may have been stored")
                 : makeFailure(code::StoreUnavailable, "nothing was changed: " + error.reason));
-    change->timer = m_loop.after(
-        delay,
-        [this, weak = std::weak_ptr<open_change>(change), keep = change, readFirst]() mutable {
-            const change_pointer retried = std::move(keep);
-            if (readFirst)
-                read(retried);
-            else
-                write(retried);
-        });
+    change->timer
+        = m_loop.after(delay, [this, alive = std::weak_ptr<bool>(m_alive), change, readFirst] {
+              // The change owns the timer and is owned by this task, so the timer may run after the
+              // publisher is destroyed.
+              if (alive.expired())
+                  return;
+              if (readFirst)
+                  read(change);
+              else
+                  write(change);
+          });
 }
 
 void config_publisher::impl::finish(const change_pointer &change, result<configuration> outcome)
--- a/testing/config_publisher_test.cc
+++ b/testing/config_publisher_test.cc
@@ -6,6 +6,7 @@
 #include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -241,6 +242,25 @@
     CHECK(stored().domainsOut.empty());
 }
 
+// Guards against a retry that uses the publisher after its destruction: the timer of the retry is
+// owned by the change, which the timer's own task kept alive.
+TEST(configPublisher, destroyedWhileARetryIsPending)
+{
+    putFirst();
+    auto closing = std::make_unique<config_publisher>(secondStore, loop, optionsOf("e3"));
+    secondStore.faults().down = true;
+    closing->setDrained("w1", true, std::nullopt, recordAnswer());
+    loop.advance(10ms);
+    LONGS_EQUAL(1, closing->openChanges());
+    closing.reset();
+    secondStore.faults().down = false;
+    secondStore.resetCounts();
+    loop.advance(10s);
+    LONGS_EQUAL(1, answers.size());
+    LONGS_EQUAL(0, secondStore.counts().total());
+    LONGS_EQUAL(1, stored().number);
+}
+
 TEST_GROUP(configTracker)
 {
     config_tracker tracker;
