Don't run timers of open jobs of a destroyed entry_core

The timers for the acceptance, the retries, the waiting callers and the end of a job are owned by the job, which their tasks owned, so they ran after the entry's destruction. They now check that the entry exists, as callbacks of the store do.

destroyedWhileTimersArePending ended before with a heap-use-after-free in entry_core::impl::isOpen, called by the retry timer.

--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -183,7 +183,9 @@
         std::map<worker_id, std::pair<worker_status, time_point>> workers; // and last report time
     };
 
-    // Wraps a store callback so that it does nothing once this object is destroyed.
+    // Wraps a callback of the store or a timer so that it does nothing once this object is
+    // destroyed. The timers of an open job need it too: their tasks own the job, which has their
+    // handles.
     template<typename F>
     auto guarded(F callback)
     {
@@ -417,7 +419,7 @@
     if (request.spec.deadline > 0ms)
         limit = std::min(limit, request.spec.deadline);
     job->acceptDeadline = m_loop.now() + limit;
-    job->acceptTimer = m_loop.after(limit, [this, job] { onAcceptTimeout(job); });
+    job->acceptTimer = m_loop.after(limit, guarded([this, job] { onAcceptTimeout(job); }));
     addWaiter(job, waiter_kind::Submit, wait, true, std::move(callback));
     commitRecord(job);
 }
@@ -537,10 +539,11 @@
 void entry_core::impl::retryLater(const job_pointer &job)
 {
     const duration delay = retryDelay(job->spec.key, job->retries++);
-    job->retryTimer = m_loop.after(delay, [this, job] {
-        if (isOpen(job) && !job->recordKnown && job->stage != job_stage::Finished)
-            commitRecord(job);
-    });
+    job->retryTimer = m_loop.after(delay, guarded([this, job] {
+                                       if (isOpen(job) && !job->recordKnown
+                                           && job->stage != job_stage::Finished)
+                                           commitRecord(job);
+                                   }));
 }
 
 // Sends an idempotent job to the planner without a record: while the store is down, the planner can
@@ -724,7 +727,7 @@
 {
     if (m_drainDeadline)
         wait = std::max(0ms, std::min(wait, *m_drainDeadline - m_loop.now()));
-    pending.timer = m_loop.after(wait, [this, job, id = pending.id] { endWait(job, id); });
+    pending.timer = m_loop.after(wait, guarded([this, job, id = pending.id] { endWait(job, id); }));
 }
 
 void entry_core::impl::endWait(const job_pointer &job, std::uint64_t id)
@@ -919,7 +922,8 @@
     if (job->view.recorded)
         drop(job);
     else
-        job->retryTimer = m_loop.after(m_options.settleTimeout, [this, job] { drop(job); });
+        job->retryTimer
+            = m_loop.after(m_options.settleTimeout, guarded([this, job] { drop(job); }));
     answerAll(job, answer);
 }
 
--- a/testing/entry_core_test.cc
+++ b/testing/entry_core_test.cc
@@ -5,6 +5,7 @@
 #include "testing/virtual_event_loop.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -558,3 +559,29 @@
     loop.advance(1ms);
     LONGS_EQUAL(1, views.size());
 }
+
+// Guards against timers that use the entry after its destruction. Each open job has several: their
+// handles are owned by the job, which their own tasks kept alive.
+TEST(entryCore, destroyedWhileTimersArePending)
+{
+    auto closing = std::make_unique<entry_core>(store, loop, planners, optionsOf("e2"));
+    closing->setConfiguration(smallConfiguration());
+    closing->plannerConnected("main", 5);
+    closing->submit(bodyOf("waits", false), 1h, keep());
+    loop.advance(1ms);
+    store.faults().down = true;
+    closing->submit(bodyOf("retries", false), 1h, keep());
+    loop.advance(10ms);
+    job_update_message update = finalUpdate(job_outcome::Completed, false, "out");
+    update.job = {"routes", "waits"};
+    closing->received("main", update);
+    closing->submit(bodyOf("waits-too", false), 1h, keep());
+    loop.advance(10ms);
+    closing.reset();
+    const std::size_t answered = answers.size();
+    store.faults().down = false;
+    store.resetCounts();
+    loop.advance(3h);
+    LONGS_EQUAL(answered, answers.size());
+    LONGS_EQUAL(0, store.counts().total());
+}
