Drop the callbacks of a destroyed measured_client

An answer that arrived later was counted through the destroyed object. In the agent the inner client stops at the same time, but nothing ensured that. After the destruction no callback runs, as for the client that it wraps.

destroyedWhileACallIsOpen ended before with a heap-use-after-free in the callback of measured_client::send.

--- a/goldcrest/measured_http.cc
+++ b/goldcrest/measured_http.cc
@@ -67,13 +67,15 @@
 void measured_client::send(http_request request,
                            std::function<void(result<http_response>)> callback)
 {
-    m_inner.send(
-        std::move(request),
-        [this, start = m_loop.now(), callback = std::move(callback)](result<http_response> answer) {
-            m_metrics.add(metric::BackendCalls, resultOf(answer));
-            m_metrics.observe(metric::BackendCallTime, m_loop.now() - start);
-            callback(std::move(answer));
-        });
+    m_inner.send(std::move(request),
+                 [this, alive = std::weak_ptr<bool>(m_alive), start = m_loop.now(),
+                  callback = std::move(callback)](result<http_response> answer) {
+                     if (alive.expired())
+                         return;
+                     m_metrics.add(metric::BackendCalls, resultOf(answer));
+                     m_metrics.observe(metric::BackendCallTime, m_loop.now() - start);
+                     callback(std::move(answer));
+                 });
 }
 
 std::unique_ptr<http_stream> measured_client::stream(http_request request,
--- a/goldcrest/measured_http.h
+++ b/goldcrest/measured_http.h
@@ -44,7 +44,7 @@
 
 // Counts calls to the backend server as answered (status 2xx), refused (other status) or failed (no
 // response), and measures their time. Streams are passed on without counting. `inner`, `loop` and
-// `metrics` must outlive this object, which must outlive its calls.
+// `metrics` must outlive this object. After it is destroyed, no callback of send() runs.
 class measured_client final : public http_client
 {
 public:
@@ -59,6 +59,7 @@
     http_client &m_inner;
     event_loop &m_loop;
     metrics_registry &m_metrics;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace goldcrest
