--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -194,18 +194,19 @@
     self.planTimer.reset();
     const time_point limit = self.loop.now() + resignLimit;
     // Pending records are written first, so that the successor need not determine their state.
-    const auto step = std::make_shared<std::function<void()>>();
-    *step = [this, limit, step, then = std::move(then)] {
-        state &now = *m_state;
-        const bool isWritten = !now.planner || !now.planner->hasChanges();
-        if (!isWritten && now.loop.now() < limit && now.role->isLeader()) {
-            now.retryTimer = now.loop.after(commitRetryPause, *step);
-            return;
-        }
-        now.endTerm("handed over");
-        now.role->resign(then);
-    };
-    (*step)();
+    self.resignOnceWritten(limit, then);
+}
+
+void planner_service::state::resignOnceWritten(time_point limit, const std::function<void()> &then)
+{
+    const bool isWritten = !planner || !planner->hasChanges();
+    if (!isWritten && loop.now() < limit && role->isLeader()) {
+        retryTimer
+            = loop.after(commitRetryPause, [this, limit, then] { resignOnceWritten(limit, then); });
+        return;
+    }
+    endTerm("handed over");
+    role->resign(then);
 }
 
 void planner_service::state::beginTerm(epoch number)
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -50,6 +50,7 @@
     void requestTakeover();
     void beginTerm(epoch number);
     void endTerm(std::string_view reason);
+    void resignOnceWritten(time_point limit, const std::function<void()> &then);
     void loadRecords();
     void loadIntake(std::map<std::string, job_progress> records);
     void onLoaded(const std::map<std::string, job_progress> &records,
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -561,3 +561,16 @@
     }
     CHECK(service->isActive());
 }
+
+// Guards against a memory leak: the function that waits for the last records owned itself.
+TEST(planner_service, resigningReleasesItsCallback)
+{
+    elect();
+    storeJob("a");
+    auto owned = std::make_shared<bool>(false);
+    service->resign([owned] { *owned = true; });
+    CHECK(loop.advanceUntil([&] { return *owned; }, 5s));
+    service.reset();
+    loop.advance(1s);
+    LONGS_EQUAL(1, owned.use_count());
+}
