Let the leak sanitizer see the allocations of tests

CppUTest keeps a list of all allocations, so that none of them is unreachable for the leak sanitizer. With the address sanitizer the list is turned off.

--- a/testing/test_main.cc
+++ b/testing/test_main.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestRegistry.h>
 
 namespace {
@@ -55,6 +56,10 @@
 // tests to run are therefore passed by name. A test named on the command line always runs.
 int main(int argc, char **argv)
 {
+#if defined(__SANITIZE_ADDRESS__)
+    // The list of allocations that CppUTest keeps would hide all leaks from the leak sanitizer.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+#endif
     std::vector<std::string> options(argv, argv + argc);
     std::vector<std::string> names = testNames();
     bool excludesTests = false;
