--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -301,7 +301,7 @@
                               time_point now);
     void findSlowWorkers(time_point now);
     void compareSpeeds(tracked_job &job, std::map<worker_id, speed_evidence> &evidence);
-    void stopSlowRuns(pool_worker &worker, time_point now);
+    void stopSlowRuns(pool_worker &worker);
     void stopRunsOnLeavingWorkers(time_point now);
     void stopIncompleteGangs(time_point now);
     void stopRun(tracked_job &job, const task_key &key, std::string_view reason,
--- a/goldcrest/run_planner_health.cc
+++ b/goldcrest/run_planner_health.cc
@@ -96,7 +96,7 @@
             recordDecision("worker avoided", {}, 0, id,
                            "its tasks progress more slowly than tasks of the same steps elsewhere");
         worker.slowUntil = now + m_options.avoidTime;
-        stopSlowRuns(worker, now);
+        stopSlowRuns(worker);
     }
 }
 
@@ -133,7 +133,7 @@
 }
 
 // Stops the runs on a slow worker that would end sooner if they began again elsewhere.
-void run_planner::stopSlowRuns(pool_worker &worker, time_point now)
+void run_planner::stopSlowRuns(pool_worker &worker)
 {
     const std::set<task_key> active = worker.active;
     for (const task_key &key : active) {
--- a/testing/decoder_fuzz_test.cc
+++ b/testing/decoder_fuzz_test.cc
@@ -178,7 +178,8 @@
 {
     advice_client advisor{client, "10.0.0.9:8530"};
     fuzzAnswers(200, R"({"validity_ms":900,"good":[["i-1","t1"],["i-2","t2"]]})", [&] {
-        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms}, [](const result<placement_advice> &) {});
+        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms, {"i-1/1"}},
+                       [](const result<placement_advice> &) {});
     });
 }
 
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -378,7 +378,7 @@
     advice_client advisor{client, "10.0.0.9:8530"};
     const auto advise = [&] {
         result<placement_advice> advice = placement_advice{};
-        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms},
+        advisor.advise({"5c0e.0.0", {"i-1"}, 5ms, {"i-1/1"}},
                        [&](const result<placement_advice> &answer) { advice = answer; });
         return advice;
     };
