Bound the target time of a job

The critical path of a job may take up to 1,000 times ten years, and the slack factor of a queue may be 1,000,000. Their product can exceed the range of 64 bits. Its conversion is undefined behaviour: x86-64 gives the smallest number, arm64 the largest, which then overflows when the time of acceptance is added. The job ranked as too late. The slack is now bounded to the longest time that is accepted from outside.

targetOfAVeryLongJobIsInTheFuture failed before on arm64, and the sanitizer reports the conversion of 3.1536e+19.

--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -122,7 +122,11 @@
     const queue_policy &policy = policyOf(job);
     const duration chain = criticalPathTime(
         job.spec(), [&](const step_spec &step) { return expectedTimeOf(job, step); });
-    return job.acceptedAt() + scaled(chain, policy.slackFactor) + policy.completionTarget;
+    // Written so that no product out of range is converted, which would be undefined behaviour.
+    const double slack = static_cast<double>(chain.count()) * policy.slackFactor;
+    const bool isInRange = slack < static_cast<double>(longestTime.count());
+    return job.acceptedAt() + (isInRange ? scaled(chain, policy.slackFactor) : longestTime)
+        + policy.completionTarget;
 }
 
 job_lateness run_planner::latenessOf(const tracked_job &job, time_point end) const
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -2038,3 +2038,38 @@
     for (const start_order &order : ordersOf("w1").starts)
         LONGS_EQUAL(1, order.run.number);
 }
+
+// Guards against a target that is out of range of the clock: its conversion gave a time in the past
+// on one processor and overflowed on another, so that the job ranked as too late (rank order).
+TEST(run_planner, targetOfAVeryLongJobIsInTheFuture)
+{
+    catalogue->queues[1].policy.slackFactor = 1'000'000;
+    catalogue->queues[2].policy.priority = 1;
+    planner.onReport(reportOf("w1"), wall, now);
+    graph_job longest;
+    longest.id = "b";
+    longest.queue = "q1";
+    longest.team = "t";
+    longest.policy = catalogue->queues[1].policy;
+    longest.acceptedAt = wall;
+    for (std::int32_t i = 0; i < 100; ++i) {
+        step_spec step = makeStep(1, 8);
+        step.estimated = longestTime;
+        if (i > 0)
+            step.after.push_back(i - 1);
+        longest.steps.push_back(step);
+    }
+    graph_job late;
+    late.id = "a";
+    late.queue = "q2";
+    late.team = "t";
+    late.policy = catalogue->queues[2].policy;
+    late.steps.push_back(makeStep(1, 8));
+    late.acceptedAt = wall - 30'000;
+    planner.addJob(late, std::nullopt, wall, now);
+    planner.addJob(longest, std::nullopt, wall, now);
+    planAndStore();
+    const worker_orders_message orders = ordersOf("w1");
+    LONGS_EQUAL(1, orders.starts.size());
+    STRCMP_EQUAL("b.0.0.0", orders.starts[0].run.task.c_str());
+}
