Keep no entries of ended jobs in the planner

Over weeks these grew without bound: - m_failedOn and m_advice, by failed ends and refused tickets of jobs that have ended or are not known. Such reports add no entries any more. - m_advice of a job that is repeated, by each of its occurrences, and of a job that waits, by each restart of a backend server. Answers end with the occurrence and with the incarnation, also if they arrive later. - the failed jobs of a worker on which no task succeeds. They end with the job.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -19,13 +19,13 @@
 // of a link takes twice as much, so that there is room for the last start and for the stops.
 constexpr std::size_t maxStartBytes = maxFrameBytes / 2;
 
-// Removes the entries of all tasks of a job.
-template<typename T>
-void forgetTasks(std::map<task_key, T> &kept, const std::string &job)
+// Removes the entries of those tasks of a job for which `isOver(key)` holds.
+template<typename T, typename Condition>
+void forgetTasks(std::map<task_key, T> &kept, const std::string &job, Condition isOver)
 {
-    auto first = kept.lower_bound({job, 0, 0, 0});
-    while (first != kept.end() && first->first.job == job)
-        first = kept.erase(first);
+    auto next = kept.lower_bound({job, 0, 0, 0});
+    while (next != kept.end() && next->first.job == job)
+        next = isOver(next->first) ? kept.erase(next) : std::next(next);
 }
 
 } // namespace
@@ -58,9 +58,11 @@
     if (job.isFinished()) {
         m_unfinished.erase(job.id());
         m_failedOn.erase(job.id());
-        forgetTasks(m_advice, job.id());
-        forgetTasks(m_preemptionReservations, job.id());
     }
+    // A job that is repeated has many occurrences, and drops the tasks of those that are done.
+    const auto isOver = [&](const task_key &task) { return job.isFinished() || !job.find(task); };
+    forgetTasks(m_advice, job.id(), isOver);
+    forgetTasks(m_preemptionReservations, job.id(), isOver);
 }
 
 // Updates the workers' lists of active tasks to match the job.
@@ -374,10 +376,25 @@
     return expired;
 }
 
+std::size_t run_planner::entriesBesideJobs() const
+{
+    std::size_t count = m_failedOn.size() + m_suspects.size() + m_changed.size()
+        + m_changedByCheckpoint.size() + m_checkpointed.size() + m_preemptionReservations.size()
+        + m_activeRuns.size();
+    for (const auto &[step, advice] : m_advice)
+        count += 1 + advice.tickets.size() + advice.asked.size() + advice.allowed.size();
+    for (const auto &[id, worker] : m_pool.workers())
+        count += worker.failedJobs.size();
+    return count;
+}
+
 void run_planner::forgetJobs(const std::vector<std::string> &ids)
 {
-    for (const std::string &id : ids)
+    for (const std::string &id : ids) {
         m_jobs.erase(id);
+        for (auto &[name, worker] : m_pool.workers())
+            worker.failedJobs.erase(id);
+    }
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -204,6 +204,9 @@
     const worker_pool &workers() const { return m_pool; }
     std::size_t jobCount() const { return m_jobs.size(); }
     std::size_t unfinishedJobs() const { return m_unfinished.size(); }
+    // Returns the number of entries that are kept for jobs and their tasks beside the jobs
+    // themselves. It does not grow with the number of jobs that have ended.
+    std::size_t entriesBesideJobs() const;
 
 private:
     struct unit;
@@ -335,6 +338,8 @@
     const queue_entry *advisedQueueOf(const tracked_job &job) const;
     void requestAdvice(const unit &next, const std::vector<worker_capacity> &capacities,
                        const placement_request &request, const placement &found, time_point now);
+    bool isReported(const std::string &incarnation) const;
+    void forgetAdviceAbout(const std::string &incarnation);
     void updatePace(pool_worker &worker, time_point now);
     void addPaces(const pool_worker &worker, worker_orders_message &orders) const;
     placement_request requestFor(const unit &next, const std::vector<std::size_t> &eligible) const;
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -149,7 +149,8 @@
     m_isAdviceFailing = failureOf(answer) != nullptr;
     const result<task_key> key = parseTask(request.step + ".0");
     const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
-    if (job == m_jobs.end() || job->second.isFinished())
+    const bool isOpen = job != m_jobs.end() && !job->second.isFinished();
+    if (!isOpen || !job->second.find(valueOf(key)))
         return;
     step_advice &advice = m_advice[valueOf(key)];
     if (const failure *error = failureOf(answer)) {
@@ -164,6 +165,8 @@
     if (valueOf(answer).isPartial)
         advice.retryAt = now + retryPause;
     for (std::size_t i = 0; i < request.machines.size(); ++i) {
+        if (!isReported(request.incarnations[i]))
+            continue;
         const auto found = valueOf(answer).tickets.find(request.machines[i]);
         const bool isAllowed = found != valueOf(answer).tickets.end();
         // A partial answer may lack a machine that may run the step.
@@ -179,6 +182,24 @@
                                valueOf(answer).tickets.size(), valueOf(answer).lifetime.count()));
 }
 
+// Returns whether an incarnation is the one that a worker reported last.
+bool run_planner::isReported(const std::string &incarnation) const
+{
+    const auto &workers = m_pool.workers();
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](const auto &item) { return item.second.incarnation == incarnation; });
+}
+
+// Forgets the answers about an incarnation that is gone. Jobs may wait while there are many.
+void run_planner::forgetAdviceAbout(const std::string &incarnation)
+{
+    for (auto &[step, advice] : m_advice) {
+        advice.tickets.erase(incarnation);
+        advice.asked.erase(incarnation);
+        advice.allowed.erase(incarnation);
+    }
+}
+
 // Throttles best-effort tasks according to the latency of the serving tasks on the same worker. The
 // users accept a latency above its target for 4 s; throttling must take effect earlier. The speed
 // is raised again in steps.
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -104,6 +104,7 @@
         worker.crashedIncarnation = worker.draining ? std::string() : worker.incarnation;
         worker.failedJobs.clear();
         worker.avoidUntil = {};
+        forgetAdviceAbout(worker.incarnation);
         fenceRecentStarts(worker, now);
     }
     if (worker.draining != report.draining)
@@ -303,6 +304,10 @@
 
 void run_planner::noteFailure(pool_worker &worker, const std::string &job, time_point now)
 {
+    // A job that has ended is not placed again, so nothing would remove the entries.
+    const auto known = m_jobs.find(job);
+    if (known == m_jobs.end() || known->second.isFinished())
+        return;
     std::set<worker_id> &failedOn = m_failedOn[job];
     failedOn.insert(worker.id);
     if (failedOn.size() >= failedWorkersToBlame) {
@@ -418,8 +423,9 @@
         const result<task_key> key = parseTask(refused.run.task);
         if (failureOf(key) || worker.unresolved.count(refused.run) > 0)
             continue;
-        if (refused.why == start_refusal::TicketRejected)
-            m_advice[adviceKeyOf(valueOf(key))].tickets.clear(); // the others are in doubt too
+        const auto advice = m_advice.find(adviceKeyOf(valueOf(key)));
+        if (refused.why == start_refusal::TicketRejected && advice != m_advice.end())
+            advice->second.tickets.clear(); // the others are in doubt too
         if (refused.why == start_refusal::Unhealthy || refused.why == start_refusal::NoCapacity)
             worker.avoidUntil = std::max(worker.avoidUntil, now + 1s);
         endRun(valueOf(key), refused.run.number, run_end::Stopped, {}, worker.id,
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -2039,6 +2039,125 @@
         LONGS_EQUAL(1, order.run.number);
 }
 
+// Guards against memory that grows for weeks: the end of a run, or a refused ticket, of a job that
+// has ended or is not known left an entry for good.
+TEST(run_planner, lateReportsOfEndedJobsLeaveNoEntries)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planner.cancelJob("a", wall);
+    store();
+    std::int64_t number = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const std::string unknown = "gone" + std::to_string(i) + ".0.0.0";
+        worker_report_message report = reportOf("w1");
+        report.ended.push_back({++number, {"a.0.0.0", 1}, run_end::Failed, {}});
+        report.ended.push_back({++number, {unknown, 1}, run_end::Failed, {}});
+        report.refused.push_back({{"a.0.0.0", 1}, start_refusal::TicketRejected});
+        report.refused.push_back({{unknown, 1}, start_refusal::TicketRejected});
+        planner.onReport(report, wall, now);
+        planAndStore();
+    }
+    LONGS_EQUAL(0, planner.entriesBesideJobs());
+}
+
+// Guards against the same for jobs that run on a worker on which all of them fail.
+TEST(run_planner, jobsThatFailLeaveNoEntries)
+{
+    catalogue->queues[1].policy.maxAttempts = 1;
+    std::int64_t number = 0;
+    for (int i = 0; i < 200; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        planner.onReport(reportOf("w1"), wall, now);
+        addJob(id, 1, makeStep(1, 1));
+        planAndStore();
+        worker_report_message report = reportOf("w1");
+        report.ordersSeen = ordersOf("w1").sequence;
+        report.ended.push_back({++number, {id + ".0.0.0", 1}, run_end::Failed, {}});
+        planner.onReport(report, wall, now);
+        store();
+        CHECK(*planner.stateOf(id) == graph_job_state::Failed);
+        planner.forgetJobs(planner.expiredJobs(wall + 200'000, 10));
+        now += 10s;
+    }
+    LONGS_EQUAL(0, planner.jobCount());
+    LONGS_EQUAL(0, planner.entriesBesideJobs());
+}
+
+// Guards against memory that grows with each occurrence of a job that is repeated for weeks: the
+// advice for an occurrence was kept until the end of the job.
+TEST(run_planner, adviceEndsWithItsOccurrence)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.team = "t";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(1, 1));
+    job.acceptedAt = wall;
+    job.schedule.occurrences = 1000;
+    job.schedule.firstDue = wall;
+    job.schedule.interval = 10s;
+    planner.addJob(job, std::nullopt, wall, now);
+    unix_ms time = wall;
+    for (std::int32_t i = 0; i < 100; ++i) {
+        planner.onReport(reportOf("w1"), time, now);
+        confirm();
+        planner.plan(time, now);
+        answerAdvice({"w1-machine"});
+        planner.plan(time, now);
+        store();
+        worker_report_message report = reportOf("w1");
+        report.ordersSeen = ordersOf("w1").sequence;
+        report.ended.push_back({i + 1, {"a." + std::to_string(i) + ".0.0", 1}, run_end::Done, {}});
+        planner.onReport(report, time, now);
+        store();
+        LONGS_EQUAL(0, planner.entriesBesideJobs());
+        now += 10s;
+        time += 10'000;
+    }
+}
+
+// Guards against memory that grows with each restart of a backend server while a job waits for
+// advice.
+TEST(run_planner, adviceAboutEarlierIncarnationsIsForgotten)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    addJob("a", 1, makeStep(1, 1));
+    for (int i = 0; i < 100; ++i) {
+        worker_report_message report = reportOf("w1", "l" + std::to_string(i));
+        report.ordersSeen = 1000;
+        planner.onReport(report, wall, now);
+        planAndStore();
+        CHECK(answerAdvice({}) == std::vector<std::string>{"w1-machine"});
+        now += 1s;
+    }
+    CHECK(planner.entriesBesideJobs() <= 2);
+}
+
+// Guards against the same for an answer that arrives after the restart, or after the occurrence.
+TEST(run_planner, lateAdviceLeavesNoEntries)
+{
+    catalogue->queues[1].advice = advice_terms{50ms, 1ms, 3s};
+    addJob("a", 1, makeStep(1, 1));
+    planner.onReport(reportOf("w1"), wall, now);
+    planAndStore();
+    const auto question = planner.takeAdviceRequest();
+    CHECK(question.has_value());
+    const std::size_t before = planner.entriesBesideJobs();
+    planner.onReport(reportOf("w1", "l2"), wall, now);
+    placement_advice advice;
+    advice.tickets["w1-machine"] = "c81e";
+    advice.lifetime = 3s;
+    planner.onAdvice(*question, advice, now);
+    LONGS_EQUAL(before, planner.entriesBesideJobs());
+    advice_request other = *question;
+    other.step = "a.7.0"; // an occurrence that is over
+    planner.onAdvice(other, advice, now);
+    LONGS_EQUAL(before, planner.entriesBesideJobs());
+}
+
 // Guards against a target that is out of range of the clock: its conversion gave a time in the past
 // on one processor and overflowed on another, so that the job ranked as too late (rank order).
 TEST(run_planner, targetOfAVeryLongJobIsInTheFuture)
