Forget the open changes of a job together with it

A crash may be counted for a job, or a late end may complete a task of it, while its records are being removed. The job was then forgotten with a change that was still to be stored, and the next takeChanges() ended with std::out_of_range, at each attempt, so that no other record was stored.

changeOfAForgottenJobIsNotStored failed before.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -392,6 +392,10 @@
 {
     for (const std::string &id : ids) {
         m_jobs.erase(id);
+        // A late report may have changed the job while its records were being removed.
+        m_changed.erase(id);
+        m_changedByCheckpoint.erase(id);
+        m_checkpointed.erase(id);
         for (auto &[name, worker] : m_pool.workers())
             worker.failedJobs.erase(id);
     }
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -2158,6 +2158,32 @@
     LONGS_EQUAL(before, planner.entriesBesideJobs());
 }
 
+// Guards against a planner that ends with an exception: a crash is counted for a job while its
+// records are being removed, and the job was forgotten with the change still to be stored.
+TEST(run_planner, changeOfAForgottenJobIsNotStored)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("a", 1, makeStep(1, 1));
+    planAndStore();
+    ordersOf("w1");
+    now += 20s;
+    planAndStore();
+    planner.cancelJob("a", wall);
+    store();
+    const std::vector<std::string> expired = planner.expiredJobs(wall + 200'000, 10);
+    LONGS_EQUAL(1, expired.size());
+    worker_report_message final = reportOf("w1");
+    final.isFinal = true;
+    final.startedRuns = {{"a.0.0.0", 1}};
+    planner.onReport(final, wall, now);
+    CHECK(planner.hasChanges());
+    planner.forgetJobs(expired);
+    CHECK(!planner.hasChanges());
+    CHECK(planner.takeChanges(100).empty());
+    planAndStore();
+    LONGS_EQUAL(0, planner.entriesBesideJobs());
+}
+
 // Guards against a target that is out of range of the clock: its conversion gave a time in the past
 // on one processor and overflowed on another, so that the job ranked as too late (rank order).
 TEST(run_planner, targetOfAVeryLongJobIsInTheFuture)
