Forget a job whose records were removed without an answer

If the removal of an expired job's records took effect but its answer was lost, a late end could still change the job. The commit of that change was refused each time, because its record no longer exists, and so were the records of all other jobs in the same transaction. An ended job whose record is gone is now forgotten, as after the answer.

changeOfARemovedRecordHoldsUpNoOthers failed before: the cancellation of another job was never stored.

--- a/goldcrest/planner_service_records.cc
+++ b/goldcrest/planner_service_records.cc
@@ -146,9 +146,32 @@
         log_line(log_level::Warning, "job records rejected: another planner is the leader").write();
         return role->resign([] {}), endTerm("another planner is the leader");
     }
+    forgetRemovedJobs(changes, reply);
     commitTimer = loop.after(commitRetryPause, [this] { commit(); });
 }
 
+// Forgets the ended jobs whose records are gone: their removal took effect although it got no
+// answer, and a late report has changed them since. Such a change can never be stored.
+void planner_service::state::forgetRemovedJobs(const std::vector<stored_change> &changes,
+                                               const commit_reply &reply)
+{
+    std::set<std::string> present;
+    for (const store_entry &entry : reply.current)
+        present.insert(entry.key);
+    for (const stored_change &change : changes) {
+        const std::string key = graphProgressKey(change.job);
+        const bool wasRemoved = revisions.count(key) > 0 && present.count(key) == 0;
+        const graph_job_state stored
+            = planner->stateOf(change.job).value_or(graph_job_state::Queued);
+        if (!wasRemoved || stored == graph_job_state::Queued || stored == graph_job_state::Running)
+            continue;
+        planner->forgetJobs({change.job});
+        revisions.erase(key);
+        if (removedWhileListing)
+            removedWhileListing->insert(change.job);
+    }
+}
+
 // A record is larger than the store accepts. Nothing was written, and repeating the write would
 // hold up all other jobs.
 void planner_service::state::onTooLarge(const std::vector<stored_change> &changes)
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -70,6 +70,7 @@
     void onTooLarge(const std::vector<stored_change> &changes);
     void onCommitted(const result<commit_reply> &outcome,
                      const std::vector<stored_change> &changes);
+    void forgetRemovedJobs(const std::vector<stored_change> &changes, const commit_reply &reply);
     bool wasWritten(const commit_reply &reply, const std::vector<stored_change> &changes) const;
     void onWritten(const std::vector<stored_change> &changes, store_revision at);
     void removeExpired();
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -173,6 +173,16 @@
         return service->planner()->workers().workers().at(worker).leaseExtension;
     }
 
+    operator_view viewWithOneQueue()
+    {
+        auto catalogue = std::make_shared<queue_catalogue>();
+        catalogue->queues.emplace_back().name = "q";
+        operator_view view;
+        view.catalogue = catalogue;
+        view.confirmedAt = loop.now();
+        return view;
+    }
+
     static std::int64_t takeoversIn(const recording_link &link)
     {
         return std::count_if(link.sent.begin(), link.sent.end(), [](const message &sent) {
@@ -574,3 +584,45 @@
     loop.advance(1s);
     LONGS_EQUAL(1, owned.use_count());
 }
+
+// Guards LOST: the records of an expired job were removed, but the answer was lost, and a late end
+// then changed the job. The commit of that change failed for good, and with it those of all jobs
+// that were to be stored in the same transaction.
+TEST(planner_service, changeOfARemovedRecordHoldsUpNoOthers)
+{
+    elect();
+    const time_point electedAt = loop.now();
+    service->setView(viewWithOneQueue());
+    storeJob("a");
+    const auto agent = connectAgent("w1");
+    worker_report_message report;
+    report.plannerEpoch = service->currentEpoch();
+    report.worker = "w1";
+    report.incarnation = "i1";
+    report.capacity = {1000, 1000, 0};
+    report.clock = 1;
+    agent->receive(report);
+    loop.advance(1s);
+    checkState("a", graph_job_state::Running);
+    storeCancel("a");
+    loop.advance(20s);
+    checkState("a", graph_job_state::Cancelled);
+    const std::string key = graphProgressKey("a");
+    // Records are removed every 5 s; the answers to other writes arrive.
+    const auto isRemoved = [&] {
+        const duration sinceRemoval = (loop.now() - electedAt) % duration(5s);
+        store.faults().loseAnswers = sinceRemoval >= 4800ms ? 1 : 0;
+        return model.range(key, "").empty();
+    };
+    CHECK(loop.advanceUntil(isRemoved, 300s));
+    store.faults().loseAnswers = 0;
+    CHECK(service->planner()->stateOf("a").has_value());
+    report.clock += 200'000;
+    report.ended.push_back({1, {"a.0.0.0", 1}, run_end::Done, {}});
+    agent->receive(report);
+    storeJob("b");
+    storeCancel("b");
+    loop.advance(20s);
+    checkState("b", graph_job_state::Cancelled);
+    CHECK(!service->planner()->stateOf("a").has_value());
+}
