--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -43,7 +43,6 @@
     options.hasSuspensions = numberFrom("GOLDCREST_SOAK_SUSPEND", 0) != 0;
     // Every fourth seed has no faults from outside, so that more tasks start.
     options.hasOutsideFaults = seed % 4 != 0;
-    options.hasServerFaults = seed % 8 != 0;
     return options;
 }
 
--- a/testing/soak_judge_support.h
+++ b/testing/soak_judge_support.h
@@ -1,14 +1,15 @@
 #pragma once
 
-// Judge of the soak: compares what callers and backend servers see with the users' rules. It sees
-// each event when it happens and needs no clock of its own.
+// Judge of the soak: compares what callers and backend servers see with the users' rules. It gets
+// each event when it happens and has no clock of its own.
 //
-//   soak_judge judge([&](const std::string &rule, const std::string &what,
-//                        const std::string &subject) { problems.push_back(rule + ": " + what); });
-//   judge.addJob(job);
-//   soak_run &run = judge.onStart(order, now);
+//   soak_judge judge([](const std::string &rule, const std::string &what,
+//                       const std::string &subject) { print(rule, what); });
+//   soak_job &job = judge.addJob(sent);
+//   judge.onSubmitAnswered(job, 200, now);
+//   soak_run &run = judge.onStart({"side-1", job.id + ".0.0.0", 1, job.payload}, now);
 //   judge.onEnd(run, "done", now);
-//   judge.onNoted(run, false, now);
+//   judge.onNoted(run, false);
 
 #include "goldcrest/clock.h"
 #include "goldcrest/model.h"
@@ -24,6 +25,8 @@
 
 namespace goldcrest {
 
+constexpr std::size_t soakMaxAttempts = 4; // max_attempts of all queues
+
 struct soak_step
 {
     std::int32_t count = 1;
@@ -41,7 +44,7 @@
     std::string payload;
     std::vector<soak_step> steps;
     int attempts = 0; // submissions sent
-    int refusals = 0; // submissions answered with a status that says that the job was not accepted
+    int refusals = 0; // submissions whose answer says that the job was not accepted
     int cancels = 0; // sent
     std::optional<time_point> acceptedAt;
     std::optional<time_point> cancelledAt; // acknowledgement
@@ -63,22 +66,13 @@
     time_point startedAt{};
     std::optional<time_point> endedAt;
     std::string how; // of the end; "lost" if the server ended
-    bool isNoted = false; // the end was taken note of, and the lease had not lapsed before
-};
-
-// Name of a task, ID.K.STEP.INDEX.
-struct soak_task_name
-{
-    std::string job;
-    std::size_t step = 0;
 };
-std::optional<soak_task_name> parseSoakTask(const std::string &task);
 
 // A start order that a backend server carries out.
 struct soak_start
 {
     std::string server;
-    std::string task;
+    std::string task; // ID.K.STEP.INDEX
     std::int32_t number = 0;
     std::string spec;
     std::string saved;
@@ -89,63 +83,59 @@
 class soak_judge
 {
 public:
-    // @param subject text that lines about the same thing contain
+    // @param subject text that the events around have in common
     using report_function = std::function<void(const std::string &rule, const std::string &what,
                                                const std::string &subject)>;
 
     explicit soak_judge(report_function report);
 
-    soak_job &addJob(soak_job job);
-    // Returns nothing for a job that no caller sent.
-    soak_job *findJob(const std::string &id);
+    soak_job &addJob(const soak_job &job) { return m_jobs[job.id] = job; }
     std::map<std::string, soak_job> &jobs() { return m_jobs; }
-    std::size_t starts() const { return m_starts; }
+    std::size_t starts() const { return m_runs.size(); }
+    // Returns the job and the step of a task, or nulls if no caller sent it.
+    std::pair<soak_job *, const soak_step *> find(const std::string &task);
 
     // @param status 0 if the caller got no response
     void onSubmitAnswered(soak_job &job, int status, time_point now);
     void onCancelAnswered(soak_job &job, int status, time_point now);
-    // @param isInTouch of the front, since the question was sent and for some time before
+    // @param isInTouch of the front, from the question to the answer
     void onShown(soak_job &job, int status, const std::string &state, bool isInTouch,
                  time_point askedAt);
-
     soak_run &onStart(const soak_start &order, time_point now);
     // Reports a start that brings a server over the capacity that it has announced.
-    void onLoad(const std::string &server, const std::string &task, const resources &used,
-                const resources &capacity);
+    void onLoad(const soak_start &order, const resources &used, const resources &capacity);
     void onEnd(soak_run &run, const std::string &how, time_point now);
     // @param hasLapsed the server's lease lapsed between the end and this moment
     void onNoted(soak_run &run, bool hasLapsed);
-    void onProcessEnded(const std::string &name, int status);
-    // Reports the accepted jobs that have no final state, and the runs of cancelled jobs.
-    // @return whether there are none
+    // Returns whether all accepted jobs have a final state and no run of a cancelled job works.
+    // Reports the others if `mayReport`.
     bool checkAllOver(bool mayReport);
 
 private:
     // A gang as a whole, or one task.
     struct unit
     {
-        std::set<std::int32_t> failedRuns; // whose ends were taken note of
-        std::set<std::int32_t> allFailedRuns;
-        std::optional<time_point> doneAt; // first end `done`
+        std::set<std::int32_t> failedRuns;
+        std::set<std::int32_t> notedFailedRuns;
+        bool isDone = false;
         bool isDoneNoted = false;
     };
 
-    unit &unitOf(const soak_run &run);
-    std::string unitName(const soak_job &job, std::size_t step, const std::string &task) const;
-    bool isStepDone(const soak_job &job, std::size_t step) const;
+    unit &unitOf(const std::string &task);
+    bool isStepDone(const soak_job &job, std::size_t step);
     bool hasFailedUnit(const soak_job &job) const;
-    void checkOrder(const soak_job &job, const soak_start &order, std::size_t step);
     void checkRequest(const soak_job &job, const soak_start &order, time_point now);
-    void checkTwice(const soak_start &order, const soak_run &run);
+    void checkOrder(const soak_job &job, const soak_step &step, const soak_start &order);
+    void checkTwice(const soak_start &order);
 
     report_function m_report;
     std::map<std::string, soak_job> m_jobs;
     std::list<soak_run> m_runs;
     std::map<std::string, std::vector<soak_run *>> m_runsOf; // by task
     std::map<std::string, unit> m_units;
-    std::size_t m_starts = 0;
 };
 
-constexpr int soakMaxAttempts = 4; // max_attempts of all queues
+// Returns the name of what ends as one: the step of a gang's member, or the task.
+std::string soakUnitName(const std::string &task, bool isGang);
 
 } // namespace goldcrest
--- a/testing/soak_network_support.cc
+++ b/testing/soak_network_support.cc
@@ -1,11 +1,11 @@
 #include "testing/soak_network_support.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <chrono>
 #include <cstdlib>
 #include <fcntl.h>
-#include <sstream>
 #include <utility>
 
 namespace goldcrest {
@@ -14,178 +14,154 @@
 
 using asio::ip::tcp;
 
-constexpr duration holdInterval = 5ms; // between two looks at whether held bytes may pass
+constexpr std::int64_t holdIntervalUs = 5000; // between two looks at whether held bytes may pass
 
-void closeOnExec(int descriptor)
+tcp::endpoint loopback(int port)
 {
-    ::fcntl(descriptor, F_SETFD, FD_CLOEXEC);
+    return {asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)};
 }
 
 void prepare(tcp::socket &socket)
 {
     asio::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    closeOnExec(socket.native_handle());
+    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
 }
 
-// Returns the headers of a request, with names in lower case.
-std::vector<std::pair<std::string, std::string>> headersOf(const std::string &header)
+// Returns the value of a header, or nothing. `name` is in lower case.
+std::string headerOf(const std::string &head, const std::string &name)
 {
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::istringstream lines(header);
-    std::string line;
-    std::getline(lines, line); // the request line
-    while (std::getline(lines, line)) {
-        const std::size_t colon = line.find(':');
-        if (colon == std::string::npos)
-            continue;
-        std::string name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        const std::size_t first = line.find_first_not_of(' ', colon + 1);
-        const std::size_t last = line.find_last_not_of(" \r");
-        headers.emplace_back(std::move(name),
-                             first > last ? std::string() : line.substr(first, last - first + 1));
-    }
-    return headers;
+    std::string lower = head;
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    const std::string start = "\r\n" + name + ": ";
+    const std::size_t at = lower.find(start);
+    if (at == std::string::npos)
+        return "";
+    const std::size_t first = at + start.size();
+    return head.substr(first, head.find('\r', first) - first);
 }
 
 } // namespace
 
-void afterMicroseconds(asio_event_loop &loop, std::int64_t microseconds, std::function<void()> task)
+void afterMicroseconds(asio_event_loop &loop, std::int64_t time, std::function<void()> task)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(
-        loop.context(), std::chrono::microseconds(microseconds));
+    const auto timer
+        = std::make_shared<asio::steady_timer>(loop.context(), std::chrono::microseconds(time));
     timer->async_wait([timer, task = std::move(task)](const asio::error_code &error) {
         if (!error)
             task();
     });
 }
 
-// ---- soak_http_server ----------------------------------------------------------------------
+soak_listener::soak_listener(asio_event_loop &loop, int port, accepted_function onAccepted)
+    : m_acceptor(loop.context(), loopback(port))
+    , m_onAccepted(std::move(onAccepted))
+{
+    ::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    accept();
+}
+
+void soak_listener::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket accepted) {
+        if (error)
+            return;
+        prepare(accepted);
+        m_onAccepted(std::move(accepted));
+        accept();
+    });
+}
 
 struct soak_http_server::connection : std::enable_shared_from_this<connection>
 {
-    connection(tcp::socket accepted, std::weak_ptr<handler_function> requestHandler)
+    connection(tcp::socket accepted, const handler_function &requestHandler)
         : socket(std::move(accepted))
-        , handler(std::move(requestHandler))
+        , handler(requestHandler)
     { }
 
-    void readHeader()
+    void readHead()
     {
-        asio::async_read_until(
-            socket, buffer, "\r\n\r\n",
-            [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
-                if (!error)
-                    self->onHeader(size);
-            });
+        asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                               [self = shared_from_this()](asio::error_code error, std::size_t n) {
+                                   if (!error)
+                                       self->readBody(n);
+                               });
     }
 
-    void onHeader(std::size_t size)
+    void readBody(std::size_t headSize)
     {
-        std::string header(size, '\0');
-        buffer.sgetn(header.data(), static_cast<std::streamsize>(size));
-        const std::size_t methodEnd = header.find(' ');
-        const std::size_t targetEnd = header.find(' ', methodEnd + 1);
-        if (targetEnd == std::string::npos)
-            return;
-        request = http_request{};
-        request.method = header.substr(0, methodEnd);
-        request.url = header.substr(methodEnd + 1, targetEnd - methodEnd - 1);
-        request.headers = headersOf(header);
-        std::size_t length = 0;
-        for (const auto &[name, value] : request.headers) {
-            if (name == "content-length")
-                length = std::strtoul(value.c_str(), nullptr, 10);
-        }
-        const std::size_t missing = length > buffer.size() ? length - buffer.size() : 0;
+        const std::string head = received.substr(0, headSize);
+        received.erase(0, headSize);
+        const std::size_t end = head.find(' ');
+        soak_request request;
+        request.method = head.substr(0, end);
+        request.target = head.substr(end + 1, head.find(' ', end + 1) - end - 1);
+        request.instance = headerOf(head, "expected-instance");
+        const std::size_t size
+            = std::strtoul(headerOf(head, "content-length").c_str(), nullptr, 10);
         asio::async_read(
-            socket, buffer, asio::transfer_exactly(missing),
-            [self = shared_from_this(), length](const asio::error_code &error, std::size_t) {
+            socket, asio::dynamic_buffer(received),
+            asio::transfer_exactly(size - std::min(size, received.size())),
+            [self = shared_from_this(), request, size](asio::error_code error, std::size_t) {
                 if (!error)
-                    self->onBody(length);
+                    self->handle(request, size);
             });
     }
 
-    void onBody(std::size_t length)
+    void handle(soak_request request, std::size_t bodySize)
     {
-        request.body.assign(length, '\0');
-        buffer.sgetn(request.body.data(), static_cast<std::streamsize>(length));
-        const std::shared_ptr<handler_function> handle = handler.lock();
-        if (!handle)
-            return;
-        (*handle)(request, [self = shared_from_this()](int status, const std::string &body) {
-            self->respond(status, body);
-        });
+        request.body = received.substr(0, bodySize);
+        received.erase(0, bodySize);
+        if (socket.is_open())
+            handler(request, [self = shared_from_this()](int status, const std::string &body) {
+                self->respond(status, body);
+            });
     }
 
     void respond(int status, const std::string &body)
     {
-        if (status == 0)
-            return close();
+        asio::error_code ignored;
+        if (status == 0) {
+            socket.close(ignored);
+            return;
+        }
         response = "HTTP/1.1 " + std::to_string(status)
             + " Status\r\nContent-Type: application/json\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
         asio::async_write(socket, asio::buffer(response),
-                          [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                          [self = shared_from_this()](asio::error_code error, std::size_t) {
                               if (!error)
-                                  self->readHeader();
+                                  self->readHead();
                           });
     }
 
-    void close()
-    {
-        asio::error_code ignored;
-        socket.close(ignored);
-    }
-
     tcp::socket socket;
-    std::weak_ptr<handler_function> handler;
-    asio::streambuf buffer;
-    http_request request;
+    handler_function handler;
+    std::string received;
     std::string response;
 };
 
 soak_http_server::soak_http_server(asio_event_loop &loop, int port, handler_function handler)
-    : m_acceptor(loop.context(),
-                 {asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)})
-    , m_handler(std::make_shared<handler_function>(std::move(handler)))
-{
-    closeOnExec(m_acceptor.native_handle());
-    accept();
-}
+    : m_handler(std::move(handler))
+    , m_listener(loop, port, [this](tcp::socket accepted) {
+        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
+                                           [](const auto &opened) { return opened.expired(); }),
+                            m_connections.end());
+        const auto opened = std::make_shared<connection>(std::move(accepted), m_handler);
+        m_connections.push_back(opened);
+        opened->readHead();
+    })
+{ }
 
 soak_http_server::~soak_http_server()
 {
     for (const std::weak_ptr<connection> &opened : m_connections) {
         if (const std::shared_ptr<connection> open = opened.lock())
-            open->close();
+            open->respond(0, {});
     }
 }
 
-int soak_http_server::port() const
-{
-    return m_acceptor.local_endpoint().port();
-}
-
-void soak_http_server::accept()
-{
-    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket accepted) {
-        if (error)
-            return;
-        prepare(accepted);
-        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
-                                           [](const auto &opened) { return opened.expired(); }),
-                            m_connections.end());
-        const auto opened = std::make_shared<connection>(std::move(accepted), m_handler);
-        m_connections.push_back(opened);
-        opened->readHeader();
-        accept();
-    });
-}
-
-// ---- soak_proxy ----------------------------------------------------------------------------
-
 struct soak_proxy::fault_state
 {
     duration delayBy{};
@@ -198,32 +174,30 @@
 {
     link(asio_event_loop &eventLoop, tcp::socket accepted, std::shared_ptr<fault_state> injected)
         : loop(eventLoop)
-        , sides{std::move(accepted), tcp::socket(eventLoop.context())}
+        , sides{std::move(accepted), tcp::socket(eventLoop.context(), tcp::v4())}
         , faults(std::move(injected))
-    { }
+    {
+        prepare(sides[1]);
+    }
 
     void connect(int port)
     {
-        sides[1].open(tcp::v4());
-        prepare(sides[1]);
-        sides[1].async_connect(
-            {asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)},
-            [self = shared_from_this()](const asio::error_code &error) {
-                if (error)
-                    return self->close(true);
-                self->read(0);
-                self->read(1);
-            });
+        sides[1].async_connect(loopback(port), [self = shared_from_this()](asio::error_code error) {
+            if (error)
+                return self->close(true);
+            self->read(0);
+            self->read(1);
+        });
     }
 
     void read(std::size_t from)
     {
         sides[from].async_read_some(
             asio::buffer(buffers[from]),
-            [self = shared_from_this(), from](const asio::error_code &error, std::size_t size) {
-                const bool isDelayed = self->loop.now() < self->faults->delayUntil;
-                self->pass(from, error ? 0 : size,
-                           self->loop.now() + (isDelayed ? self->faults->delayBy : 0ms));
+            [self = shared_from_this(), from](asio::error_code error, std::size_t size) {
+                const time_point now = self->loop.now();
+                const bool isDelayed = now < self->faults->delayUntil;
+                self->pass(from, error ? 0 : size, now + (isDelayed ? self->faults->delayBy : 0ms));
             });
     }
 
@@ -232,20 +206,18 @@
     {
         if (isSilent || isClosed)
             return;
-        if (loop.now() < std::max(due, faults->cutUntil[from])) {
+        if (loop.now() < std::max(due, faults->cutUntil[from]))
             return afterMicroseconds(
-                loop, std::chrono::microseconds(holdInterval).count(),
+                loop, holdIntervalUs,
                 [self = shared_from_this(), from, size, due] { self->pass(from, size, due); });
-        }
         if (size == 0)
             return close(false);
-        asio::async_write(
-            sides[1 - from], asio::buffer(buffers[from], size),
-            [self = shared_from_this(), from](const asio::error_code &error, std::size_t) {
-                if (error)
-                    return self->close(true);
-                self->read(from);
-            });
+        asio::async_write(sides[1 - from], asio::buffer(buffers[from], size),
+                          [self = shared_from_this(), from](asio::error_code error, std::size_t) {
+                              if (error)
+                                  return self->close(true);
+                              self->read(from);
+                          });
     }
 
     void close(bool withReset)
@@ -269,46 +241,32 @@
 
 soak_proxy::soak_proxy(asio_event_loop &loop, std::function<int()> target)
     : m_loop(loop)
-    , m_target(std::move(target))
-    , m_acceptor(loop.context(), {asio::ip::address_v4::loopback(), 0})
     , m_faults(std::make_shared<fault_state>())
-{
-    closeOnExec(m_acceptor.native_handle());
-    accept();
-}
-
-soak_proxy::~soak_proxy()
-{
-    reset();
-}
-
-int soak_proxy::port() const
-{
-    return m_acceptor.local_endpoint().port();
-}
-
-void soak_proxy::delay(duration by, duration time)
-{
-    m_faults->delayBy = by;
-    m_faults->delayUntil = m_loop.now() + time;
-}
-
-void soak_proxy::cut(direction way, duration time)
-{
-    time_point &until = m_faults->cutUntil[way == direction::ToTarget ? 0 : 1];
-    until = std::max(until, m_loop.now() + time);
-}
-
-void soak_proxy::reset()
-{
-    for (const std::shared_ptr<link> &open : std::exchange(m_links, {}))
-        open->close(true);
-}
+    , m_listener(loop, 0, [this, target = std::move(target)](tcp::socket accepted) {
+        m_links.erase(std::remove_if(m_links.begin(), m_links.end(),
+                                     [](const auto &open) { return open->isClosed; }),
+                      m_links.end());
+        m_links.push_back(std::make_shared<link>(m_loop, std::move(accepted), m_faults));
+        m_links.back()->connect(target());
+    })
+{ }
 
-void soak_proxy::silence()
+void soak_proxy::inject(link_fault kind, duration time, duration delay)
 {
-    for (const std::shared_ptr<link> &open : m_links)
-        open->isSilent = true;
+    const time_point until = m_loop.now() + time;
+    if (kind == link_fault::Delay) {
+        m_faults->delayBy = delay;
+        m_faults->delayUntil = until;
+    }
+    if (kind == link_fault::CutToTarget || kind == link_fault::Cut)
+        m_faults->cutUntil[0] = std::max(m_faults->cutUntil[0], until);
+    if (kind == link_fault::CutToClient || kind == link_fault::Cut)
+        m_faults->cutUntil[1] = std::max(m_faults->cutUntil[1], until);
+    for (const std::shared_ptr<link> &open : m_links) {
+        open->isSilent = open->isSilent || kind == link_fault::Silence;
+        if (kind == link_fault::Reset)
+            open->close(true);
+    }
 }
 
 void soak_proxy::heal()
@@ -316,20 +274,4 @@
     *m_faults = fault_state{};
 }
 
-void soak_proxy::accept()
-{
-    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket accepted) {
-        if (error)
-            return;
-        prepare(accepted);
-        m_links.erase(std::remove_if(m_links.begin(), m_links.end(),
-                                     [](const auto &open) { return open->isClosed; }),
-                      m_links.end());
-        const auto opened = std::make_shared<link>(m_loop, std::move(accepted), m_faults);
-        m_links.push_back(opened);
-        opened->connect(m_target());
-        accept();
-    });
-}
-
 } // namespace goldcrest
--- a/testing/soak_network_support.h
+++ b/testing/soak_network_support.h
@@ -2,18 +2,14 @@
 
 // Network parts of the soak: a small HTTP/1.1 server for its stand-ins and a TCP proxy with faults.
 //
-//   soak_http_server store(loop, 0, [](const http_request &request, auto respond) {
-//       respond(200, "{}");
-//   });
-//   soak_proxy proxy(loop, [&] { return store.port(); });
-//   proxy.cut(soak_proxy::direction::ToTarget, 2s);
+//   soak_http_server store(loop, 0, [](const soak_request &, auto respond) { respond(200, "{}");
+//   }); soak_proxy proxy(loop, [&] { return store.port(); });
+//   proxy.inject(link_fault::CutToTarget, 2s);
 //
 // All listen on the loopback interface. Processes that are started later don't inherit the sockets.
 
 #include "goldcrest/asio_event_loop.h"
-#include "goldcrest/http_client.h"
 
-#include <array>
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
@@ -52,8 +48,32 @@
 };
 
 // Runs `task` once after a time in microseconds. It can't be cancelled.
-void afterMicroseconds(asio_event_loop &loop, std::int64_t microseconds,
-                       std::function<void()> task);
+void afterMicroseconds(asio_event_loop &loop, std::int64_t time, std::function<void()> task);
+
+// Accepts connections at a port of the loopback interface; 0 takes a free one.
+class soak_listener
+{
+public:
+    using accepted_function = std::function<void(asio::ip::tcp::socket accepted)>;
+
+    // Throws asio::system_error if the port is in use.
+    soak_listener(asio_event_loop &loop, int port, accepted_function onAccepted);
+    int port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    accepted_function m_onAccepted;
+};
+
+struct soak_request
+{
+    std::string method;
+    std::string target; // path and query, as sent
+    std::string instance; // Expected-Instance
+    std::string body;
+};
 
 class soak_http_server
 {
@@ -61,65 +81,47 @@
     // Sends the response, now or later. Status 0 closes the connection instead. A request without
     // a response leaves its connection open and silent.
     using respond_function = std::function<void(int status, const std::string &body)>;
-    // `url` of the request is its target, as sent; the names of its headers are in lower case.
     using handler_function
-        = std::function<void(const http_request &request, const respond_function &respond)>;
+        = std::function<void(const soak_request &request, const respond_function &respond)>;
 
-    // @param port 0 for a free one
-    // Throws asio::system_error if the port is in use.
     soak_http_server(asio_event_loop &loop, int port, handler_function handler);
     // Closes all connections at once, as a crash does.
     ~soak_http_server();
-    soak_http_server(const soak_http_server &) = delete;
-    soak_http_server &operator=(const soak_http_server &) = delete;
-
-    int port() const;
+    int port() const { return m_listener.port(); }
 
 private:
     struct connection;
 
-    void accept();
-
-    asio::ip::tcp::acceptor m_acceptor;
-    std::shared_ptr<handler_function> m_handler;
+    handler_function m_handler;
     std::vector<std::weak_ptr<connection>> m_connections;
+    soak_listener m_listener;
 };
 
+// Faults of the open connections of a proxy; all but Reset and Silence also hit new ones. Bytes and
+// the end of a connection that are held up by a cut arrive when it ends.
+enum class link_fault { Delay, Reset, Silence, CutToTarget, CutToClient, Cut };
+
 class soak_proxy
 {
 public:
-    enum class direction { ToTarget, ToClient };
-
     // @param target returns the port to which a new connection is forwarded
     soak_proxy(asio_event_loop &loop, std::function<int()> target);
-    ~soak_proxy();
-    soak_proxy(const soak_proxy &) = delete;
-    soak_proxy &operator=(const soak_proxy &) = delete;
-
-    int port() const;
-
-    // Delays all bytes, in both directions.
-    void delay(duration by, duration time);
-    // Holds all bytes of one direction, and the end of a connection, until the time has passed.
-    void cut(direction way, duration time);
-    // Resets the open connections.
-    void reset();
-    // Open connections stay open and pass nothing more. New ones work.
-    void silence();
-    // Ends the effects of delay() and cut().
+    ~soak_proxy() { inject(link_fault::Reset, 0ms); }
+    int port() const { return m_listener.port(); }
+
+    // @param time until a delay or a cut ends by itself
+    void inject(link_fault kind, duration time, duration delay = 0ms);
+    // Ends delays and cuts.
     void heal();
 
 private:
     struct link;
     struct fault_state;
 
-    void accept();
-
     asio_event_loop &m_loop;
-    std::function<int()> m_target;
-    asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<fault_state> m_faults;
     std::vector<std::shared_ptr<link>> m_links;
+    soak_listener m_listener;
 };
 
 } // namespace goldcrest
