--- a/testing/soak_scene_support.cc
+++ b/testing/soak_scene_support.cc
@@ -302,7 +302,7 @@
         node.storeProxy
             = std::make_unique<soak_proxy>(m_loop, [&node] { return node.store->port(); });
         json settings = {{"name", name},
-                         {"failureDomain", port / portsPerNode % 2 == 0 ? "north" : "south"},
+                         {"failureDomain", m_nodes.size() % 2 == 0 ? "north" : "south"},
                          {"storeAddress", addressOf(node.storeProxy->port())}};
         const std::vector<const char *> listening = isFront
             ? std::vector{"frontListen", "readyListen", "metricsListen"}
