--- a/testing/soak_backend_support.cc
+++ b/testing/soak_backend_support.cc
@@ -105,16 +105,14 @@
             return;
         case server_fault::Suspend:
             m_suspendedAt = now();
-            inThisLife(time, [this] {
-                m_stoodStill += now() - *m_suspendedAt;
-                m_suspendedAt.reset();
-            });
+            inThisLife(time, [this] { resume(); });
         }
     }
 
     void settle() override
     {
         m_isSettled = true;
+        resume();
         m_callsLateUntil = m_checkInsLateUntil = m_hangsUntil = {};
         m_capacity = m_options.capacity;
     }
@@ -213,6 +211,13 @@
         });
     }
 
+    void resume()
+    {
+        if (m_suspendedAt)
+            m_stoodStill += now() - *m_suspendedAt;
+        m_suspendedAt.reset();
+    }
+
     void crash(duration away, bool withSameId)
     {
         ++m_life;
