Allow SIGTERM to end a process of the soak that has just started

In the first 2 s of a process this status counts as the termination that was asked for; any other status, and any later one, is reported as before.

--- a/testing/soak_scene_support.cc
+++ b/testing/soak_scene_support.cc
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -27,6 +28,7 @@
 constexpr int portsPerNode = 4;
 constexpr duration contactTime = 3s; // contact_ms
 constexpr duration graceTime = 6s; // grace_s
+constexpr duration startupLimit = 2s; // of a process, also with sanitizers on a busy machine
 constexpr duration callerPatience = 3s;
 constexpr duration endBound = 60s; // for all accepted jobs, from the end of the last fault
 constexpr duration longestLag = 300ms; // of this process's loop
@@ -55,6 +57,7 @@
     int port = 0;
     process_phase phase = process_phase::Down;
     time_point phaseUntil{};
+    time_point startedAt{};
     time_point disturbedUntil{};
     store_fault_state storeFault;
     std::unique_ptr<soak_http_server> store;
@@ -319,6 +322,7 @@
     {
         note("{}: process starts", node.name);
         node.phase = process_phase::Running;
+        node.startedAt = now();
         disturb(node, 0ms);
         m_processes.start(node.name,
                           {binary(node.isFront ? "goldcrest-front" : "goldcrest-sidecar"),
@@ -344,7 +348,9 @@
                 startProcess(node);
         } else if (!m_processes.isRunning(node.name)) {
             const int status = m_processes.waitForExit(node.name, 0ms).value_or(-1);
-            if (node.phase != process_phase::Stopping || status != 0)
+            // SIGTERM ends a process that has not begun to handle it yet.
+            const bool isTooEarly = status == -SIGTERM && now() - node.startedAt < startupLimit;
+            if (node.phase != process_phase::Stopping || (status != 0 && !isTooEarly))
                 report("FAULT", fmt::format("{} ended by itself, status {}", node.name, status),
                        node.name);
             enter(node, process_phase::Down, m_faultChoices.time(300ms, 3000ms));
