--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -266,7 +266,7 @@
     LONGS_EQUAL(0, failing);
 }
 
-// The latitudes of the calls and lists together.
+// Guards against the same (TWICE, LIMIT) on hosts that also hide stopping runs and change capacity.
 TEST(graph_model, reorderedCallsWithHiddenRunsBreakNoPromise)
 {
     graph_model_options options;
@@ -281,7 +281,7 @@
     LONGS_EQUAL(0, failing);
 }
 
-// The latitudes of the calls and the lists together with restarts that no call shows.
+// Guards against the same on hosts that also hide stopping runs and restart without a failed call.
 TEST(graph_model, reorderedCallsWithSilentRestartsBreakNoPromise)
 {
     graph_model_options options;
@@ -296,7 +296,7 @@
     LONGS_EQUAL(0, failing);
 }
 
-// The same with notices and check-ins of other writers, and lost history.
+// Guards against the same beside notices and announcements of other writers, and lost history.
 TEST(graph_model, reorderedCallsWithForeignNoticesBreakNoPromise)
 {
     graph_model_options options;
--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -1,7 +1,7 @@
 // Randomized runs of the real sidecars and fronts under faults, judged by what callers and backend
 // servers see. GOLDCREST_SOAK_FIRST, GOLDCREST_SOAK_SEEDS, GOLDCREST_SOAK_SECONDS and
 // GOLDCREST_SOAK_SIDECARS choose other seeds, another length of each and another size;
-// GOLDCREST_SOAK_SUSPEND=1 adds suspended machines, which are known to break TWICE.
+// GOLDCREST_SOAK_SUSPEND=1 adds suspended machines.
 
 #include "testing/soak_judge_support.h"
 #include "testing/soak_scene_support.h"
