--- a/testing/soak_backend_support.h
+++ b/testing/soak_backend_support.h
@@ -1,12 +1,13 @@
 #pragma once
 
-// Backend server of the soak. It takes the latitudes that PROTOCOL.md of the users' pages gives to
-// backend servers, by random choices and on request.
+// Backend server of the soak. By random choices and on request, it does whatever PROTOCOL.md of the
+// users' pages allows a backend server to do.
 //
 //   soak_surroundings around{loop, client, judge, random};
-//   auto server = makeSoakBackend(around, {"side-1", "north", {6000, 8192, 2}, {"a", "r1"},
-//   20001}); server->begin(false); server->hang(3s); server->settle();         // from now on a
-//   sound server
+//   auto server = makeSoakBackend(around, options);
+//   server->begin(false);
+//   server->hang(3s);
+//   server->settle(); // from now on a sound server
 
 #include "goldcrest/http_client.h"
 #include "testing/soak_judge_support.h"
--- a/testing/soak_network_support.h
+++ b/testing/soak_network_support.h
@@ -2,8 +2,8 @@
 
 // Network parts of the soak: a small HTTP/1.1 server for its stand-ins and a TCP proxy with faults.
 //
-//   soak_http_server store(loop, 0, [](const soak_request &, auto respond) { respond(200, "{}");
-//   }); soak_proxy proxy(loop, [&] { return store.port(); });
+//   soak_http_server store(loop, 0, handleRequest);
+//   soak_proxy proxy(loop, [&] { return store.port(); });
 //   proxy.inject(link_fault::CutToTarget, 2s);
 //
 // All listen on the loopback interface. Processes that are started later don't inherit the sockets.
--- a/testing/soak_scene_support.h
+++ b/testing/soak_scene_support.h
@@ -27,7 +27,7 @@
     int fronts = 2;
     duration length = 20s; // of the traffic and the faults
     bool hasOutsideFaults = true; // of processes, links and the store
-    bool hasSuspensions = false; // of machines, known to break TWICE (issue 35)
+    bool hasSuspensions = false; // of machines
 };
 
 struct soak_result
