Don't use a destroyed listener of the soak

The soak's own program ended once with a segmentation fault, 3 s after its start, at a load of 17. When two connections wait, the second one is accepted while the first is handled, and its handler is queued; a backend server that crashes in between destroys the listener that the handler uses.

The handler checks that the listener still exists. listenerMayBeDestroyedWhileConnectionsWait ends with a heap-use-after-free under the address sanitizer without the change, and passes with it.

--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -4,6 +4,7 @@
 // GOLDCREST_SOAK_SUSPEND=1 adds suspended machines.
 
 #include "testing/soak_judge_support.h"
+#include "testing/soak_network_support.h"
 #include "testing/soak_scene_support.h"
 
 #include <cstdio>
@@ -199,3 +200,27 @@
     judge.onLoad(orderOf(1), {1000, 100, 2}, {1000, 100, 1});
     expect({"LIMIT"});
 }
+
+TEST_GROUP(soak_network){};
+
+// Guards against a crash of the soak itself on a busy machine, where several connections wait: a
+// listener that is destroyed between two of them was used by the second one.
+TEST(soak_network, listenerMayBeDestroyedWhileConnectionsWait)
+{
+    asio_event_loop loop;
+    int accepted = 0;
+    auto listener = std::make_unique<soak_listener>(
+        loop, 0, [&accepted](const asio::ip::tcp::socket &) { ++accepted; });
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                          static_cast<std::uint16_t>(listener->port()));
+    asio::io_context clientContext;
+    asio::ip::tcp::socket first(clientContext);
+    asio::ip::tcp::socket second(clientContext);
+    first.connect(address);
+    second.connect(address);
+    while (accepted == 0)
+        loop.context().run_one();
+    listener.reset();
+    loop.context().poll();
+    LONGS_EQUAL(1, accepted);
+}
--- a/testing/soak_network_support.cc
+++ b/testing/soak_network_support.cc
@@ -64,8 +64,9 @@
 
 void soak_listener::accept()
 {
-    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket accepted) {
-        if (error)
+    m_acceptor.async_accept([this, lifetime = std::weak_ptr(m_lifetime)](
+                                const asio::error_code &error, tcp::socket accepted) {
+        if (error || lifetime.expired())
             return;
         prepare(accepted);
         m_onAccepted(std::move(accepted));
--- a/testing/soak_network_support.h
+++ b/testing/soak_network_support.h
@@ -65,6 +65,8 @@
 
     asio::ip::tcp::acceptor m_acceptor;
     accepted_function m_onAccepted;
+    // Expires with the listener, of which an accepted connection may still be queued.
+    std::shared_ptr<char> m_lifetime = std::make_shared<char>();
 };
 
 struct soak_request
