--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -257,10 +257,24 @@
     return error == CURLE_OPERATION_TIMEDOUT && sentAt == 0;
 }
 
+// Returns what was done before an exchange failed. The error alone is that of the last connection.
+std::string effortOf(CURL *handle)
+{
+    if (!handle)
+        return {};
+    long sentBytes = 0;
+    long connections = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
+    return " (bytes sent: " + std::to_string(sentBytes)
+        + ", new connections: " + std::to_string(connections) + ")";
+}
+
 failure failureFrom(const exchange &ended, CURLcode error)
 {
     const std::string text
-        = ended.isTooLarge ? "the response is larger than the limit" : curl_easy_strerror(error);
+        = (ended.isTooLarge ? "the response is larger than the limit" : curl_easy_strerror(error))
+        + effortOf(ended.handle);
     if (ended.handle && !wasNeverSent(ended.handle, error))
         return makeFailure(code::StoreAmbiguous, "the request failed: " + text);
     return makeFailure(code::StoreUnavailable, "could not connect: " + text);
--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -465,6 +465,12 @@
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reasonPhrase(status)};
 }
 
+std::string pathOf(const restinio::request_t &request)
+{
+    const restinio::string_view_t path = request.header().path();
+    return {path.data(), path.size()};
+}
+
 class restinio_responder final : public responder
 {
 public:
@@ -483,10 +489,16 @@
 
     ~restinio_responder() override
     {
-        if (m_chunks)
+        if (m_chunks) {
             endChunks();
-        else
+        } else if (m_request) {
+            log_line(log_level::Warning, "request dropped without an answer")
+                .field("method", m_request->header().method().c_str())
+                .field("path", pathOf(*m_request))
+                .limit("dropped")
+                .write();
             respond(errorResponse(makeFailure(code::Internal, "the request was not answered")));
+        }
     }
 
     restinio_responder(const restinio_responder &) = delete;
@@ -601,8 +613,7 @@
 {
     server_request converted;
     converted.method = request.header().method().c_str();
-    const restinio::string_view_t path = request.header().path();
-    converted.path.assign(path.data(), path.size());
+    converted.path = pathOf(request);
     request.header().for_each_field([&](const restinio::http_header_field_t &field) {
         converted.headers.emplace_back(lowerCase(field.name()), field.value());
     });
--- a/goldcrest/log_fields.cc
+++ b/goldcrest/log_fields.cc
@@ -76,12 +76,12 @@
 }
 
 // Asks the rate limiter of the process. See log_limiter::admit().
-bool admitLine(std::string_view key, std::uint64_t &suppressed)
+bool admitLine(std::string_view key, std::int32_t lines, std::uint64_t &suppressed)
 {
     static std::mutex guard;
     static log_limiter limiter;
     const std::lock_guard<std::mutex> lock(guard);
-    return limiter.admit(key, boot_clock().now(), suppressed);
+    return limiter.admit(key, boot_clock().now(), suppressed, lines);
 }
 
 } // namespace
@@ -101,14 +101,15 @@
     return m_keys.try_emplace(std::string(used), key_state{now, 0, 0}).first->second;
 }
 
-bool log_limiter::admit(std::string_view key, time_point now, std::uint64_t &suppressed)
+bool log_limiter::admit(std::string_view key, time_point now, std::uint64_t &suppressed,
+                        std::int32_t lines)
 {
     key_state &state = find(key, now);
     if (now - state.start >= interval) {
         state.start = now;
         state.written = 0;
     }
-    if (state.written >= linesPerInterval) {
+    if (state.written >= lines) {
         ++state.suppressed;
         return false;
     }
@@ -173,9 +174,10 @@
     return field(name, std::string_view(std::to_string(value)));
 }
 
-log_line &log_line::limit(std::string_view key)
+log_line &log_line::limit(std::string_view key, std::int32_t lines)
 {
     m_limited = true;
+    m_limitLines = lines;
     m_limitKey = m_event;
     m_limitKey += '/';
     m_limitKey += key;
@@ -207,7 +209,7 @@
     if (static_cast<int>(severityOf(m_level)) < FLAGS_minloglevel)
         return;
     std::uint64_t suppressed = 0;
-    if (m_limited && !admitLine(m_limitKey, suppressed))
+    if (m_limited && !admitLine(m_limitKey, m_limitLines, suppressed))
         return;
     if (suppressed > 0)
         field("suppressed", static_cast<std::int64_t>(suppressed));
--- a/goldcrest/log_fields.h
+++ b/goldcrest/log_fields.h
@@ -36,7 +36,9 @@
     // Returns whether a line may be written now.
     // @param suppressed set to the number of lines not admitted since the last admitted one;
     // unchanged if this line is not admitted
-    bool admit(std::string_view key, time_point now, std::uint64_t &suppressed);
+    // @param lines how many lines of this key one interval admits
+    bool admit(std::string_view key, time_point now, std::uint64_t &suppressed,
+               std::int32_t lines = linesPerInterval);
 
 private:
     struct key_state
@@ -68,7 +70,8 @@
 
     // Rate-limits lines of this event with the same key, for faults that may repeat quickly. The
     // next line that is written has the number of suppressed lines in the field `suppressed`.
-    log_line &limit(std::string_view key);
+    // @param lines how many lines of this event and key are written per log_limiter::interval
+    log_line &limit(std::string_view key, std::int32_t lines = log_limiter::linesPerInterval);
 
     // Returns the fields of the line, without the prefix that glog adds.
     std::string text() const;
@@ -92,6 +95,7 @@
     std::string m_otherFields;
     std::string m_limitKey;
     bool m_limited = false;
+    std::int32_t m_limitLines = 0;
 };
 
 // Starts glog. Logs go to files in `directory`, or to standard output if it is empty.
--- a/goldcrest/store_client.cc
+++ b/goldcrest/store_client.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/store_client.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <deque>
@@ -225,6 +227,7 @@
         if (isAmbiguous && m_proof && !m_wasReadBack)
             return readBack(options);
         m_wasReadBack = false;
+        ++m_attempts;
         m_inner.commit(m_transaction, options,
                        [this, self = shared_from_this()](result<commit_reply> outcome) {
                            const std::shared_ptr<state> owner = m_owner.lock();
@@ -240,10 +243,15 @@
     // not take effect".
     void fail(const failure &error) override
     {
+        failure reported = error;
+        if (!m_firstError.empty())
+            reported.reason
+                += fmt::format(" ({} attempts to write, {} without an answer; the first: {})",
+                               m_attempts, m_unanswered, m_firstError);
         if (!isAmbiguous)
-            return finish(error);
+            return finish(reported);
         countUnresolved();
-        finish(makeFailure(code::StoreAmbiguous, error.reason));
+        finish(makeFailure(code::StoreAmbiguous, reported.reason));
     }
 
 private:
@@ -252,6 +260,9 @@
         if (const failure *error = failureOf(outcome)) {
             if (!isTransient(error->number))
                 return fail(*error);
+            m_unanswered += error->number == code::StoreAmbiguous ? 1 : 0;
+            if (m_attempts == 1)
+                m_firstError = error->reason;
             isAmbiguous = isAmbiguous || error->number == code::StoreAmbiguous;
             lastError = *error;
             if (isAmbiguous && !m_proof && !m_isGuarded)
@@ -328,6 +339,9 @@
     bool m_isGuarded;
     const store_transaction::write *m_proof;
     bool m_wasReadBack = false; // the next attempt may send the transaction again
+    int m_attempts = 0; // to write, without reads
+    int m_unanswered = 0; // of these, with an unknown outcome
+    std::string m_firstError; // the errors of later attempts say nothing of the first one
 };
 
 void store_client::state::start(const operation_ptr &next, const call_options &chosen)
--- a/testing/log_fields_test.cc
+++ b/testing/log_fields_test.cc
@@ -51,6 +51,19 @@
     LONGS_EQUAL(lines - log_limiter::linesPerInterval, suppressed);
 }
 
+// Guards against refusals that can't be found in the log, since others of the same kind used up the
+// limit.
+TEST(log_fields, limitMayBeChosenByTheCaller)
+{
+    log_limiter limiter;
+    std::uint64_t suppressed = 0;
+    int written = 0;
+    constexpr std::int32_t lines = 3 * log_limiter::linesPerInterval;
+    for (int i = 0; i < 100; ++i)
+        written += limiter.admit("refused", time_point{}, suppressed, lines) ? 1 : 0;
+    LONGS_EQUAL(lines, written);
+}
+
 // Guards against external keys that exhaust the memory: keys above maxKeys share one limit.
 TEST(log_fields, boundsTheKeys)
 {
--- a/testing/store_client_test.cc
+++ b/testing/store_client_test.cc
@@ -115,6 +115,21 @@
     CHECK(failedWith(*outcome, code::StoreAmbiguous));
 }
 
+// Guards against a log that shows only the last error of a call, though an earlier attempt decides
+// whether the write may have taken effect.
+TEST(store_client, failureNamesTheFirstAttempt)
+{
+    store_client client(inner, loop, {});
+    inner.faults().loseAnswers = 1;
+    std::optional<result<commit_reply>> outcome;
+    client.commit(guardedPut("k", "token-1"), normal, [&](auto answer) { outcome = answer; });
+    CHECK(loop.advanceUntil([&] { return inner.faults().loseAnswers == 0; }, 1s));
+    inner.faults().down = true;
+    CHECK(loop.advanceUntil([&] { return outcome.has_value(); }, 1min));
+    STRCMP_CONTAINS("(1 attempts to write, 1 without an answer; the first: the connection closed",
+                    failureOf(*outcome)->reason.c_str());
+}
+
 // Guards against a conflict that is hidden by the resolution of lost answers.
 TEST(store_client, aConflictIsReportedAsNotApplied)
 {
