Reproduce the refusal of jobs that the store has

A server that reads a request on a kept connection, closes it and takes no new one makes the HTTP client report that the request was not sent; a real front then answers 503 to a submission that the store has carried out.

--- /dev/null
+++ b/testing/http_client_test.cc
@@ -0,0 +1,204 @@
+// The HTTP client against servers that lose connections. Whether a failed request counts as sent
+// decides whether callers are told that nothing was done.
+
+#include "goldcrest/asio_event_loop.h"
+#include "goldcrest/http_client.h"
+
+#include <array>
+#include <asio.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+using namespace goldcrest;
+
+namespace {
+
+using asio::ip::tcp;
+
+// The library's leak check is not safe with threads, and the HTTP client has one.
+struct leak_check_off
+{
+    leak_check_off() { MemoryLeakWarningPlugin::turnOffNewDeleteOverloads(); }
+};
+[[gnu::init_priority(101)]] leak_check_off leakCheckOff;
+
+constexpr duration answerLimit = 20s;
+const std::string requestBody = "{}";
+const std::string completeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+// What a client meets that connects again.
+enum class next_connection { Refused, Unanswered };
+
+// Serves a single connection: sends one answer for each request, and closes the connection at the
+// request for which none is left.
+class scripted_server
+{
+public:
+    scripted_server(asio_event_loop &loop, next_connection next)
+        : m_acceptor(loop.context())
+        , m_connection(loop.context())
+        , m_next(next)
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(0);
+        m_port = m_acceptor.local_endpoint().port();
+        m_acceptor.async_accept(m_connection, [this](asio::error_code error) {
+            if (error)
+                return;
+            prepareNextConnection();
+            read();
+        });
+    }
+
+    int port() const { return m_port; }
+
+    std::vector<std::string> answers = {completeAnswer};
+    bool closesAfterLastAnswer = false;
+    bool closesWithReset = false;
+    int received = 0;
+
+    void close()
+    {
+        asio::error_code ignored;
+        if (closesWithReset)
+            m_connection.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_connection.close(ignored);
+    }
+
+private:
+    void prepareNextConnection()
+    {
+        if (m_next == next_connection::Refused)
+            return m_acceptor.close();
+        // A full queue of connections that are not accepted leaves further ones without an answer.
+        const tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                    static_cast<unsigned short>(m_port));
+        for (int i = 0; i < 3; ++i) {
+            m_queued.emplace_back(m_acceptor.get_executor());
+            m_queued.back().async_connect(address, [](asio::error_code) {});
+        }
+    }
+
+    void read()
+    {
+        m_connection.async_read_some(
+            asio::buffer(m_buffer), [this](asio::error_code error, std::size_t size) {
+                if (error)
+                    return;
+                m_unhandled.append(m_buffer.data(), size);
+                const std::size_t body = m_unhandled.find("\r\n\r\n");
+                if (body != std::string::npos
+                    && m_unhandled.size() >= body + 4 + requestBody.size()) {
+                    m_unhandled.clear();
+                    onRequest();
+                }
+                if (m_connection.is_open())
+                    read();
+            });
+    }
+
+    void onRequest()
+    {
+        const auto index = static_cast<std::size_t>(received++);
+        if (index >= answers.size())
+            return close();
+        asio::write(m_connection, asio::buffer(answers[index]));
+        if (closesAfterLastAnswer && index + 1 == answers.size())
+            close();
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_connection;
+    next_connection m_next;
+    int m_port = 0;
+    std::vector<tcp::socket> m_queued;
+    std::array<char, 4096> m_buffer{};
+    std::string m_unhandled;
+};
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+    asio_event_loop loop;
+    std::unique_ptr<http_client> client = makeCurlClient(loop);
+
+    result<http_response> post(int port)
+    {
+        std::optional<result<http_response>> outcome;
+        http_request request;
+        request.method = "POST";
+        request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+        request.body = requestBody;
+        client->send(std::move(request),
+                     [&outcome](result<http_response> answer) { outcome = std::move(answer); });
+        CHECK(loop.runUntil([&] { return outcome.has_value(); }, answerLimit));
+        return *outcome;
+    }
+
+    static void expectFailure(code expected, const result<http_response> &outcome)
+    {
+        CHECK(failureOf(outcome));
+        STRCMP_EQUAL_TEXT(std::string(nameOf(expected)).c_str(),
+                          std::string(nameOf(failureOf(outcome)->number)).c_str(),
+                          failureOf(outcome)->reason.c_str());
+    }
+
+    // The second request is read on the connection of the first one and gets no answer.
+    void expectSecondRequestCountsAsSent(scripted_server & server)
+    {
+        CHECK(!failureOf(post(server.port())));
+        expectFailure(code::StoreAmbiguous, post(server.port()));
+        LONGS_EQUAL(2, server.received);
+    }
+};
+
+// Guards against a caller that is told that nothing was done, though the server has the request:
+// libcurl sends it again on a new connection, and reports only that this one was refused.
+TEST(http_client, lostRequestCountsAsSentIfTheNextConnectionIsRefused)
+{
+    scripted_server server(loop, next_connection::Refused);
+    expectSecondRequestCountsAsSent(server);
+}
+
+TEST(http_client, requestOnAResetConnectionCountsAsSentIfTheNextConnectionIsRefused)
+{
+    scripted_server server(loop, next_connection::Refused);
+    server.closesWithReset = true;
+    expectSecondRequestCountsAsSent(server);
+}
+
+// As above, with a time-out of the new connection as the last error.
+TEST(http_client, lostRequestCountsAsSentIfTheNextConnectionTimesOut)
+{
+    scripted_server server(loop, next_connection::Unanswered);
+    expectSecondRequestCountsAsSent(server);
+}
+
+// Guards against work that is reported as possibly done though no byte was sent.
+TEST(http_client, requestThatFindsNoServerCountsAsUnsent)
+{
+    scripted_server server(loop, next_connection::Refused);
+    CHECK(!failureOf(post(server.port())));
+    server.close();
+    expectFailure(code::StoreUnavailable, post(server.port()));
+    LONGS_EQUAL(1, server.received);
+    expectFailure(code::StoreUnavailable, post(server.port()));
+}
+
+// Guards against a status that is taken for the server's answer without the rest of it.
+TEST(http_client, responseThatEndsWithinItsHeadersIsAFailure)
+{
+    scripted_server server(loop, next_connection::Refused);
+    server.answers = {"HTTP/1.1 200 OK\r\nCont"};
+    server.closesAfterLastAnswer = true;
+    expectFailure(code::StoreAmbiguous, post(server.port()));
+}
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -1,11 +1,17 @@
-// The daemons of the users' platform as real processes without a store.
+// The daemons of the users' platform as real processes, without a store or with one that is lost.
 
 #include "goldcrest/asio_event_loop.h"
+#include "goldcrest/graph_job.h"
+#include "goldcrest/http_client.h"
 #include "goldcrest/http_server.h"
+#include "standins/kv_service.h"
+#include "standins/store_model.h"
 #include "testing/process_support.h"
+#include "testing/soak_network_support.h"
 
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -13,6 +19,69 @@
 
 using namespace goldcrest;
 
+namespace {
+
+// A store with one public queue, whose server can be lost while it carries out a transaction.
+class losable_store
+{
+public:
+    losable_store(asio_event_loop &loop, int port)
+        : m_loop(loop)
+        , m_port(port)
+        , m_service(loop, m_model)
+    {
+        store_transaction transaction;
+        transaction.put("op/config", R"({"version": 1, "limits": {"max_body_bytes": 262144},
+            "services": [{"name": "svc", "enforces_capacity": false, "standby": false}],
+            "tenants": [{"name": "team-1", "api_keys": ["key-1"], "guaranteed": {"gpus": 4}}],
+            "routes": [{"name": "q0", "host": "jobs.example", "prefix": "/q0/", "priority": 0,
+                "kind": "non_idempotent", "timeout_ms": 3000, "target_completion_ms": 1000,
+                "service": "svc", "max_attempts": 4, "slack_factor": 3.0, "public": true}]})");
+        m_model.commit(transaction);
+        listen();
+    }
+
+    void listen()
+    {
+        m_server = std::make_unique<soak_http_server>(
+            m_loop, m_port,
+            [this](const soak_request &request, const soak_http_server::respond_function &respond) {
+                serve(request, respond);
+            });
+    }
+
+    bool hasJob(const std::string &id) { return !m_model.range(graphJobKey(id), "").empty(); }
+
+    // Carries out the next transaction without an answer, closes all connections and takes no new
+    // ones until listen().
+    bool isLostAtNextWrite = false;
+
+private:
+    void serve(const soak_request &request, const soak_http_server::respond_function &respond)
+    {
+        const bool isWrite = request.target == "/v1/kv-txn";
+        http_request passed;
+        passed.method = request.method;
+        passed.url = "http://store" + request.target;
+        passed.body = request.body;
+        m_service.send(std::move(passed), [respond](const result<http_response> &outcome) {
+            if (failureOf(outcome))
+                return respond(0, {});
+            respond(valueOf(outcome).status, valueOf(outcome).body);
+        });
+        if (isWrite && std::exchange(isLostAtNextWrite, false))
+            m_loop.post([this] { m_server.reset(); });
+    }
+
+    asio_event_loop &m_loop;
+    int m_port;
+    store_model m_model;
+    kv_service m_service;
+    std::unique_ptr<soak_http_server> m_server;
+};
+
+} // namespace
+
 TEST_GROUP(platform_process)
 {
     const std::string directory = makeTestDirectory("platform-process");
@@ -161,3 +230,42 @@
     processes.terminate("sidecar");
     LONGS_EQUAL(0, processes.waitForExit("sidecar").value_or(-1));
 }
+
+// Guards against a job that runs though its caller was told that it never would: the store has
+// stored it, then the connection is lost and no new one is accepted, so that the front never
+// learns it.
+TEST(platform_process, frontDoesNotRefuseAJobThatTheStoreHas)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    const std::unique_ptr<http_client> caller = makeCurlClient(loop);
+    const auto call = [&](const std::string &method, const std::string &url) {
+        std::optional<int> status;
+        http_request request;
+        request.method = method;
+        request.url = "http://" + url;
+        request.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "3000"}};
+        if (method == "POST")
+            request.body = R"({"spec":"s","steps":[{"count":1,"cpu":100,"estimated_ms":50}]})";
+        caller->send(std::move(request), [&status](const result<http_response> &outcome) {
+            status = failureOf(outcome) ? 0 : valueOf(outcome).status;
+        });
+        CHECK(loop.runUntil([&] { return status.has_value(); }, conditionLimit));
+        return *status;
+    };
+    startFront(frontSettings());
+    const time_point limit = loop.now() + conditionLimit;
+    while (call("GET", addressOf(1) + "/v1/ready") != 200 && loop.now() < limit)
+        loop.runUntil([] { return false; }, 50ms);
+    const std::string id = "5c0e7a21d94b36f8";
+    store.isLostAtNextWrite = true;
+    const int status = call("POST", addressOf(0) + "/q0/" + id);
+    CHECK(store.hasJob(id));
+    LONGS_EQUAL(504, status); // 503 and 429 would mean that the job never runs
+    store.listen();
+    CHECK(hasLogged("front", "event=\"job not stored\""));
+    int repeated = 0;
+    while (repeated != 200 && loop.now() < limit)
+        repeated = call("POST", addressOf(0) + "/q0/" + id);
+    LONGS_EQUAL(200, repeated);
+}
