Don't report a request as unsent after its first connection was lost

Cause: wasNeverSent() of the HTTP client concluded from the last error of an exchange that no byte had been sent. libcurl sends a request on a kept connection; if that is lost without an answer, it connects again by itself, and if the new connection is refused, the exchange ends as CURLE_COULDNT_CONNECT. The front took the store's write for one that was never made.

Change: a request counts as unsent only if libcurl has sent no byte of it on any connection (CURLINFO_REQUEST_SIZE). That holds for every error code, so the list of codes is gone.

A request that finds no server still counts as unsent (requestThatFindsNoServerCountsAsUnsent).

--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -152,8 +152,7 @@
 }
 
 // libcurl retries a request by itself when a reused connection closes without a response. A write
-// may have taken effect then. Without rewinding the body it can't retry, and the caller gets
-// StoreAmbiguous.
+// may have taken effect then. Without rewinding the body it can't send it again.
 int refuseRewind(void *, curl_off_t, int)
 {
     return CURL_SEEKFUNC_FAIL;
@@ -239,22 +238,12 @@
     return true;
 }
 
-// Returns whether it is certain that no byte of the request was sent.
-bool wasNeverSent(CURL *handle, CURLcode error)
+// Returns how many bytes of a request were sent, over all its connections.
+long sentBytesOf(CURL *handle)
 {
-    switch (error) {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-    case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
-    case CURLE_FAILED_INIT:
-        return true;
-    default:
-        break;
-    }
-    curl_off_t sentAt = 0; // microseconds until the connection was ready; 0 if it never was
-    curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &sentAt);
-    return error == CURLE_OPERATION_TIMEDOUT && sentAt == 0;
+    long bytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &bytes);
+    return bytes;
 }
 
 // Returns what was done before an exchange failed. The error alone is that of the last connection.
@@ -262,11 +251,9 @@
 {
     if (!handle)
         return {};
-    long sentBytes = 0;
     long connections = 0;
-    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
     curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
-    return " (bytes sent: " + std::to_string(sentBytes)
+    return " (bytes sent: " + std::to_string(sentBytesOf(handle))
         + ", new connections: " + std::to_string(connections) + ")";
 }
 
@@ -275,7 +262,9 @@
     const std::string text
         = (ended.isTooLarge ? "the response is larger than the limit" : curl_easy_strerror(error))
         + effortOf(ended.handle);
-    if (ended.handle && !wasNeverSent(ended.handle, error))
+    // The error does not tell whether the request was sent: if a kept connection is lost, libcurl
+    // connects again by itself, and reports why that failed.
+    if (ended.handle && sentBytesOf(ended.handle) > 0)
         return makeFailure(code::StoreAmbiguous, "the request failed: " + text);
     return makeFailure(code::StoreUnavailable, "could not connect: " + text);
 }
--- a/goldcrest/http_client.h
+++ b/goldcrest/http_client.h
@@ -50,10 +50,9 @@
 
     // Sends a request. The callback runs on the event loop. A response with any status is a
     // success.
-    // Errors: StoreUnavailable if no connection was made, so that the request was not sent;
-    // StoreAmbiguous if the connection failed or timed out later, so that the request may have
-    // taken effect. Callers that talk to a server other than the store map these codes to their
-    // own.
+    // Errors: StoreUnavailable if no byte of the request was sent, on any connection;
+    // StoreAmbiguous otherwise, since the request may have taken effect. Callers that talk to a
+    // server other than the store map these codes to their own.
     virtual void send(http_request request, std::function<void(result<http_response>)> callback)
         = 0;
 
