Take a response that ends within its headers for a failure

A server that ends while it sends the headers made the client report a response with that status and no body, which callers take for the server's answer; a 404 or 412 of the store decides what a front tells its caller. libcurl takes the end of the connection for the end of the headers. The exchange now ends as StoreAmbiguous unless the blank line after the headers has arrived.

responseThatEndsWithinItsHeadersIsAFailure failed before (status 200, empty body).

--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/http_client.h"
 
+#include "goldcrest/text_prefix.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -75,6 +77,7 @@
     std::size_t bodySent = 0;
     time_point startedAt{};
     bool isTooLarge = false;
+    bool isHeadComplete = false; // the blank line after the headers has arrived
 
     exchange() = default;
     exchange(const exchange &) = delete;
@@ -133,6 +136,11 @@
 {
     auto &running = *static_cast<exchange *>(context);
     const std::string_view line(data, size * count);
+    // A final response may follow an interim one, with a head of its own.
+    if (startsWith(line, "HTTP/"))
+        running.isHeadComplete = false;
+    else if (trim(line).empty())
+        running.isHeadComplete = true;
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
         running.response.headers.emplace_back(lowerCase(line.substr(0, colon)),
@@ -388,6 +396,9 @@
         std::optional<failure> error;
         if (outcome != CURLE_OK)
             error = failureFrom(*ended, outcome);
+        else if (!ended->isHeadComplete) // libcurl takes the end of the connection for that of the
+                                         // head
+            error = makeFailure(code::StoreAmbiguous, "the response ended within its headers");
         else if (ended->isStream() && !isSuccess(ended->response.status))
             error = makeFailure(code::StoreProtocol,
                                 "the stream request returned status "
