--- a/standins/kv_service.cc
+++ b/standins/kv_service.cc
@@ -91,7 +91,11 @@
     }
     if (path == "/v1/kv-watch")
         return watch(query, std::move(callback));
-    const http_response response = answer(request.method, path, query, request.body);
+    http_response response = answer(request.method, path, query, request.body);
+    if (m_faults.misreport > 0) {
+        --m_faults.misreport;
+        response = respond(m_faults.misreportedStatus, json::object());
+    }
     if (m_faults.loseAnswers > 0) {
         --m_faults.loseAnswers;
         return m_timers.after(request.timeout, [callback] {
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -29,6 +29,8 @@
     int loseAnswers = 0; // this many of the next calls take effect but get no response
     int refuse = 0; // this many of the next calls get refusalStatus and take no effect
     int refusalStatus = 503;
+    int misreport = 0; // this many of the next calls take effect, but get misreportedStatus
+    int misreportedStatus = 500;
     bool failWatches = false; // watches without events fail instead of returning an empty response
     std::size_t pageItems = 500; // most items of one response to a range request
 };
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -197,6 +197,27 @@
 }
 
 // Guards against keys that outlive their lease, and writes with a lease that has ended.
+// Guards against a caller that is told that nothing was written, by a status that says nothing of
+// the kind: the server carries out the transaction and fails while it answers.
+TEST(platform_store, unexpectedStatusOfAWriteLeavesItsOutcomeOpen)
+{
+    store_transaction write;
+    write.put("k", "v");
+    for (const int status : {500, 502, 504, 408, 302}) {
+        service.faults().misreport = 1;
+        service.faults().misreportedStatus = status;
+        const result<commit_reply> outcome = commit(write);
+        CHECK(failureOf(outcome));
+        STRCMP_EQUAL_TEXT("StoreAmbiguous", std::string(nameOf(failureOf(outcome)->number)).c_str(),
+                          std::to_string(status).c_str());
+    }
+    for (const int status : {400, 403, 413}) {
+        service.faults().refuse = 1;
+        service.faults().refusalStatus = status;
+        CHECK(failureOf(commit(write))->number == code::StoreProtocol);
+    }
+}
+
 TEST(platform_store, leasesEndTheirKeys)
 {
     const lease_id lease = valueOf(
