--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -8,10 +8,10 @@
 //   auto admitted = front.admit(host, path, key);
 //   front.submit(job, [](result<done> outcome) { ... });
 //
-// A submission succeeds once the job is stored. Every failure other than OutcomeUnknown means that
-// the job will never run. Status queries go to the planner first, and to the store if no planner
-// answers. The planner is also notified of stored jobs; if the notification is lost, it finds the
-// job in the store.
+// A submission succeeds once the job is stored. Only the failures that submit() names as such mean
+// that the job will never run. Status queries go to the planner first, and to the store if no
+// planner answers. The planner is also notified of stored jobs; if the notification is lost, it
+// finds the job in the store.
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/graph_job.h"
@@ -92,9 +92,9 @@
                                    std::string_view key) const;
 
     // Stores a job. If a job with this id is already stored, it is left unchanged and the call
-    // succeeds. Errors: StoreUnavailable, StoreOverBudget: the job was not stored. OutcomeUnknown:
-    // the job may have been stored. StoreValueTooLarge: the job's record would grow larger than the
-    // store accepts; the job was not stored.
+    // succeeds. Errors: StoreUnavailable, StoreOverBudget: the job was not stored.
+    // StoreValueTooLarge: the job's record would grow larger than the store accepts; the job was
+    // not stored. OutcomeUnknown, and any other: the job may have been stored.
     // @param timeLeft how long the caller still waits, here and below
     void submit(const graph_job &job, duration timeLeft,
                 std::function<void(result<done>)> callback);
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -4,8 +4,13 @@
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -24,6 +29,34 @@
     std::vector<server_response> answers;
 };
 
+// Answers writes with a prepared failure, or drops them without an answer.
+class failing_store final : public platform_store
+{
+public:
+    void get(std::string_view, const call_options &,
+             store_callback<std::optional<store_entry>>) override
+    { }
+    void list(std::string_view, std::size_t, const call_options &,
+              store_callback<std::vector<store_entry>>) override
+    { }
+    void commit(store_transaction, const call_options &,
+                store_callback<commit_reply> callback) override
+    {
+        if (error)
+            callback(*error);
+    }
+    void grantLease(duration, const call_options &, store_callback<lease_id>) override { }
+    void renewLease(lease_id, const call_options &, store_callback<duration>) override { }
+    void revokeLease(lease_id, const call_options &, store_callback<done>) override { }
+    std::unique_ptr<store_watch> watch(std::string_view, store_revision,
+                                       std::function<void(watch_batch)>) override
+    {
+        return nullptr;
+    }
+
+    std::optional<failure> error;
+};
+
 const std::string someId = "5c0e7a21d94b36f8";
 const std::string someBody = R"({"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":256}]})";
 
@@ -67,6 +100,22 @@
         front.setView(view);
     }
 
+    // Submits a job through a front with this store, and returns the status.
+    int submitThrough(platform_store & failing)
+    {
+        graph_front other(loop, failing, {}, [](const message &) { return false; });
+        other.setView(front.view());
+        platform::front_api otherApi(other, [] { return unix_ms{1000}; });
+        server_request request;
+        request.method = "POST";
+        request.path = "/p/" + someId;
+        request.headers = {{"host", "a.example"}, {"key", "key"}, {"deadline-ms", "3000"}};
+        request.body = someBody;
+        const auto answer = std::make_shared<recorded_response>();
+        otherApi.handle(request, answer);
+        return answer->answers.empty() ? 0 : answer->answers[0].status;
+    }
+
     // Sends a request and returns the status, or 0 while there is no answer.
     int send(const std::string &method, const std::string &path, const std::string &key = "key",
              const std::string &body = {}, duration wait = 3s, const std::string &timeLeft = "3000")
@@ -249,6 +298,27 @@
     LONGS_EQUAL(503, send("POST", "/p/00000000000000aa", "key", someBody, 2s));
 }
 
+// Guards against a job that runs after 503 or 429, which promise that it never does: only errors
+// that are known to mean it may be answered so, whatever other errors a store call may end with.
+TEST(graph_front, onlyKnownRefusalsPromiseThatAJobNeverRuns)
+{
+    confirm();
+    failing_store failing;
+    const std::set<code> refusals
+        = {code::StaleConfiguration, code::StoreUnavailable, code::StoreOverBudget,
+           code::PlannerUnreachable, code::TooManyRequests,  code::Unauthorized,
+           code::NotFound,           code::UnknownRequest,   code::MethodNotAllowed,
+           code::MalformedJson,      code::InvalidValue,     code::StoreValueTooLarge};
+    for (const code_entry &entry : listCodes()) {
+        failing.error = makeFailure(entry.number, "failed");
+        const int status = submitThrough(failing);
+        if (refusals.count(entry.number) == 0)
+            LONGS_EQUAL_TEXT(504, status, std::string(entry.name).c_str());
+    }
+    failing.error = makeFailure(code::StoreUnavailable, "failed");
+    LONGS_EQUAL(503, submitThrough(failing));
+}
+
 TEST(graph_front, statesComeFromThePlannerOrTheStore)
 {
     confirm();
