--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -319,6 +319,15 @@
     LONGS_EQUAL(503, submitThrough(failing));
 }
 
+// Guards against an answer other than 504 to a submission that is lost within the process after
+// its job may have been stored.
+TEST(graph_front, submissionThatIsDroppedIsNotARefusal)
+{
+    confirm();
+    failing_store dropping;
+    LONGS_EQUAL(504, submitThrough(dropping));
+}
+
 TEST(graph_front, statesComeFromThePlannerOrTheStore)
 {
     confirm();
