Show a write that is sent after its deadline and reported as unsent

If the event loop is late, the timer of the budget runs before the posted failure and sends the write, and the call then ends as StoreUnavailable, which promises that nothing was done.

writeThatWaitedUntilItsDeadlineIsNotSentAndReportedAsUnsent fails on the current code: the store has the key.

--- a/testing/store_client_test.cc
+++ b/testing/store_client_test.cc
@@ -1,9 +1,12 @@
+#include "goldcrest/asio_event_loop.h"
 #include "goldcrest/store_client.h"
 #include "standins/store_model.h"
 #include "testing/virtual_event_loop.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -296,3 +299,24 @@
     }
     CHECK(jittered_backoff(50ms, 1s, 1).delayOf(6) != jittered_backoff(50ms, 1s, 2).delayOf(6));
 }
+
+// Guards against "did not take effect" for a write that is sent after its deadline has passed: a
+// loop that is late handles the deadline and the timer of the budget one after the other, before
+// the failure that the deadline posts.
+TEST(store_client, writeThatWaitedUntilItsDeadlineIsNotSentAndReportedAsUnsent)
+{
+    asio_event_loop realLoop;
+    fake_store realInner(model, realLoop);
+    store_client_options options;
+    options.callsPerSecond = 1;
+    options.burst = 2; // the second call waits 100 ms for the budget
+    store_client client(realInner, realLoop, options);
+    client.get("other", normal, [](const auto &) {});
+    std::optional<result<commit_reply>> outcome;
+    client.commit(guardedPut("k", "token-1"), {call_priority::Normal, 90ms},
+                  [&](auto answer) { outcome = std::move(answer); });
+    realLoop.post([] { std::this_thread::sleep_for(150ms); });
+    CHECK(realLoop.runUntil([&] { return outcome.has_value(); }, 5s));
+    CHECK(failedWith(*outcome, code::StoreUnavailable));
+    CHECK(model.range("k", {}).empty());
+}
