Make no attempt for a store call whose failure has been posted

A call that waits for the budget when its deadline passes stays in its queue until the posted failure runs. The timer of the budget could send it meanwhile, and a write that took effect ended as StoreUnavailable. failLater() now marks the call, and marked calls leave the queue unsent.

writeThatWaitedUntilItsDeadlineIsNotSentAndReportedAsUnsent failed before.

--- a/goldcrest/store_client.cc
+++ b/goldcrest/store_client.cc
@@ -85,6 +85,7 @@
     bool isAmbiguous = false; // an attempt may have taken effect
     bool isInFlight = false;
     bool isQueued = false;
+    bool isFailing = false; // its failure has been posted; no attempt may follow
     bool isEnded = false;
 };
 
@@ -377,6 +378,7 @@
 // Fails a call from the event loop, because its callback must not run inside the call.
 void store_client::state::failLater(const operation_ptr &refused, failure error)
 {
+    refused->isFailing = true;
     loop.post([weak = weak_from_this(), refused, error = std::move(error)] {
         const std::shared_ptr<state> owner = weak.lock();
         if (owner && !owner->isClosed && !refused->isEnded)
@@ -424,7 +426,8 @@
         std::deque<operation_ptr> &queue = queues[i];
         while (!queue.empty()) {
             const operation_ptr next = queue.front();
-            if (!next->isEnded && !budget.take(next->priority, loop.now())) {
+            const bool isOver = next->isEnded || next->isFailing;
+            if (!isOver && !budget.take(next->priority, loop.now())) {
                 const duration wait = budget.waitOf(next->priority, loop.now());
                 dispatchTimer
                     = loop.after(std::max(wait, duration(1)), [this] { dispatchQueued(); });
@@ -433,7 +436,7 @@
             queue.pop_front();
             --queued;
             next->isQueued = false;
-            if (!next->isEnded)
+            if (!isOver)
                 run(next);
         }
     }
