End the headers of a response at the blank line only

A header line of blanks counted as the end of the headers, and the comment on rewinding promised more than libcurl keeps: it sends a request again if no part of the body was sent.

--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -139,7 +139,7 @@
     // A final response may follow an interim one, with a head of its own.
     if (startsWith(line, "HTTP/"))
         running.isHeadComplete = false;
-    else if (trim(line).empty())
+    else if (line == "\r\n" || line == "\n")
         running.isHeadComplete = true;
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
@@ -160,7 +160,8 @@
 }
 
 // libcurl retries a request by itself when a reused connection closes without a response. A write
-// may have taken effect then. Without rewinding the body it can't send it again.
+// may have taken effect then. Once a part of the body was sent, it can't send it again without
+// rewinding it.
 int refuseRewind(void *, curl_off_t, int)
 {
     return CURL_SEEKFUNC_FAIL;
