--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -196,7 +196,6 @@
     CHECK(valueOf(get("gc/a")).has_value());
 }
 
-// Guards against keys that outlive their lease, and writes with a lease that has ended.
 // Guards against a caller that is told that nothing was written, by a status that says nothing of
 // the kind: the server carries out the transaction and fails while it answers.
 TEST(platform_store, unexpectedStatusOfAWriteLeavesItsOutcomeOpen)
@@ -218,6 +217,20 @@
     }
 }
 
+// Guards against a conflict that is taken for a missing key, since the body of the response was
+// lost.
+TEST(platform_store, conflictWithoutItsValuesIsAFailure)
+{
+    store_transaction write;
+    write.requireAbsent("k").put("k", "v");
+    CHECK(valueOf(commit(write)).applied);
+    service.faults().misreport = 1;
+    service.faults().misreportedStatus = 412;
+    CHECK(failureOf(commit(write)));
+    CHECK(!valueOf(commit(write)).applied);
+}
+
+// Guards against keys that outlive their lease, and writes with a lease that has ended.
 TEST(platform_store, leasesEndTheirKeys)
 {
     const lease_id lease = valueOf(
