Leave the outcome of a write to etcd open unless it was refused

A write that was answered with a status below 500 became StoreProtocol, whatever the answer said: 408, 409, 499 or a redirect, and the gRPC codes Canceled, DeadlineExceeded, Unknown and Aborted, all of which can follow a write that was carried out. ResourceExhausted became StoreOverBudget ("nothing was changed") also if it came from a gRPC library about the size of a response. Callers would see a definite refusal, and the store client doesn't read such a write back.

Now only codes and statuses that mean that the request was refused end the outcome of a write; ResourceExhausted does so only with a message of etcd itself. Others are StoreAmbiguous. Reads are as before.

onlyKnownRefusalsEndTheOutcomeOfAWrite failed before (StoreProtocol for 408).

--- a/goldcrest/etcd_store.cc
+++ b/goldcrest/etcd_store.cc
@@ -22,7 +22,16 @@
 constexpr std::size_t maxWatchLineBytes = 16 * 1024 * 1024;
 
 // gRPC status codes that the service returns in its error messages.
-enum service_code { InvalidArgument = 3, NotFound = 5, ResourceExhausted = 8 };
+enum service_code {
+    InvalidArgument = 3,
+    NotFound = 5,
+    PermissionDenied = 7,
+    ResourceExhausted = 8,
+    FailedPrecondition = 9,
+    OutOfRange = 11,
+    Unimplemented = 12,
+    Unauthenticated = 16,
+};
 
 // Whether a request can change stored data.
 enum class effect { Read, Write };
@@ -116,6 +125,33 @@
     return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
 }
 
+// Returns whether an error response means that the request was refused and had no effect. Other
+// gRPC codes, such as Canceled, DeadlineExceeded, Unknown and Aborted, and other statuses may
+// follow a write that was carried out.
+bool isRefusal(int status, std::int64_t number)
+{
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int forbidden = 403;
+    constexpr int notFound = 404;
+    constexpr int notAllowed = 405;
+    constexpr int tooLarge = 413;
+    switch (number) {
+    case 0: // not from the service itself
+        return status == badRequest || status == unauthorized || status == forbidden
+            || status == notFound || status == notAllowed || status == tooLarge;
+    case InvalidArgument:
+    case PermissionDenied:
+    case FailedPrecondition:
+    case OutOfRange:
+    case Unimplemented:
+    case Unauthenticated:
+        return true;
+    default:
+        return false;
+    }
+}
+
 // Returns the failure for a response with a status other than 200.
 failure responseFailure(const http_response &response, effect kind)
 {
@@ -124,22 +160,24 @@
     const std::string text = textOf(body, "message");
     const std::string reason = "the store answered with status " + std::to_string(response.status)
         + (text.empty() ? "" : ": " + text);
-    switch (integerOf(body, "code").value_or(0)) {
-    case NotFound:
+    constexpr std::int64_t unreadable = -1;
+    const std::int64_t number = integerOf(body, "code").value_or(unreadable);
+    // The service rejects a request with its own message before it applies it. Messages of the gRPC
+    // libraries have the same code if a response is too large, which is after the request was
+    // applied.
+    const bool isFromService = text.rfind("etcdserver: ", 0) == 0;
+    if (number == NotFound)
         return makeFailure(code::LeaseLost, reason);
-    case ResourceExhausted: // rejected before it was applied
+    if (number == ResourceExhausted && (isFromService || kind == effect::Read))
         return makeFailure(code::StoreOverBudget, reason);
-    case InvalidArgument:
-        if (text.find("too large") != std::string::npos)
-            return makeFailure(code::StoreValueTooLarge, reason);
-        return makeFailure(code::StoreProtocol, reason);
-    default:
-        break;
-    }
-    if (response.status < statusServerErrors)
-        return makeFailure(code::StoreProtocol, reason);
-    // A proposal that timed out also gets this status, and may still be applied.
-    return makeFailure(kind == effect::Write ? code::StoreAmbiguous : code::StoreUnavailable,
+    if (number == InvalidArgument && text.find("too large") != std::string::npos)
+        return makeFailure(code::StoreValueTooLarge, reason);
+    if (kind == effect::Write)
+        return makeFailure(isRefusal(response.status, number) ? code::StoreProtocol
+                                                              : code::StoreAmbiguous,
+                           reason);
+    return makeFailure(response.status < statusServerErrors ? code::StoreProtocol
+                                                            : code::StoreUnavailable,
                        reason);
 }
 
--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -454,3 +454,60 @@
         store.grantLease(3s, defaultOptions, callback);
     }));
 }
+
+// Guards against a write that counts as refused after an error that promises nothing: the service
+// may have carried it out before it or a proxy gave up.
+TEST(etcd_answers, onlyKnownRefusalsEndTheOutcomeOfAWrite)
+{
+    struct expectation
+    {
+        int status;
+        const char *body;
+        code ofWrite;
+    };
+    const expectation expectations[] = {
+        {408, "", code::StoreAmbiguous},
+        {408, R"({"code":1,"message":"context canceled"})", code::StoreAmbiguous},
+        {409, R"({"code":10,"message":"etcdserver: aborted"})", code::StoreAmbiguous},
+        {409, "", code::StoreAmbiguous},
+        {413, R"({"code":8,"message":"grpc: received message larger than max"})",
+         code::StoreAmbiguous},
+        {429, R"({"code":8,"message":"grpc: received message larger than max"})",
+         code::StoreAmbiguous},
+        {499, R"({"code":1,"message":"context canceled"})", code::StoreAmbiguous},
+        {400, R"({"code":4,"message":"context deadline exceeded"})", code::StoreAmbiguous},
+        {302, "", code::StoreAmbiguous},
+        {204, "", code::StoreAmbiguous},
+        {400, R"({"code":2,"message":"unknown"})", code::StoreAmbiguous},
+        {500, R"({"code":2,"message":"unknown"})", code::StoreAmbiguous},
+        {503, R"({"code":14,"message":"etcdserver: request timed out"})", code::StoreAmbiguous},
+        {504, R"({"code":4,"message":"etcdserver: request timed out"})", code::StoreAmbiguous},
+        {500, R"({"code":8,"message":"proxy"})", code::StoreAmbiguous},
+        {400, R"({"code":3,"message":"etcdserver: duplicate key given in txn request"})",
+         code::StoreProtocol},
+        {400, R"({"code":3,"message":"etcdserver: request is too large"})",
+         code::StoreValueTooLarge},
+        {401, R"({"code":16,"message":"etcdserver: invalid auth token"})", code::StoreProtocol},
+        {403, R"({"code":7,"message":"etcdserver: permission denied"})", code::StoreProtocol},
+        {404, R"({"code":5,"message":"etcdserver: requested lease not found"})", code::LeaseLost},
+        {429, R"({"code":8,"message":"etcdserver: too many requests"})", code::StoreOverBudget},
+        {429, R"({"code":8,"message":"etcdserver: mvcc: database space exceeded"})",
+         code::StoreOverBudget},
+        {400, "", code::StoreProtocol},
+        {404, "", code::StoreProtocol},
+        {413, "", code::StoreProtocol},
+    };
+    for (const expectation &each : expectations) {
+        client.answer.status = each.status;
+        client.answer.body = each.body;
+        client.answersLeft = 1;
+        etcd_store store(client, *loop, "http://10.0.0.7:2379");
+        std::optional<code> seen;
+        store.commit(store_transaction{}.put("k", "v"), defaultOptions, [&](const auto &outcome) {
+            seen = failureOf(outcome) ? failureOf(outcome)->number : code::Internal;
+        });
+        const std::string what = std::to_string(each.status) + " " + each.body + " became "
+            + std::string(seen ? nameOf(*seen) : "nothing");
+        CHECK_TEXT(seen == each.ofWrite, what.c_str());
+    }
+}
