Decide in one place which errors promise that nothing was done

entryHttp.onlyKnownCodesPromiseThatNothingWasChanged failed before ("notRun" for StoreProtocol). The publisher itself ends with none of these codes today unless its check of a catalogue does.

--- a/goldcrest/entry_core.cc
+++ b/goldcrest/entry_core.cc
@@ -125,13 +125,6 @@
     return answer;
 }
 
-// Returns whether a store call that failed with this error certainly wrote nothing.
-bool wroteNothing(code number)
-{
-    return number == code::StoreUnavailable || number == code::StoreOverBudget
-        || number == code::StoreValueTooLarge;
-}
-
 // Returns the delay before a retry: exponential backoff with jitter from the job's key, so that
 // jobs do not retry at the same time.
 duration retryDelay(const job_key &key, std::int32_t retries)
--- a/goldcrest/entry_http.cc
+++ b/goldcrest/entry_http.cc
@@ -547,10 +547,8 @@
 void entry_http::impl::answerPublished(const std::shared_ptr<responder> &respond,
                                        const result<configuration> &stored) const
 {
-    if (const failure *error = failureOf(stored)) {
-        const bool nothingChanged = error->number != code::StoreAmbiguous;
-        return answerError(respond, *error, nothingChanged);
-    }
+    if (const failure *error = failureOf(stored))
+        return answerError(respond, *error, changedNothing(error->number));
     const revision number = valueOf(stored).number;
     server_response response;
     response.headers.emplace_back("ETag", entityTag(number));
--- a/goldcrest/platform_store.cc
+++ b/goldcrest/platform_store.cc
@@ -2,6 +2,21 @@
 
 namespace goldcrest {
 
+bool wroteNothing(code number)
+{
+    return number == code::StoreUnavailable || number == code::StoreOverBudget
+        || number == code::StoreValueTooLarge;
+}
+
+bool changedNothing(code number)
+{
+    constexpr int firstRefusal = 100;
+    constexpr int endOfRefusals = 300;
+    const int value = static_cast<int>(number);
+    const bool isRefusal = value >= firstRefusal && value < endOfRefusals;
+    return isRefusal || number == code::StoreConflict || wroteNothing(number);
+}
+
 store_transaction &store_transaction::requireAbsent(std::string_view key)
 {
     conditions.push_back({std::string(key), true, 0});
--- a/goldcrest/platform_store.h
+++ b/goldcrest/platform_store.h
@@ -6,8 +6,7 @@
 //                 [](result<commit_reply> reply) { ... });
 //
 // All calls are asynchronous; callbacks run on the process's event loop, never inside the call. A
-// write that fails with code::StoreAmbiguous may have taken effect; code::StoreUnavailable means
-// that it did not.
+// write that fails may have taken effect unless wroteNothing() returns true for its code.
 
 #include "goldcrest/clock.h"
 #include "goldcrest/outcome.h"
@@ -71,6 +70,16 @@
     store_transaction &remove(std::string_view key);
 };
 
+// Returns whether a write that failed with this code certainly took no effect and can't take effect
+// later. Any other code leaves the outcome open: a caller must not conclude from it, or by default,
+// that nothing was written.
+bool wroteNothing(code number);
+
+// Returns whether a request that was answered with this code certainly changed nothing and started
+// nothing: errors of the request itself and refusals (100-299, see docs/errors.md), conflicts, and
+// the codes of wroteNothing(). Any other code is no promise to a caller.
+bool changedNothing(code number);
+
 struct commit_reply
 {
     bool applied = false; // false: a condition did not hold and nothing was written
--- a/testing/entry_http_test.cc
+++ b/testing/entry_http_test.cc
@@ -75,6 +75,7 @@
     fixed_pages pages;
     config_view view;
     config_tracker tracker;
+    std::optional<failure> capacityError;
     entry_core core{store, loop, planners, coreOptions()};
     config_publisher publisher{store, loop, publisherOptions()};
     entry_http api{core, publisher, tracker, view, pages, {"secret", 60s, 10}};
@@ -90,6 +91,9 @@
     {
         publisher_options options;
         options.name = "e1";
+        options.checkCapacity = [this](const catalogue &) {
+            return capacityError ? std::vector<failure>{*capacityError} : std::vector<failure>();
+        };
         options.onConfigurationSeen = [this](const configuration &seen) {
             view.updateIfNewer(seen);
             core.setConfiguration(view.share());
@@ -203,6 +207,27 @@
     LONGS_EQUAL(1, json::parse(send("GET", "/v1/jobs?team=routes").body)["jobs"].size());
 }
 
+// Guards against an error of a configuration change that promises "nothing was changed" although
+// its code does not mean that.
+TEST(entryHttp, onlyKnownCodesPromiseThatNothingWasChanged)
+{
+    putCatalogue();
+    const std::string path = "/v1/failure-domains/Rivi%C3%A8re-du-Loup/out";
+    const server_response conflict = send("POST", path, "", "7");
+    checkError(conflict, code::RevisionConflict);
+    CHECK(json::parse(conflict.body)["notRun"].get<bool>());
+    for (const code number : {code::StoreProtocol, code::LeaseLost, code::MalformedMessage,
+                              code::Internal, code::GuaranteesDoNotFit}) {
+        capacityError = makeFailure(number, "of the check");
+        const server_response failed
+            = send("PUT", "/v1/catalogue", formatCatalogue(smallCatalogue()), "1");
+        checkError(failed, number);
+        CHECK_EQUAL_TEXT(number == code::GuaranteesDoNotFit,
+                         json::parse(failed.body)["notRun"].get<bool>(),
+                         std::string(nameOf(number)).c_str());
+    }
+}
+
 // Guards against an answer that is truncated or changed because its bytes are not valid UTF-8.
 TEST(entryHttp, keepsBytesOfResultsThatAreNotText)
 {
--- a/testing/outcome_test.cc
+++ b/testing/outcome_test.cc
@@ -1,9 +1,11 @@
 #include "goldcrest/outcome.h"
+#include "goldcrest/platform_store.h"
 #include "testing/doc_page_support.h"
 
 #include <fstream>
 #include <map>
 #include <regex>
+#include <set>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -55,6 +57,25 @@
     CHECK(nameOf(static_cast<code>(999)) == "Unnumbered");
 }
 
+// Guards against a code that becomes a promise that nothing was done by default.
+TEST(outcome, onlyKnownCodesPromiseThatNothingWasDone)
+{
+    const std::set<code> ofStoreCalls{code::StoreUnavailable, code::StoreOverBudget,
+                                      code::StoreValueTooLarge};
+    for (const code_entry &entry : listCodes()) {
+        const std::string name(entry.name);
+        const int number = static_cast<int>(entry.number);
+        const bool isRefusal = number >= 100 && number < 300;
+        const bool isStoreRefusal = ofStoreCalls.count(entry.number) > 0;
+        CHECK_TEXT(wroteNothing(entry.number) == isStoreRefusal, name.c_str());
+        CHECK_TEXT(changedNothing(entry.number)
+                       == (isRefusal || isStoreRefusal || entry.number == code::StoreConflict),
+                   name.c_str());
+    }
+    for (const int unknown : {0, 99, 300, 599, 999})
+        CHECK_FALSE(changedNothing(static_cast<code>(unknown)));
+}
+
 // Guards against a documentation page that lags behind the table.
 TEST(outcome, pageListsAllCodes)
 {
