Report a configuration change that may have been stored as ambiguous

Operators would see a conflict (the document was removed or can't be parsed since), UnknownFailureDomain (a later catalogue has no such domain) or StoreValueTooLarge (a repeated write was refused), all of which mean that nothing was changed, though the change had been stored and could have been acted on.

Such a change now ends as StoreAmbiguous. The publisher also uses wroteNothing() in place of its own list.

Three tests failed before: aRefusalAfterALostAnswerIsAmbiguous (StoreValueTooLarge), aLostDocumentAfterALostAnswerIsAmbiguous (RevisionConflict), anErrorAfterAChangeThatMayHaveBeenStoredIsAmbiguous (UnknownFailureDomain).

--- a/goldcrest/config_publisher.cc
+++ b/goldcrest/config_publisher.cc
@@ -99,6 +99,7 @@
     void onWritten(const change_pointer &change, const result<commit_reply> &reply);
     void onConflict(const change_pointer &change, const commit_reply &reply);
     void retry(const change_pointer &change, const failure &error, bool readFirst);
+    void finishUnapplied(const change_pointer &change, const failure &error, revision current);
     void finish(const change_pointer &change, result<configuration> outcome);
     call_options callOptions(const open_change &change) const;
 
@@ -162,7 +163,7 @@
     if (stored) {
         result<configuration> parsed = parseConfiguration(stored->value);
         if (const failure *error = failureOf(parsed))
-            return finish(change, *error);
+            return finishUnapplied(change, *error, 0);
         current = std::move(valueOf(parsed));
         change->expectedModRevision = stored->modRevision;
         if (m_options.onConfigurationSeen)
@@ -172,7 +173,7 @@
         return finish(change, revisionConflict(current.number));
     configuration proposed = current;
     if (const std::optional<failure> error = change->edit(proposed))
-        return finish(change, *error);
+        return finishUnapplied(change, *error, current.number);
     if (current.number > 0 && hasSameContent(current, proposed))
         return finish(change, std::move(current));
     // Applying the change again could undo a later change.
@@ -198,11 +199,10 @@
                                        const result<commit_reply> &reply)
 {
     if (const failure *error = failureOf(reply)) {
-        const bool nothingWritten = error->number == code::StoreUnavailable
-            || error->number == code::StoreOverBudget || error->number == code::StoreValueTooLarge;
-        if (!nothingWritten)
+        if (!wroteNothing(error->number))
             change->mayBeStored = true;
-        if (error->number == code::StoreValueTooLarge)
+        const bool isOpen = change->mayBeStored || change->mayBeOverwritten;
+        if (error->number == code::StoreValueTooLarge && !isOpen)
             return finish(change, *error);
         // Repeating the same write is safe, since its condition can hold only once.
         return retry(change, *error, false);
@@ -227,7 +227,9 @@
         if (valueOf(parsed).writer == change->token)
             return finish(change, change->proposed);
     }
-    const bool replaced = change->mayBeStored && current > change->proposed.number;
+    // Only one document per number is stored in place of its predecessor. Any other number, or no
+    // document that can be parsed, leaves open whether this change was stored in between.
+    const bool replaced = change->mayBeStored && current != change->proposed.number;
     // Earlier writes can't take effect any more: the modification revision in their condition is
     // outdated.
     change->mayBeStored = false;
@@ -264,6 +266,15 @@
           });
 }
 
+// Ends a change that can't be applied to the stored document.
+void config_publisher::impl::finishUnapplied(const change_pointer &change, const failure &error,
+                                             revision current)
+{
+    finish(change,
+           change->mayBeOverwritten ? ambiguousReplacement(change->proposed.number, current)
+                                    : error);
+}
+
 void config_publisher::impl::finish(const change_pointer &change, result<configuration> outcome)
 {
     --m_open;
--- a/goldcrest/config_publisher.h
+++ b/goldcrest/config_publisher.h
@@ -62,10 +62,10 @@
 
     // Each change passes the stored configuration to its callback, or the current one if the change
     // makes no difference.
-    // Errors: RevisionConflict if `ifMatch` is not the current revision, which the reason names;
-    // StoreUnavailable if nothing was changed; StoreAmbiguous if the change may have been stored;
-    // StoreValueTooLarge if the document is too large for the store; an error of parseConfiguration
-    // if the stored document can't be parsed.
+    // Errors: StoreAmbiguous if the change may have been stored. With all others nothing was
+    // changed: RevisionConflict if `ifMatch` is not the current revision, which the reason names;
+    // StoreUnavailable; StoreValueTooLarge if the document is too large for the store; an error of
+    // parseConfiguration if the stored document can't be parsed.
 
     // Replaces the catalogue. Errors also: the first error of validate().
     void putCatalogue(std::string_view text, revision ifMatch, publish_callback callback);
--- a/testing/config_publisher_test.cc
+++ b/testing/config_publisher_test.cc
@@ -195,6 +195,62 @@
     LONGS_EQUAL(0, publisher.openChanges());
 }
 
+// Guards against an error that promises that nothing was changed, though the change was stored and
+// replaced before the publisher read the document again.
+TEST(configPublisher, anErrorAfterAChangeThatMayHaveBeenStoredIsAmbiguous)
+{
+    putFirst();
+    publisher.setDomainOutOfService("Matane", true, std::nullopt, recordAnswer());
+    store.faults().loseAnswers = 1;
+    loop.advance(1ms);
+    CHECK(stored().domainsOut.count("Matane") == 1);
+    secondPublisher.setDomainOutOfService("Matane", false, std::nullopt, recordAnswer());
+    loop.advance(1ms);
+    catalogue smaller = twoDomains();
+    smaller.cells["main"].failureDomains = {"Amqui"};
+    secondPublisher.putCatalogue(formatCatalogue(smaller), 3, recordAnswer());
+    loop.advance(1ms);
+    LONGS_EQUAL(4, stored().number);
+    loop.advance(2s);
+    LONGS_EQUAL(4, answers.size());
+    STRCMP_EQUAL("StoreAmbiguous", std::string(nameOf(lastError())).c_str());
+}
+
+// Guards against a conflict ("nothing was changed") that is concluded from an absent document, or
+// from one that can't be parsed, after a write that may have been stored.
+TEST(configPublisher, aLostDocumentAfterALostAnswerIsAmbiguous)
+{
+    for (const bool removed : {true, false}) {
+        putFirst();
+        publisher.setDomainOutOfService("Matane", true, stored().number, recordAnswer());
+        store.faults().loseAnswers = 1;
+        loop.advance(1ms);
+        CHECK(stored().domainsOut.count("Matane") == 1);
+        store_transaction loss;
+        if (removed)
+            loss.remove(configurationKey);
+        else
+            loss.put(configurationKey, "{");
+        model.commit(loss);
+        loop.advance(10s);
+        STRCMP_EQUAL("StoreAmbiguous", std::string(nameOf(lastError())).c_str());
+    }
+}
+
+// Guards against a refusal of a repeated write that is taken for the outcome of the first one,
+// whose answer was lost.
+TEST(configPublisher, aRefusalAfterALostAnswerIsAmbiguous)
+{
+    putFirst();
+    publisher.setDomainOutOfService("Matane", true, std::nullopt, recordAnswer());
+    store.faults().loseAnswers = 1;
+    loop.advance(1ms);
+    store.faults().maxValueBytes = 1;
+    loop.advance(10s);
+    STRCMP_EQUAL("StoreAmbiguous", std::string(nameOf(lastError())).c_str());
+    LONGS_EQUAL(0, publisher.openChanges());
+}
+
 // Guards against catalogues that refer to entries that do not exist or guarantee more than the
 // capacity.
 TEST(configPublisher, refusesWrongNamesAndGuaranteesThatDoNotFit)
