--- a/goldcrest/ctl_commands.cc
+++ b/goldcrest/ctl_commands.cc
@@ -5,6 +5,7 @@
 #include "goldcrest/catalogue_diff.h"
 #include "goldcrest/ctl_table.h"
 #include "goldcrest/json_text.h"
+#include "goldcrest/platform_store.h"
 #include "goldcrest/text_table.h"
 
 #include <cxxopts.hpp>
@@ -205,14 +206,10 @@
     case code::RevisionConflict:
     case code::RevisionRequired:
         return ctl_exit::Conflict;
-    case code::OutcomeUnknown:
-    case code::StoreAmbiguous:
-    case code::Internal:
-        return ctl_exit::Unknown;
     case code::LinkClosed:
         return ctl_exit::Unreachable;
     default:
-        return ctl_exit::Refused;
+        return changedNothing(error.number) ? ctl_exit::Refused : ctl_exit::Unknown;
     }
 }
 
--- a/testing/ctl_commands_test.cc
+++ b/testing/ctl_commands_test.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/ctl_commands.h"
 #include "goldcrest/ctl_table.h"
+#include "goldcrest/platform_store.h"
 
 #include "testing/doc_page_support.h"
 
@@ -227,6 +228,29 @@
     CHECK(contains(err.str(), "--revision"));
 }
 
+// Guards against a code that becomes the exit code of "nothing was changed" by default.
+TEST(ctl_commands, onlyKnownCodesExitAsRefused)
+{
+    for (const code_entry &entry : listCodes()) {
+        answer(entry.httpStatus, errorBody(entry.number));
+        const ctl_exit status = run({"worker", "drain", "w1"});
+        client.answers.clear();
+        const std::string name(entry.name);
+        if (entry.httpStatus < 300)
+            continue; // not an error to a client
+        ctl_exit expected = changedNothing(entry.number) ? ctl_exit::Refused : ctl_exit::Unknown;
+        if (entry.number == code::RevisionConflict || entry.number == code::RevisionRequired)
+            expected = ctl_exit::Conflict;
+        if (entry.number == code::LinkClosed)
+            expected = ctl_exit::Unreachable;
+        CHECK_TEXT(status == expected, name.c_str());
+    }
+    for (const int unknown : {1, 399, 799, 998}) {
+        answer(500, errorBody(static_cast<code>(unknown)));
+        CHECK(run({"worker", "drain", "w1"}) == ctl_exit::Unknown);
+    }
+}
+
 // Guards against a pending change that is reported as in force, and an unbounded wait.
 TEST(ctl_commands, waitsUntilInForceAndNamesPendingCells)
 {
