Don't report a refusal by one entry after another one may have served

Callers would see QueueFull, StoreUnavailable or UnknownTeam, exit code 2 ("nothing was changed"), or "no entry answered", though the first entry may have stored the job and runs it. The same if a refusal came first and the answer of the last entry was lost.

Such a call now ends as OutcomeUnknown unless it is a query or succeeds at another entry.

aRefusalAfterALostAnswerIsUnknown failed before (Refused for QueueFull).

--- a/goldcrest/entry_client.cc
+++ b/goldcrest/entry_client.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/entry_client.h"
 
 #include "goldcrest/json_text.h"
+#include "goldcrest/platform_store.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,6 +32,21 @@
     }
 }
 
+// Returns the outcome of a call that ended with `last` after an entry may have executed it. Only a
+// query, which changes nothing, ends with the last error.
+result<entry_reply> outcomeAfterLostAnswer(const entry_call &request, result<entry_reply> last)
+{
+    const failure *error = failureOf(last);
+    if (request.method == "GET" || (!error && valueOf(last).isSuccess()))
+        return last;
+    const failure refusal = error ? *error : valueOf(last).error();
+    if (refusal.number != code::LinkClosed && !changedNothing(refusal.number))
+        return last;
+    return makeFailure(code::OutcomeUnknown,
+                       "an entry that did not answer may have executed the request; then: "
+                           + refusal.reason);
+}
+
 std::optional<failure> parseError(const std::string &body)
 {
     const nlohmann::json parsed = parseJson(body);
@@ -109,6 +125,10 @@
 result<entry_reply> entry_client::call(const entry_call &request)
 {
     std::optional<entry_reply> refused;
+    bool isOutcomeOpen = false; // an entry that did not answer may have executed the request
+    const auto finish = [&](result<entry_reply> outcome) {
+        return isOutcomeOpen ? outcomeAfterLostAnswer(request, std::move(outcome)) : outcome;
+    };
     failure last = makeFailure(code::LinkClosed, "no entry address is given");
     const std::size_t count = m_options.entries.size();
     for (std::size_t i = 0; i < count; ++i) {
@@ -117,6 +137,7 @@
         if (const failure *error = failureOf(reply)) {
             if (error->number == code::OutcomeUnknown && !request.repeatable)
                 return *error;
+            isOutcomeOpen = isOutcomeOpen || error->number == code::OutcomeUnknown;
             m_warnings.push_back(error->reason);
             last = makeFailure(code::LinkClosed, error->reason);
             continue;
@@ -128,11 +149,11 @@
             continue;
         }
         m_preferred = index;
-        return reply;
+        return finish(std::move(reply));
     }
     if (refused)
-        return *refused;
-    return last;
+        return finish(*std::move(refused));
+    return finish(last);
 }
 
 std::vector<std::string> entry_client::takeWarnings()
--- a/goldcrest/entry_client.h
+++ b/goldcrest/entry_client.h
@@ -77,8 +77,9 @@
     // Tries the entries in turn, beginning with the last one that served a call. An entry that
     // refuses because it can't serve the request now is skipped like one that does not answer; its
     // refusal is returned only if no other entry serves the request.
-    // Errors: LinkClosed if no entry replied; OutcomeUnknown if the request was sent, may have
-    // taken effect and is not repeatable.
+    // Errors: LinkClosed if no entry replied; OutcomeUnknown if an entry may have executed the
+    // request without an answer, and it is not repeatable or no other entry has executed it. A
+    // query (GET) that is repeatable ends with the last error instead.
     result<entry_reply> call(const entry_call &request);
 
     // Calls one entry, without failover.
--- a/testing/ctl_commands_test.cc
+++ b/testing/ctl_commands_test.cc
@@ -251,6 +251,36 @@
     }
 }
 
+// Guards against a refusal by one entry that is reported as "nothing was changed" although another
+// entry may have stored the request.
+TEST(ctl_commands, aRefusalAfterALostAnswerIsUnknown)
+{
+    writeFile("{}");
+    const std::vector<std::string> submit{"job", "submit", "--file", file, "--entry", "a:1,b:2"};
+    for (const code refusal : {code::QueueFull, code::TeamLimit, code::Draining,
+                               code::StoreUnavailable, code::UnknownTeam}) {
+        breakConnection(code::StoreAmbiguous);
+        answer(httpStatusOf(refusal), errorBody(refusal));
+        CHECK_TEXT(run(submit) == ctl_exit::Unknown, std::string(nameOf(refusal)).c_str());
+        CHECK(contains(err.str(), "because"));
+    }
+    // The preferred entry is still a:1.
+    answer(503, errorBody(code::Draining));
+    breakConnection(code::StoreAmbiguous);
+    CHECK(run(submit) == ctl_exit::Unknown);
+    breakConnection(code::StoreAmbiguous);
+    breakConnection(code::StoreUnavailable);
+    CHECK(run(submit) == ctl_exit::Unknown);
+    // No byte was sent to the first entry.
+    breakConnection(code::StoreUnavailable);
+    answer(503, errorBody(code::Draining));
+    CHECK(run(submit) == ctl_exit::Refused);
+    // A query changes nothing.
+    breakConnection(code::StoreAmbiguous);
+    answer(503, errorBody(code::Draining));
+    CHECK(run({"status", "--entry", "a:1,b:2"}) == ctl_exit::Refused);
+}
+
 // Guards against a pending change that is reported as in force, and an unbounded wait.
 TEST(ctl_commands, waitsUntilInForceAndNamesPendingCells)
 {
