Resolve a publication after every error that promises nothing

Now only the codes of wroteNothing() end it; others are resolved by reading the document. After codes other than StoreAmbiguous the read waits 100 ms, since a store that refuses each write answers at once.

anErrorThatPromisesNothingIsResolved failed before (StoreProtocol).

--- a/goldcrest/config_store.cc
+++ b/goldcrest/config_store.cc
@@ -71,6 +71,7 @@
     void onWriteReply(const publication_ptr &pending, const result<commit_reply> &outcome,
                       time_point sentAt);
     void resolve(const publication_ptr &pending);
+    void resolveLater(const publication_ptr &pending);
     void onReadForPublication(const publication_ptr &pending, bool answered);
     void finish(const publication_ptr &pending, const result<revision> &outcome);
     revision currentNumber() const { return std::max(known.number, view.current().number); }
@@ -221,10 +222,12 @@
                                        const result<commit_reply> &outcome, time_point sentAt)
 {
     if (const failure *error = failureOf(outcome)) {
-        pending->isAmbiguous = pending->isAmbiguous || error->number == code::StoreAmbiguous;
-        if (pending->isAmbiguous)
+        pending->isAmbiguous = pending->isAmbiguous || !wroteNothing(error->number);
+        if (!pending->isAmbiguous)
+            return finish(pending, *error);
+        if (error->number == code::StoreAmbiguous)
             return resolve(pending);
-        return finish(pending, *error);
+        return resolveLater(pending); // a store that refuses each write answers at once
     }
     const commit_reply &reply = valueOf(outcome);
     if (!reply.applied) {
@@ -256,19 +259,23 @@
     read([this, pending](bool answered) { onReadForPublication(pending, answered); });
 }
 
+void config_store::state::resolveLater(const publication_ptr &pending)
+{
+    constexpr duration retryDelay = 100ms;
+    pending->retryTimer
+        = loop.after(retryDelay, [this, weak = std::weak_ptr<publication>(pending)] {
+              if (const publication_ptr waiting = weak.lock())
+                  resolve(waiting);
+          });
+}
+
 void config_store::state::onReadForPublication(const publication_ptr &pending, bool answered)
 {
     if (!answered) {
         if (!pending->isAmbiguous)
             return finish(pending,
                           makeFailure(code::StoreUnavailable, "the store does not answer"));
-        constexpr duration retryDelay = 100ms; // a failed read may return immediately
-        pending->retryTimer
-            = loop.after(retryDelay, [this, weak = std::weak_ptr<publication>(pending)] {
-                  if (const publication_ptr waiting = weak.lock())
-                      resolve(waiting);
-              });
-        return;
+        return resolveLater(pending); // a failed read may return immediately
     }
     if (known.writer == pending->config.writer)
         return finish(pending, pending->config.number);
--- a/standins/store_model.cc
+++ b/standins/store_model.cc
@@ -345,7 +345,7 @@
     result<T> outcome = effect();
     if (isWrite && m_faults.loseAnswers > 0) {
         --m_faults.loseAnswers;
-        outcome = makeFailure(code::StoreAmbiguous, "the connection closed without an answer");
+        outcome = makeFailure(m_faults.lostAnswer, "the connection closed without an answer");
     }
     answer<T>(isWrite, std::move(outcome), options, std::move(callback));
 }
--- a/standins/store_model.h
+++ b/standins/store_model.h
@@ -98,6 +98,7 @@
     bool unresponsive = false; // calls take no effect and time out, and new watches break
     duration delay = 0ms; // of each response
     int loseAnswers = 0; // this many of the next writes take effect but get no response
+    code lostAnswer = code::StoreAmbiguous; // what the fake_store reports for these writes
     int loseRequests = 0; // this many of the next writes take no effect and get no response
     bool refuseWrites = false; // writes fail with StoreOverBudget
     bool dropWatchEvents = false; // watches receive no events
--- a/testing/config_store_test.cc
+++ b/testing/config_store_test.cc
@@ -285,6 +285,24 @@
     LONGS_EQUAL(0, stored());
 }
 
+// Guards against "not stored" for a publication that was stored, after an error that is not known
+// to mean that nothing was written.
+TEST(config_store, anErrorThatPromisesNothingIsResolved)
+{
+    start();
+    revision last = 0;
+    for (const code number : {code::StoreProtocol, code::LeaseLost, code::Internal}) {
+        first.store.faults().loseAnswers = 1;
+        first.store.faults().lostAnswer = number;
+        first.publish("amqui" + std::to_string(last), last);
+        finish(first);
+        CHECK_TEXT(succeeded(first, last + 1), std::string(nameOf(number)).c_str());
+        LONGS_EQUAL(++last, stored());
+        LONGS_EQUAL(0, first.store.faults().loseAnswers);
+        loop.advance(1s);
+    }
+}
+
 TEST_GROUP(config_view){};
 
 // Guards against a relayed confirmation that makes the configuration look fresher than it is.
