--- a/standins/store_server.cc
+++ b/standins/store_server.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iostream>
 #include <utility>
 
 namespace goldcrest {
@@ -125,6 +126,19 @@
     return transaction;
 }
 
+// Returns whether a transaction creates a job record, as an entry does for a submission.
+bool createsJob(const json &body)
+{
+    constexpr std::string_view jobPrefix = "jobs/";
+    const std::optional<store_transaction> transaction = transactionFrom(body);
+    return transaction && !transaction->writes.empty()
+        && std::any_of(transaction->conditions.begin(), transaction->conditions.end(),
+                       [&](const store_transaction::condition &condition) {
+                           return condition.onCreateRevision && condition.expected == 0
+                               && condition.key.rfind(jobPrefix, 0) == 0;
+                       });
+}
+
 server_response jsonResponse(std::string body, int status = 200)
 {
     server_response response;
@@ -140,7 +154,7 @@
 
 } // namespace
 
-struct store_server::state
+struct store_server::state : std::enable_shared_from_this<store_server::state>
 {
     struct open_watch
     {
@@ -166,6 +180,11 @@
     void breakWatches();
     void dropClosedWatches();
 
+    result<done> listen(std::string_view where);
+
+    // Closes the listener and all connections and listens again after `time`.
+    void closeFor(duration time);
+
     // Runs `task` after the injected delay; at once if there is none.
     void runDelayed(std::function<void()> task);
 
@@ -181,6 +200,8 @@
     std::map<std::uint64_t, timer_handle> delayed;
     std::uint64_t lastId = 0;
     timer_handle leaseTimer;
+    duration closeAtJob = 0ms; // see closeAtJobMs; 0: off
+    timer_handle reopenTimer;
     std::unique_ptr<http_server> server;
 };
 
@@ -205,6 +226,10 @@
     if (isWrite && faults.refuseWrites)
         return respond->respond(errorResponse(tooManyRequests));
     server_response response = (this->*handler)(body);
+    if (closeAtJob > 0ms && isWrite && createsJob(body)) {
+        closeFor(std::exchange(closeAtJob, 0ms));
+        return respond->abort();
+    }
     if (isWrite && faults.loseAnswers > 0) {
         --faults.loseAnswers;
         return respond->abort();
@@ -256,6 +281,8 @@
         faults.delay = duration(integerOf(fields, "delayMs"));
     if (fields.contains("loseAnswers"))
         faults.loseAnswers = static_cast<int>(integerOf(fields, "loseAnswers"));
+    if (fields.contains("closeAtJobMs"))
+        closeAtJob = duration(integerOf(fields, "closeAtJobMs"));
     if (faults.down)
         breakWatches();
     respond->respond(jsonResponse("{}"));
@@ -383,6 +410,40 @@
     watches[number].id = id;
 }
 
+result<done> store_server::state::listen(std::string_view where)
+{
+    http_limits limits;
+    limits.maxBodyBytes = maxRequestBytes;
+    result<std::unique_ptr<http_server>> started
+        = makeHttpServer(loop, where, limits,
+                         [weak = weak_from_this()](const server_request &request,
+                                                   const std::shared_ptr<responder> &respond) {
+                             if (const std::shared_ptr<state> running = weak.lock())
+                                 running->handle(request, respond);
+                         });
+    if (const failure *error = failureOf(started))
+        return *error;
+    server = std::move(valueOf(started));
+    return done{};
+}
+
+void store_server::state::closeFor(duration time)
+{
+    // Posted, because the server must not be destroyed while it handles a request.
+    loop.post([this, weak = weak_from_this(), time] {
+        const std::shared_ptr<state> running = weak.lock();
+        if (!running || !server)
+            return;
+        const std::string where = server->listenAddress();
+        breakWatches();
+        server.reset();
+        reopenTimer = loop.after(time, [this, where] {
+            if (const result<done> opened = listen(where); failureOf(opened))
+                std::cerr << "can't listen again: " << failureOf(opened)->reason << '\n';
+        });
+    });
+}
+
 void store_server::state::breakWatches()
 {
     for (const auto &[number, watch] : watches) {
@@ -421,19 +482,7 @@
 
 result<done> store_server::listen(std::string_view address)
 {
-    http_limits limits;
-    limits.maxBodyBytes = maxRequestBytes;
-    result<std::unique_ptr<http_server>> started = makeHttpServer(
-        m_state->loop, address, limits,
-        [weak = std::weak_ptr<state>(m_state)](const server_request &request,
-                                               const std::shared_ptr<responder> &respond) {
-            if (const std::shared_ptr<state> running = weak.lock())
-                running->handle(request, respond);
-        });
-    if (const failure *error = failureOf(started))
-        return *error;
-    m_state->server = std::move(valueOf(started));
-    return done{};
+    return m_state->listen(address);
 }
 
 std::string store_server::address() const
--- a/standins/store_server.h
+++ b/standins/store_server.h
@@ -6,8 +6,13 @@
 //   store_server server(loop);
 //   result<done> started = server.listen("127.0.0.1:7400");
 //
-// Test control: POST /standin/faults {"down":bool,"delayMs":n,"loseAnswers":n,"refuseWrites":bool}
-// sets the fields that are present; GET /standin/counts returns the number of calls by kind.
+// Test control: POST /standin/faults
+// {"down":bool,"delayMs":n,"loseAnswers":n,"refuseWrites":bool,"closeAtJobMs":n} sets the fields
+// that are present; GET /standin/counts returns the number of calls by kind.
+//
+// closeAtJobMs: the next transaction that creates a job record takes effect and gets no response.
+// The server closes its listener and all connections for that time, like a service that restarts
+// with its contents.
 
 #include "goldcrest/asio_event_loop.h"
 #include "goldcrest/http_server.h"
--- a/testing/etcd_store_test.cc
+++ b/testing/etcd_store_test.cc
@@ -362,6 +362,24 @@
     LONGS_EQUAL(3, parsed["total"].get<int>());
 }
 
+// Guards against an injected restart of the service that loses the write before it, or that never
+// ends. The process tests use it.
+TEST(etcd_store, aRestartAfterAJobIsStoredKeepsTheJob)
+{
+    admin("POST", "/standin/faults", R"({"closeAtJobMs":300})");
+    commit(*store, store_transaction{}.requireAbsent("k").put("k", "v"));
+    const auto job = store_transaction{}.requireAbsent("jobs/t/r").put("jobs/t/r", "record");
+    CHECK(failedWith(commit(*store, job), code::StoreAmbiguous));
+    CHECK(loop->runUntil([&] { return server->address().empty(); }, waitTimeout));
+    CHECK(failureOf(get("k")) != nullptr);
+    CHECK(loop->runUntil([&] { return !server->address().empty(); }, waitTimeout));
+    const auto kept = get("jobs/t/r");
+    CHECK(failureOf(kept) == nullptr && valueOf(kept).has_value());
+    CHECK(valueOf(kept)->value == "record");
+    const auto next = store_transaction{}.requireAbsent("jobs/t/s").put("jobs/t/s", "record");
+    CHECK(failureOf(commit(*store, next)) == nullptr); // the fault occurs once
+}
+
 // Guards against many calls at once that lose or mix up answers.
 TEST(etcd_store, answersBelongToTheirCalls)
 {
--- a/testing/process_path_test.cc
+++ b/testing/process_path_test.cc
@@ -129,6 +129,24 @@
     checkHistory();
 }
 
+// Guards against the answer "not run" for a job that the store has: the store carries out the write
+// of the submission, closes its connections, and refuses new ones until the entry has given up.
+TEST(processPath, jobStoredBeforeAnOutageIsNotAnsweredAsNotRun)
+{
+    start();
+    constexpr duration outage = 24s; // longer than entry_options::acceptTimeout
+    const test_job job = jobOf("outage", false);
+    CHECK(system->storeFaults({{"closeAtJobMs", outage.count()}}));
+    const test_answer submitted = system->submit(1, job);
+    const test_answer settled = system->waitForOutcome(2, job, 2 * conditionLimit);
+    const std::string seen = std::to_string(submitted.status) + " " + submitted.body.dump()
+        + ", then " + settled.body.dump();
+    CHECK_TEXT(submitted.errorCode() == static_cast<int>(code::OutcomeUnknown), seen.c_str());
+    CHECK_TEXT(!submitted.notRun(), seen.c_str());
+    CHECK_TEXT(settled.isFinal(), seen.c_str());
+    checkHistory();
+}
+
 // Guards against wrong input that is accepted, answered without its field, or crashes a process.
 TEST(processPath, refusesWrongInputAndGoesOn)
 {
