Test planner, election and store client with writes that fail after effect

The election gives its lease back after errors other than StoreAmbiguous, which removes the key. The store client repeats a write with neither a condition nor a value to read back only after failures without effect.

--- a/goldcrest/cell_planner.h
+++ b/goldcrest/cell_planner.h
@@ -103,6 +103,8 @@
     store_revision modRevision = 0;
 };
 
+// Outcome of a write. No status of a failed write proves that it was not carried out: the condition
+// on the record's revision makes the next write of the job find out.
 enum class write_status { Applied, Unavailable, Ambiguous, Conflict, NotLeader, Rejected };
 
 struct write_answer
--- a/testing/cell_model_support.cc
+++ b/testing/cell_model_support.cc
@@ -5,6 +5,7 @@
 #include "testing/fake_scheduler_support.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -254,6 +255,7 @@
     bool m_storeUp = true;
     bool m_storeSlow = false;
     bool m_storeLosesAnswers = false;
+    std::size_t m_lostAnswers = 0; // of writes
     store_revision m_storeRevision = 1;
     epoch m_leader = 0;
     time_point m_leaderExpires;
@@ -1071,8 +1073,11 @@
     after(delay / 2, [answerOf, apply] { *answerOf = apply(); });
     after(delay + (lost ? duration(2s) : duration(0)), [this, planner, action, answerOf, lost] {
         write_answer answer = *answerOf;
+        // No status of a failed write may be taken for a proof that it was not carried out.
+        constexpr std::array<write_status, 3> failures{
+            write_status::Ambiguous, write_status::Unavailable, write_status::Rejected};
         if (lost)
-            answer = {write_status::Ambiguous, 0};
+            answer = {failures.at(m_lostAnswers++ % failures.size()), 0};
         onPlanner(planner,
                   [=](cell_planner &core) { core.recordWritten(action.job, answer, m_now); });
     });
--- a/testing/membership_test.cc
+++ b/testing/membership_test.cc
@@ -258,6 +258,28 @@
     LONGS_EQUAL(model.range(leaderKey("south"), {}).at(0).createRevision, third.currentEpoch());
 }
 
+// Guards against a candidate that leads, or that leaves its key behind, after its write of the key
+// was carried out and answered with an error.
+TEST(membership, aKeyWhoseCreationFailedIsRemovedOrHeld)
+{
+    for (const code number : {code::StoreAmbiguous, code::StoreProtocol, code::StoreUnavailable,
+                              code::StoreOverBudget, code::LeaseLost, code::Internal}) {
+        fake_store plain{model, loop};
+        const std::string cell = "cell" + std::to_string(static_cast<int>(number));
+        membership member(plain, loop, cell, "w3", "127.0.0.1:7203", {});
+        plain.faults().delay = 5ms;
+        member.campaign();
+        loop.advance(1ms);
+        plain.faults().loseAnswers = 1;
+        plain.faults().lostAnswer = number;
+        loop.advance(6ms); // the lease is granted, the key is written
+        LONGS_EQUAL(1, model.range(leaderKey(cell), {}).size());
+        loop.advance(1s);
+        const bool hasKey = !model.range(leaderKey(cell), {}).empty();
+        CHECK_EQUAL_TEXT(member.isLeader(), hasKey, cell.c_str());
+    }
+}
+
 // Guards against a cell without a planner for a lease time after an orderly shutdown.
 TEST(membership, resigningFreesTheRoleAtOnce)
 {
--- a/testing/store_client_test.cc
+++ b/testing/store_client_test.cc
@@ -90,6 +90,40 @@
     CHECK(model.range("k", {}).empty());
 }
 
+// Guards against a repetition of a write with neither a condition nor a value to read back after a
+// failure that leaves its outcome open.
+TEST(store_client, anUnguardedWriteIsRepeatedOnlyAfterFailuresWithoutEffect)
+{
+    const store_transaction removal = store_transaction{}.remove("k");
+    const code codes[] = {code::StoreAmbiguous, code::StoreProtocol, code::LeaseLost,
+                          code::Internal,       code::StoreConflict, code::OutcomeUnknown};
+    for (const code number : codes) {
+        store_client client(inner, loop, {});
+        const std::uint64_t before = inner.counts().writes;
+        inner.faults().loseAnswers = 1;
+        inner.faults().lostAnswer = number;
+        const result<commit_reply> outcome = commit(client, removal);
+        CHECK_TEXT(failureOf(outcome) && !wroteNothing(failureOf(outcome)->number),
+                   std::string(nameOf(number)).c_str());
+        LONGS_EQUAL(before + 1, inner.counts().writes);
+    }
+    // Refused attempts come first, then one with an open outcome, which is the last.
+    store_client client(inner, loop, {});
+    const std::uint64_t before = inner.counts().writes;
+    inner.faults().refuseWrites = true;
+    inner.faults().loseAnswers = 1;
+    inner.faults().lostAnswer = code::StoreAmbiguous;
+    std::optional<result<commit_reply>> outcome;
+    client.commit(removal, normal, [&](auto answer) { outcome = answer; });
+    loop.advance(1ms);
+    CHECK_FALSE(outcome.has_value());
+    inner.faults().refuseWrites = false;
+    CHECK(loop.advanceUntil([&] { return outcome.has_value(); }, 1min));
+    CHECK(failedWith(*outcome, code::StoreAmbiguous));
+    LONGS_EQUAL(0, inner.faults().loseAnswers);
+    LONGS_EQUAL(before + 2, inner.counts().writes);
+}
+
 // Guards against "did not take effect" for a write that took effect and was overwritten.
 TEST(store_client, anOverwrittenWriteStaysAmbiguous)
 {
