Take only known refusals of a start for proof that nothing started

Now only the five codes that agents send before they call the backend server count.

onlyKnownRefusalsProveThatNoTaskWasStarted failed before (a second start of a job that may not run twice). aFailedStartIsNoProofThatTheTaskNeverStarted, for a start whose answer is lost at the agent, passed at once.

--- a/goldcrest/cell_planner_agents.cc
+++ b/goldcrest/cell_planner_agents.cc
@@ -16,6 +16,14 @@
 // count that differs from its own. A single one may differ because a message is in transit.
 constexpr std::int32_t maxPartCountMismatches = 2;
 
+// Returns whether a refusal of a start proves that no task was started: the agent sends these codes
+// before it calls its backend server.
+bool provesNothingStarted(code number)
+{
+    return number == code::StaleEpoch || number == code::HoldRefused || number == code::HoldExpired
+        || number == code::AttemptAborted || number == code::WorkerDraining;
+}
+
 } // namespace
 
 void cell_planner::beginRecovery(planned_job &job, const job_record &record, time_point now)
@@ -373,10 +381,7 @@
         member->started = true;
     } else if (!member->started && !member->finished) {
         member->refused = started.refused;
-        // Any other refusal proves that nothing started: the agent sends it before it calls its
-        // backend server.
-        const code number = started.refused->number;
-        if (number != code::BackendUnavailable && number != code::OutcomeUnknown)
+        if (provesNothingStarted(started.refused->number))
             member->neverStarted = true;
     }
     reviewGang(*job, now);
--- a/testing/agent_core_test.cc
+++ b/testing/agent_core_test.cc
@@ -269,6 +269,30 @@
     LONGS_EQUAL(0, messagesIn<task_finished_message>(agent.takeActions()).size());
 }
 
+// Guards against "never started" for a task whose start failed and that a task list lacks: the
+// backend server may have received the start and run the task, or may receive it later.
+TEST(agent_core, aFailedStartIsNoProofThatTheTaskNeverStarted)
+{
+    for (const code number : {code::BackendUnavailable, code::InvalidValue}) {
+        agent_core agent = makeAgent();
+        const gang_info gang = gangOf(1, firstEpoch);
+        hold(agent, gang, start);
+        begin(agent, gang, start);
+        agent.taskStartAnswered(taskIdOf(gang, 0), makeFailure(number, "no answer"), start + 1ms);
+        const std::uint64_t call = listCallIn(agent.takeActions());
+        CHECK(call != 0);
+        agent.taskListAnswered(call, std::vector<listed_task>{}, start + 2ms);
+        agent.plannerMessage(abort_message{gang.attempt, gang.plannerEpoch}, start + 3ms);
+        const std::vector<agent_action> actions = agent.takeActions();
+        // The planner takes this code for no proof; see onlyKnownRefusalsProveThatNoTaskWasStarted.
+        for (const task_started_message &started : messagesIn<task_started_message>(actions))
+            CHECK(started.refused && started.refused->number == code::BackendUnavailable);
+        const auto replies = messagesIn<abort_reply_message>(actions);
+        LONGS_EQUAL(1, replies.size());
+        CHECK(replies[0].everStarted);
+    }
+}
+
 // Guards against a job that runs twice: the answer to a task list call from before a start counted
 // as that of the later call, which another start that failed had caused.
 TEST(agent_core, answerToAnEarlierListCallDoesNotProveATaskGone)
--- a/testing/cell_planner_test.cc
+++ b/testing/cell_planner_test.cc
@@ -30,6 +30,8 @@
     std::vector<std::pair<link_id, gang_info>> holds;
     std::vector<gang_info> started;
     store_revision storeRevision = 0;
+    bool isIdempotent = true; // the job
+    std::optional<failure> startRefusal; // of the first start
 
     static planner_options makeOptions()
     {
@@ -114,20 +116,21 @@
                 hold_reply_message{hold->gang.attempt, workers.at(sent.link), someEpoch, {}}, now);
         } else if (const auto *start = std::get_if<start_message>(&sent.content)) {
             started.push_back(holds.back().second);
-            planner.received(
-                sent.link,
-                task_started_message{start->attempt, workers.at(sent.link), someEpoch, {}}, now);
+            planner.received(sent.link,
+                             task_started_message{start->attempt, workers.at(sent.link), someEpoch,
+                                                  std::exchange(startRefusal, std::nullopt)},
+                             now);
         }
     }
 
-    static job_spec makeSpec()
+    job_spec makeSpec() const
     {
         job_spec spec;
         spec.key = {"team", "request"};
         spec.className = "batch";
         spec.tasks = 1;
         spec.perTask = {1000, 1000, 0};
-        spec.idempotent = true;
+        spec.idempotent = isIdempotent;
         spec.declaredRunTime = 1h;
         return spec;
     }
@@ -166,3 +169,28 @@
     advance(2s);
     LONGS_EQUAL(1, started.size());
 }
+
+// Guards against a job that runs twice: a refusal of a start counted as a proof that no task was
+// started unless its code was known to prove nothing.
+TEST(cell_planner, onlyKnownRefusalsProveThatNoTaskWasStarted)
+{
+    isIdempotent = false;
+    startRefusal = makeFailure(code::Internal, "a fault after the first task was started");
+    deliver(1, inventoryOf(1));
+    advance(3s);
+    submit();
+    advance(10s);
+    LONGS_EQUAL(1, started.size());
+}
+
+// Guards against a job that waits for a proof that it has.
+TEST(cell_planner, aRefusedStartIsRepeatedWhenNoTaskWasStarted)
+{
+    isIdempotent = false;
+    startRefusal = makeFailure(code::HoldExpired, "the attempt has no hold on this worker");
+    deliver(1, inventoryOf(1));
+    advance(3s);
+    submit();
+    advance(10s);
+    LONGS_EQUAL(2, started.size());
+}
