--- a/testing/ctl_commands_test.cc
+++ b/testing/ctl_commands_test.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/ctl_commands.h"
 #include "goldcrest/ctl_table.h"
+#include "goldcrest/platform_store.h"
 
 #include "testing/doc_page_support.h"
 
@@ -227,6 +228,59 @@
     CHECK(contains(err.str(), "--revision"));
 }
 
+// Guards against a code that becomes the exit code of "nothing was changed" by default.
+TEST(ctl_commands, onlyKnownCodesExitAsRefused)
+{
+    for (const code_entry &entry : listCodes()) {
+        answer(entry.httpStatus, errorBody(entry.number));
+        const ctl_exit status = run({"worker", "drain", "w1"});
+        client.answers.clear();
+        const std::string name(entry.name);
+        if (entry.httpStatus < 300)
+            continue; // not an error to a client
+        ctl_exit expected = changedNothing(entry.number) ? ctl_exit::Refused : ctl_exit::Unknown;
+        if (entry.number == code::RevisionConflict || entry.number == code::RevisionRequired)
+            expected = ctl_exit::Conflict;
+        if (entry.number == code::LinkClosed)
+            expected = ctl_exit::Unreachable;
+        CHECK_TEXT(status == expected, name.c_str());
+    }
+    for (const int unknown : {1, 399, 799, 998}) {
+        answer(500, errorBody(static_cast<code>(unknown)));
+        CHECK(run({"worker", "drain", "w1"}) == ctl_exit::Unknown);
+    }
+}
+
+// Guards against a refusal by one entry that is reported as "nothing was changed" although another
+// entry may have stored the request.
+TEST(ctl_commands, aRefusalAfterALostAnswerIsUnknown)
+{
+    writeFile("{}");
+    const std::vector<std::string> submit{"job", "submit", "--file", file, "--entry", "a:1,b:2"};
+    for (const code refusal : {code::QueueFull, code::TeamLimit, code::Draining,
+                               code::StoreUnavailable, code::UnknownTeam}) {
+        breakConnection(code::StoreAmbiguous);
+        answer(httpStatusOf(refusal), errorBody(refusal));
+        CHECK_TEXT(run(submit) == ctl_exit::Unknown, std::string(nameOf(refusal)).c_str());
+        CHECK(contains(err.str(), "because"));
+    }
+    // The preferred entry is still a:1.
+    answer(503, errorBody(code::Draining));
+    breakConnection(code::StoreAmbiguous);
+    CHECK(run(submit) == ctl_exit::Unknown);
+    breakConnection(code::StoreAmbiguous);
+    breakConnection(code::StoreUnavailable);
+    CHECK(run(submit) == ctl_exit::Unknown);
+    // No byte was sent to the first entry.
+    breakConnection(code::StoreUnavailable);
+    answer(503, errorBody(code::Draining));
+    CHECK(run(submit) == ctl_exit::Refused);
+    // A query changes nothing.
+    breakConnection(code::StoreAmbiguous);
+    answer(503, errorBody(code::Draining));
+    CHECK(run({"status", "--entry", "a:1,b:2"}) == ctl_exit::Refused);
+}
+
 // Guards against a pending change that is reported as in force, and an unbounded wait.
 TEST(ctl_commands, waitsUntilInForceAndNamesPendingCells)
 {
