Count refused connections as a possible suspension, up to 5 s

The planner took each refusal for a proof that the machine had run since the one before. A suspended machine may refuse connections too, and nothing else tells it from one that runs without its sidecar: docs/platform.md has the reasons.

Refusals that follow each other closely now extend the wait for the lease as well, until the extension is 5 s. A lost machine refuses nothing and is waited for as long as before. A sidecar that stays away for more than 8.7 s while its machine refuses connections delays its tasks by up to 5 s more, to 13.7 s after its last report; callers allow 14 s.

killedAgentHardlyDelaysItsTasks and agentThatClosesItsLinkIsProbedAtOnce asserted that refusals extend nothing. The first one and pauseBeforeTheEndOfTheAgentCountsOnce keep their bounds with an extension of 0 for refusals; refusalsDoNotProveThatAMachineRuns and the second one state the new bounds from both sides.

The two new tests of run_planner and the changed one of planner_service failed before.

--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -62,6 +62,10 @@
     // tasks start elsewhere in the end. A single one is noticed only if it is shorter than that
     // wait, which is 8.7 s.
     duration longestLeaseExtension = 10s;
+    // Bound of the extension for the time in which a machine refuses connections to its agent. It
+    // may do so while it is suspended, and nothing tells that from a machine that runs. With the
+    // wait of 8.7 s, tasks start elsewhere within the 14 s that callers allow.
+    duration longestRefusalExtension = 5s;
     // A worker gets no starts if its last report is older than this. Reports come every 0.5 s.
     duration freshReport = 2s;
     // No run is started if the configuration was confirmed longer ago than this, because operators'
@@ -169,9 +173,9 @@
     // Returns whether runs may exist on a worker.
     bool hasRunsOn(const worker_id &worker) const;
 
-    // The machine of a worker runs at this time, and the agent there is down. Unless the machine
-    // has shown that it ran since the last report, it may have been suspended meanwhile, and its
-    // lease may end later by that time.
+    // The machine of a worker refuses connections, since the agent there is down. It may have been
+    // suspended since its last report or refusal, and its lease may end later by that time. Between
+    // refusals that follow each other closely this is less likely, so that less of it is counted.
     void noteProcessDown(const worker_id &worker, time_point now);
 
     // The machine of a worker accepts connections, but the agent there answers none. The machine
--- a/goldcrest/run_planner_leases.cc
+++ b/goldcrest/run_planner_leases.cc
@@ -25,7 +25,8 @@
 }
 
 // The lease of a backend server runs on a clock that stands still while its machine is suspended.
-// Between two proofs that the machine runs, it may have been suspended all the time.
+// Between a report and a refusal, or two refusals, it may have been suspended all the time. While
+// it is suspended, it may refuse connections like a machine that runs without the agent.
 void run_planner::noteProcessDown(const worker_id &id, time_point now)
 {
     pool_worker *worker = m_pool.find(id);
@@ -34,10 +35,14 @@
     const bool isFirst = worker->provenAt <= worker->listedAt;
     const duration gap = now - std::max(worker->provenAt, worker->listedAt);
     worker->provenAt = now;
-    if (!isFirst && gap <= m_options.longestProofGap)
+    const bool isClose = !isFirst && gap <= m_options.longestProofGap;
+    (isClose ? worker->refusedTime : worker->provenExtension) += gap;
+    extendLease(*worker,
+                std::max(worker->provenExtension,
+                         std::min(worker->provenExtension + worker->refusedTime,
+                                  m_options.longestRefusalExtension)));
+    if (isClose)
         return;
-    worker->provenExtension += gap;
-    extendLease(*worker, worker->provenExtension);
     recordDecision("worker lease may last longer", {}, 0, id,
                    "its agent is down, and its machine may have been suspended before",
                    fmt::format("silence_ms={} extension_ms={} lease_left_ms={}",
@@ -75,6 +80,7 @@
     worker.leaseEnds -= worker.leaseExtension;
     worker.leaseExtension = 0ms;
     worker.provenExtension = 0ms;
+    worker.refusedTime = 0ms;
 }
 
 } // namespace goldcrest
--- a/goldcrest/worker_pool.h
+++ b/goldcrest/worker_pool.h
@@ -57,9 +57,10 @@
     bool isDeparted = false; // the last report was a final one
     std::int64_t clock = 0; // of the backend server at the last report, ms
     time_point leaseEnds{}; // no granted lease ends later
-    time_point provenAt{}; // last time at which its machine ran although its agent was down
+    time_point provenAt{}; // last time at which its machine refused connections to its agent
     duration leaseExtension = 0ms; // part of leaseEnds, for suspensions since the last report
     duration provenExtension = 0ms; // part of leaseExtension, for those that ended before provenAt
+    duration refusedTime = 0ms; // between refusals that followed each other closely
     std::map<run_id, running_task> running; // as reported
     // Tasks of the reported runs; without a value: the name could not be parsed.
     std::vector<std::optional<task_key>> runningTasks;
--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -653,12 +653,38 @@
     m_network.setCut(addressOf(index), false);
     m_hosts[index]->resume();
     m_timers.after(downTime + reportTime, [this, index] { m_suspended.erase(index); });
+    if (!m_sidecars[index]) // it was killed before
+        return;
     if (!kills)
         return m_sidecars[index]->loop.resume();
     stopSidecar(index);
     m_timers.after(downTime, [this, index] { startSidecar(index); });
 }
 
+// Kills a sidecar that is not the planner and suspends its machine a second later. The machine
+// refuses connections from the kill until the sidecar is back, up to 3.5 s after the suspension.
+void graph_model::suspendAfterKill()
+{
+    constexpr duration timeBefore = 1s;
+    constexpr std::uint64_t shortest = 500;
+    constexpr std::uint64_t longest = 5000;
+    constexpr std::uint64_t longestDownTime = 3500;
+    constexpr duration reportTime = 3s; // until a new sidecar has reported
+    const std::size_t index = m_hostRandom() % sidecarCount;
+    const duration length(shortest + m_hostRandom() % (longest - shortest + 1));
+    const duration downTime(m_hostRandom() % longestDownTime);
+    if (!m_sidecars[index] || m_sidecars[index]->planner.isElected() || m_hosts[index]->isDown()
+        || m_suspended.count(index) > 0)
+        return;
+    m_suspended.insert(index);
+    stopSidecar(index);
+    const duration end = timeBefore + length;
+    m_timers.after(timeBefore, [this, index] { m_hosts[index]->suspend(); });
+    m_timers.after(end, [this, index] { m_hosts[index]->resume(); });
+    m_timers.after(end + downTime, [this, index] { startSidecar(index); });
+    m_timers.after(end + downTime + reportTime, [this, index] { m_suspended.erase(index); });
+}
+
 // Sends a copy of a host's announcement that names another service.
 void graph_model::sendForeignFields()
 {
@@ -777,6 +803,8 @@
             restartSilently();
         if (m_options.hasSuspensions && m_hostRandom() % 40 == 0)
             suspendMachine();
+        if (m_options.hasSuspensionsAfterKills && m_hostRandom() % 40 == 0)
+            suspendAfterKill();
         m_loop.advance(step);
         recordElections();
     }
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -82,6 +82,9 @@
     // Machines without the planner are suspended for seconds, with their backend server and their
     // sidecar, which is killed afterwards in half of the cases.
     bool hasSuspensions = false;
+    // The same machines, but their sidecar is killed a second before the suspension, and they
+    // refuse connections meanwhile as a machine without the process does.
+    bool hasSuspensionsAfterKills = false;
     duration length = 60s; // of the phase with faults
     duration settleLimit = 90s; // of the phase without faults, in which all jobs must end
 };
@@ -127,6 +130,7 @@
     void restartSilently();
     void suspendMachine();
     void resumeMachine(std::size_t index, bool kills);
+    void suspendAfterKill();
     void healAll();
     void pollStates();
     void recordElections();
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -323,3 +323,14 @@
     const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
     LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
 }
+
+// Guards TWICE: a machine that refuses connections while it is suspended, after its sidecar was
+// killed, looks like one that runs without a sidecar.
+TEST(graph_model, suspendedMachinesThatRefuseConnectionsBreakNoPromise)
+{
+    graph_model_options options;
+    options.hasFaults = false;
+    options.hasSuspensionsAfterKills = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    LONGS_EQUAL(0, countFailing(options, first, numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi)));
+}
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -269,7 +269,8 @@
 }
 
 // Guards the time that work waits: the machine of a killed agent closes its link and is probed at
-// once, so that hardly any time counts as a possible suspension.
+// once, so that hardly any time before that counts as a possible suspension. The following refusals
+// count as well, up to 5 s in all.
 TEST(planner_service, agentThatClosesItsLinkIsProbedAtOnce)
 {
     elect();
@@ -278,9 +279,15 @@
     loop.advance(300ms);
     link->drop();
     LONGS_EQUAL(1, probe.addresses.size());
-    loop.advance(6s);
+    loop.advance(0ms);
     CHECK(extensionOf("w2") >= 300ms);
     CHECK(extensionOf("w2") < 500ms);
+    loop.advance(6s);
+    LONGS_EQUAL(5000, extensionOf("w2").count());
+    loop.advance(7s); // 13.3 s of 8.66 s and 5 s
+    CHECK(service->planner()->hasRunsOn("w2"));
+    loop.advance(500ms);
+    CHECK(!service->planner()->hasRunsOn("w2"));
 }
 
 // Guards the cost of days on which machines are lost: they are probed until their lease is over,
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -575,6 +575,10 @@
 // A pause and the following end of the agent are one gap, which counts once.
 TEST(run_planner, pauseBeforeTheEndOfTheAgentCountsOnce)
 {
+    run_planner_options options;
+    options.longestRefusalExtension = 0ms;
+    planner = run_planner(options, someEpoch, now);
+    confirm();
     loseWorkerWithATask();
     passTime(2s);
     planner.noteProcessPaused("w1", now);
@@ -585,9 +589,14 @@
     CHECK(timeUntilReplaced() <= 800ms);
 }
 
-// Guards the time that work waits: the machine of an agent that was killed has run all the time.
+// Guards the time that work waits: without the extension for refusals, only the time until the
+// first refusal delays the tasks of an agent that was killed.
 TEST(run_planner, killedAgentHardlyDelaysItsTasks)
 {
+    run_planner_options options;
+    options.longestRefusalExtension = 0ms;
+    planner = run_planner(options, someEpoch, now);
+    confirm();
     loseWorkerWithATask();
     passTime(400ms);
     planner.noteProcessDown("w1", now);
@@ -596,6 +605,31 @@
     CHECK(timeUntilReplaced() <= 700ms + 100ms);
 }
 
+// Guards TWICE: a machine whose agent was killed may be suspended for up to 5 s and refuse
+// connections all the time. Also guards the time that work waits: callers allow 14 s.
+TEST(run_planner, refusalsDoNotProveThatAMachineRuns)
+{
+    loseWorkerWithATask();
+    passTime(400ms);
+    planner.noteProcessDown("w1", now);
+    passTimeWithAgentDown(13s); // 13.4 s of 8.66 s and 5 s
+    CHECK(ordersOf("w2").starts.empty());
+    CHECK(timeUntilReplaced() <= 400ms);
+}
+
+// Guards the time that work waits: a machine that is lost soon after its agent refuses nothing
+// any more.
+TEST(run_planner, machineLostAfterItsAgentIsWaitedForAsLongAsItRefused)
+{
+    loseWorkerWithATask();
+    passTime(400ms);
+    planner.noteProcessDown("w1", now);
+    passTimeWithAgentDown(1s);
+    passTime(8500ms); // 9.9 s of 8.66 s and 1.4 s
+    CHECK(ordersOf("w2").starts.empty());
+    CHECK(timeUntilReplaced() <= 300ms);
+}
+
 // Guards the time that work waits: each gap could be a suspension, but tasks start in the end.
 TEST(run_planner, waitForSuspensionsIsBounded)
 {
