Store the link addresses of workers with runs for the next planner

After a takeover during a suspension, the run of a silent worker started elsewhere 10.3 s after the election, although its machine may have been suspended and its lease may have lasted longer (TWICE).

The next planner knew no address of a worker that had not reported to it, so it could not probe its machine.

Its wait counts from the end of the predecessor's lease, and refusals extend it to 13.7 s from the election at most. A machine that refuses nothing is waited for as long as before.

planner_service: successorProbesAgentsThatHaveNotReported, successorWaitsForRefusalsAsLongAsItsPredecessor and addressesOfWorkersThatAreGoneAreRemoved failed before. No run with real processes shows the takeover.

--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -188,6 +188,7 @@
 // Keys in the store: submitted jobs and cancellations, and the progress of jobs.
 constexpr std::string_view graphIntakePrefix = "gc/in/";
 constexpr std::string_view graphProgressPrefix = "gc/run/";
+constexpr std::string_view agentAddressPrefix = "gc/agent/"; // link addresses of workers with runs
 std::string graphJobKey(std::string_view id);
 std::string graphCancelKey(std::string_view id);
 std::string graphProgressKey(std::string_view id);
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -240,6 +240,8 @@
     retryTimer.reset();
     commitTimer.reset();
     expiryTimer.reset();
+    addressTimer.reset();
+    isStoringAddresses = false;
     planner.reset();
     revisions.clear();
     writers.clear();
--- a/goldcrest/planner_service_links.cc
+++ b/goldcrest/planner_service_links.cc
@@ -80,7 +80,9 @@
     if (!role->isLeaseValid(loop.now()) || !planner->onReport(report, wall(), loop.now()))
         return;
     agents[report.worker] = from;
-    knownAgents[report.worker].address = from.link->peerAddress();
+    known_agent &agent = knownAgents[report.worker];
+    agent.address = from.link->peerAddress();
+    agent.seenAt = loop.now();
     sendOrdersTo(report.worker);
     if (planner->needsPass())
         schedulePlan();
--- a/goldcrest/planner_service_recovery.cc
+++ b/goldcrest/planner_service_recovery.cc
@@ -75,6 +75,7 @@
         .field("jobs", static_cast<std::int64_t>(planner->jobCount()))
         .field("unfinished", static_cast<std::int64_t>(planner->unfinishedJobs()))
         .write();
+    loadAddresses();
     schedulePlan();
 }
 
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -32,10 +32,12 @@
     std::uint64_t number = 0;
 };
 
-// An agent that has reported in this term.
+// An agent that has reported in this term, or whose address a predecessor has stored.
 struct known_agent
 {
     std::string address; // of its links
+    std::string storedAddress;
+    time_point seenAt{}; // last report, or when the stored address was read
     time_point probedAt{};
 };
 
@@ -81,6 +83,8 @@
     void probeSilentWorkers();
     void probeAfterClose(const worker_id &worker);
     void probe(const worker_id &worker, known_agent &agent);
+    void loadAddresses();
+    void storeAddresses();
     void writeDecisions();
     void onLinkClosed(const std::shared_ptr<peer_link> &closed);
     void onMessage(const numbered_link &from, const message &received);
@@ -143,6 +147,8 @@
     timer_handle retryTimer;
     timer_handle commitTimer;
     timer_handle expiryTimer;
+    timer_handle addressTimer;
+    bool isStoringAddresses = false;
     std::set<std::shared_ptr<peer_link>> links;
     std::uint64_t linkCount = 0;
     std::map<worker_id, numbered_link> agents;
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -248,6 +248,7 @@
 
     void extendLease(pool_worker &worker, duration extension) const;
     static void endLeaseExtension(pool_worker &worker);
+    time_point lastListed(const pool_worker &worker) const;
     void noteChanged(tracked_job &job);
     void recordDecision(std::string_view event, const task_key &task, std::int32_t run,
                         const worker_id &worker, std::string reason, std::string inputs = {});
--- a/goldcrest/run_planner_leases.cc
+++ b/goldcrest/run_planner_leases.cc
@@ -10,9 +10,10 @@
 {
     std::vector<worker_id> silent;
     for (const auto &[id, worker] : m_pool.workers()) {
-        const bool isDown = worker.provenAt > worker.listedAt;
-        const bool isSilent = isDown || now - worker.listedAt > m_options.silenceLimit;
-        if (worker.isReported && !worker.active.empty() && isSilent && now <= worker.leaseEnds)
+        if (worker.active.empty() || now > worker.leaseEnds)
+            continue;
+        const time_point listedAt = lastListed(worker);
+        if (worker.provenAt > listedAt || now - listedAt > m_options.silenceLimit)
             silent.push_back(id);
     }
     return silent;
@@ -24,29 +25,41 @@
     return found != m_pool.workers().end() && !found->second.active.empty();
 }
 
+// Returns the time of the last report from which the lease of a worker is counted. For a worker
+// that has not reported in this term, that is the last time at which the predecessor may have
+// granted it.
+time_point run_planner::lastListed(const pool_worker &worker) const
+{
+    return worker.isReported ? worker.listedAt : m_electedAt + m_options.predecessorLease;
+}
+
 // The lease of a backend server runs on a clock that stands still while its machine is suspended.
 // Between a report and a refusal, or two refusals, it may have been suspended all the time. While
 // it is suspended, it may refuse connections like a machine that runs without the agent.
 void run_planner::noteProcessDown(const worker_id &id, time_point now)
 {
     pool_worker *worker = m_pool.find(id);
-    if (!worker || !worker->isReported || worker->active.empty())
+    if (!worker || worker->active.empty())
         return;
-    const bool isFirst = worker->provenAt <= worker->listedAt;
-    const duration gap = now - std::max(worker->provenAt, worker->listedAt);
+    const time_point listedAt = lastListed(*worker);
+    const bool isFirst = worker->provenAt <= listedAt;
+    const duration gap = std::max<duration>(0ms, now - std::max(worker->provenAt, listedAt));
     worker->provenAt = now;
     const bool isClose = !isFirst && gap <= m_options.longestProofGap;
     (isClose ? worker->refusedTime : worker->provenExtension) += gap;
+    // After a takeover, the wait is longer by the lease of the predecessor.
+    const duration longest = worker->isReported
+        ? m_options.longestRefusalExtension
+        : m_options.longestRefusalExtension - m_options.predecessorLease;
     extendLease(*worker,
                 std::max(worker->provenExtension,
-                         std::min(worker->provenExtension + worker->refusedTime,
-                                  m_options.longestRefusalExtension)));
+                         std::min(worker->provenExtension + worker->refusedTime, longest)));
     if (isClose)
         return;
     recordDecision("worker lease may last longer", {}, 0, id,
                    "its agent is down, and its machine may have been suspended before",
                    fmt::format("silence_ms={} extension_ms={} lease_left_ms={}",
-                               (now - worker->listedAt).count(), worker->leaseExtension.count(),
+                               (now - listedAt).count(), worker->leaseExtension.count(),
                                (worker->leaseEnds - now).count()));
 }
 
@@ -54,12 +67,13 @@
 void run_planner::noteProcessPaused(const worker_id &id, time_point now)
 {
     pool_worker *worker = m_pool.find(id);
-    if (!worker || !worker->isReported || worker->active.empty())
+    if (!worker || worker->active.empty())
         return;
-    const duration gap = now - std::max(worker->provenAt, worker->listedAt);
+    const time_point listedAt = lastListed(*worker);
+    const duration gap = std::max<duration>(0ms, now - std::max(worker->provenAt, listedAt));
     if (worker->leaseExtension == 0ms)
         recordDecision("worker lease may last longer", {}, 0, id, "its agent is paused",
-                       fmt::format("silence_ms={}", (now - worker->listedAt).count()));
+                       fmt::format("silence_ms={}", (now - listedAt).count()));
     extendLease(*worker, worker->provenExtension + gap);
 }
 
--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -95,6 +95,16 @@
         loop.advance(100ms);
     }
 
+    // Replaces the planner by another process, which does not know the links of the first one.
+    void succeed()
+    {
+        service.reset();
+        loop.advance(3s);
+        probe.addresses.clear();
+        setup();
+        elect();
+    }
+
     static std::string encodedJob(const std::string &id)
     {
         graph_job job;
@@ -304,6 +314,71 @@
     LONGS_EQUAL(18, probe.addresses.size());
 }
 
+// Guards TWICE after a takeover: the machine of a worker that has not reported to the successor may
+// be suspended. The successor finds its address in the store.
+TEST(planner_service, successorProbesAgentsThatHaveNotReported)
+{
+    elect();
+    startATask("w2");
+    loop.advance(2s);
+    succeed();
+    loop.advance(6s);
+    CHECK(!probe.addresses.empty());
+    STRCMP_EQUAL("10.0.0.8:7203", probe.addresses[0].c_str());
+    LONGS_EQUAL(0, extensionOf("w2").count());
+    probe.outcome = probe_outcome::Refused;
+    loop.advance(600ms);
+    // 6.1 s to 6.7 s since the election, less what the predecessor's lease has added to the wait.
+    CHECK(extensionOf("w2") >= 4s);
+    CHECK(extensionOf("w2") <= 5500ms);
+    CHECK(probe.addresses.size() <= 12);
+}
+
+// Guards the time that work waits after a takeover: refusals extend the wait to 13.7 s at most, and
+// a machine that refuses nothing is waited for as long as before.
+TEST(planner_service, successorWaitsNoLongerThanCallersAllow)
+{
+    elect();
+    startATask("w2");
+    loop.advance(2s);
+    succeed();
+    loop.advance(10s);
+    CHECK(service->planner()->hasRunsOn("w2"));
+    loop.advance(800ms);
+    CHECK(!service->planner()->hasRunsOn("w2"));
+}
+
+// The same for a machine that refuses connections all the time.
+TEST(planner_service, successorWaitsForRefusalsAsLongAsItsPredecessor)
+{
+    elect();
+    startATask("w2");
+    loop.advance(2s);
+    probe.outcome = probe_outcome::Refused;
+    succeed();
+    loop.advance(13s);
+    CHECK(service->planner()->hasRunsOn("w2"));
+    loop.advance(900ms);
+    CHECK(!service->planner()->hasRunsOn("w2"));
+}
+
+// Guards the size of the store: addresses of workers that are gone are removed after a while, and
+// an address is written once.
+TEST(planner_service, addressesOfWorkersThatAreGoneAreRemoved)
+{
+    elect();
+    const auto link = startATask("w2");
+    loop.advance(2s);
+    LONGS_EQUAL(1, model.range("gc/agent/", "gc/agent0").size());
+    const std::uint64_t writes = store.counts().writes;
+    reportRunningTask(*link, "w2");
+    loop.advance(2s);
+    LONGS_EQUAL(writes, store.counts().writes);
+    link->drop();
+    loop.advance(90s); // the lease of its run is over
+    LONGS_EQUAL(0, model.range("gc/agent/", "gc/agent0").size());
+}
+
 // An agent without runs has no lease that matters.
 TEST(planner_service, agentWithoutRunsIsNotProbed)
 {
