Bound the runs that a newly started agent finds on its server

After a suspension, a sidecar that was started anew and could not reach the planner stopped nothing: it knew no lease, although the planner might have replaced the runs that it found (TWICE).

Every lease that an earlier process was granted is based on a clock reading from before the start of the new one. So the backend server ends those runs within 8.2 s of that start, unless the machine was suspended since. An agent to which no planner has granted a lease now stops what is still listed then. It ends nothing that a merely restarted sidecar could have kept, and the first lease that a planner grants replaces the bound.

run_agent.runsOfAnEarlierProcessAreStoppedOnceTheirLeaseIsOver failed before.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -168,6 +168,8 @@
     // The new incarnation shows that the earlier one is gone.
     if (backend)
         finalReports.push_back({makeDepartureReport()});
+    else
+        noteEarlierLease();
     if (finalReports.size() > maxFinalReports)
         finalReports.pop_front();
     backend = announcement;
@@ -184,7 +186,8 @@
     holdUntil = 0;
     leaseEndsAt = {};
     clockReadings.clear();
-    leaseTimer.reset();
+    if (!earlierLeaseEndsAt)
+        leaseTimer.reset();
     isQuerying = false;
     // Starts that were sent to the earlier incarnation may still reach this one, which knows
     // neither the runs nor the fencing token. They are stopped here too, even if they were stopped
--- a/goldcrest/run_agent_lease.cc
+++ b/goldcrest/run_agent_lease.cc
@@ -20,6 +20,7 @@
     if (until <= holdUntil)
         return;
     holdUntil = until;
+    earlierLeaseEndsAt.reset();
     auto granted = clockReadings.upper_bound(until - options.workerLease.count());
     if (granted == clockReadings.begin())
         return;
@@ -31,9 +32,20 @@
         leaseTimer = loop.every(leaseCheckInterval, [this] { stopRunsIfLeaseIsOver(); });
 }
 
+// Takes note of the leases that an earlier process here may have been granted. They are based on
+// clock readings from before the start of this process, so that the backend server has ended its
+// runs by this time unless the machine was suspended since.
+void run_agent::state::noteEarlierLease()
+{
+    earlierLeaseEndsAt = createdAt + scaled(options.workerLease, 1 + options.clockError);
+    leaseTimer = loop.every(leaseCheckInterval, [this] { stopRunsIfLeaseIsOver(); });
+}
+
 // Returns whether the lease is over by a clock that counts suspensions of the machine.
 bool run_agent::state::isLeaseOver() const
 {
+    if (earlierLeaseEndsAt)
+        return loop.now() >= *earlierLeaseEndsAt;
     return leaseEndsAt != time_point{} && loop.now() >= leaseEndsAt;
 }
 
@@ -58,7 +70,7 @@
     log_line(log_level::Warning, "runs stopped, their lease is over")
         .field("worker", worker)
         .field("runs", stopped)
-        .field("over_ms", (loop.now() - leaseEndsAt).count())
+        .field("over_ms", (loop.now() - earlierLeaseEndsAt.value_or(leaseEndsAt)).count())
         .write();
     advanceAll();
 }
--- a/goldcrest/run_agent_state.h
+++ b/goldcrest/run_agent_state.h
@@ -102,6 +102,7 @@
     void applyPaces();
     void noteLease(std::int64_t until);
     bool isLeaseOver() const;
+    void noteEarlierLease();
     void stopRunsIfLeaseIsOver();
     void queryStatus(duration wait);
     void queryNow();
@@ -163,6 +164,9 @@
     std::int64_t holdUntil = 0;
     // When the lease is over by the time here, which counts suspensions; empty: no lease is known.
     time_point leaseEndsAt{};
+    // When each lease that an earlier process here was granted is over; empty: a lease has been
+    // granted to this process.
+    std::optional<time_point> earlierLeaseEndsAt;
     // Reported times of the backend server's clock, and when they were read. Those before the one
     // of the last lease are removed.
     std::map<std::int64_t, time_point> clockReadings;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1410,6 +1410,32 @@
     CHECK(host.stops[1].run == earlierRun);
 }
 
+// Guards TWICE: an agent that was started anew and can't reach the planner knows no lease. The
+// backend server has ended the runs that it finds within 8.2 s, unless the machine was suspended
+// meanwhile.
+TEST(run_agent, runsOfAnEarlierProcessAreStoppedOnceTheirLeaseIsOver)
+{
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    loop.jump(7s);
+    CHECK(host.stops.empty());
+    loop.jump(1700ms);
+    LONGS_EQUAL(1, host.stops.size());
+    CHECK(host.stops[0].run == someRun);
+}
+
+// Work that runs must not be stopped by its own agent: a planner has extended the lease of the
+// runs.
+TEST(run_agent, runsOfAnEarlierProcessGoOnOnceTheirLeaseIsExtended)
+{
+    for (std::int64_t i = 1; i < 60; ++i) {
+        answerStatusQuery({{someRun, {}, 10, 0}});
+        agent.onOrders(orders(5, i));
+        loop.advance(500ms);
+        clock += 500;
+    }
+    CHECK(host.stops.empty());
+}
+
 // Work that runs must not be stopped by its own agent.
 TEST(run_agent, runsAreNotStoppedWhileTheirLeaseIsExtended)
 {
