--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -1,16 +1,19 @@
 #include "goldcrest/planner_service.h"
 
+#include "goldcrest/graph_front.h"
 #include "goldcrest/job_record.h"
 #include "standins/store_model.h"
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -379,6 +382,46 @@
     LONGS_EQUAL(0, model.range("gc/agent/", "gc/agent0").size());
 }
 
+// Guards MIXED: a front showed a job as begun once its first run was recorded, although its worker
+// had not started it yet. The answer passes through the front and the planner.
+TEST(planner_service, frontCountsAJobAsPendingUntilARunOfItIsListed)
+{
+    elect();
+    operator_view view = viewWithOneQueue();
+    auto catalogue = std::make_shared<queue_catalogue>(*view.catalogue);
+    catalogue->queues[0].policy.service = "s";
+    view.catalogue = catalogue;
+    service->setView(view);
+    const auto agent = connectAgent("w2");
+    reportRunningTask(*agent, "w2");
+    const auto link = std::make_shared<recording_link>();
+    service->accept(link);
+    graph_front front(loop, store, {}, [&link](const message &sent) {
+        link->receive(sent);
+        return true;
+    });
+    const auto pending = [&] {
+        std::int64_t count = -1;
+        front.waitingIn("q", 1s, [&count](const result<std::int64_t> &answer) {
+            CHECK(!failureOf(answer));
+            count = valueOf(answer);
+        });
+        front.onReply(std::get<graph_reply_message>(link->sent.back()));
+        return count;
+    };
+    LONGS_EQUAL(0, pending());
+    bool isAccepted = false;
+    const result<graph_job> job = decodeGraphJob(encodedJob("5c0e7a21d94b36f8"));
+    front.submit(valueOf(job), 1s,
+                 [&isAccepted](const result<done> &outcome) { isAccepted = !failureOf(outcome); });
+    loop.advance(1s);
+    CHECK(isAccepted);
+    CHECK(service->planner()->hasRunsOn("w2"));
+    LONGS_EQUAL(1, pending());
+    reportRunningTask(*agent, "w2");
+    LONGS_EQUAL(0, pending());
+}
+
 // An agent without runs has no lease that matters.
 TEST(planner_service, agentWithoutRunsIsNotProbed)
 {
