Test records at the bound of the store with a real front

With a real front and the store of the test process, the largest job whose record fits is accepted and stored; one task more is answered 400 with the bound, and nothing of that job is stored (LOST).

No planner writes the record in it, and no backend server runs the tasks.

--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -269,3 +269,45 @@
         repeated = call("POST", addressOf(0) + "/q0/" + id);
     LONGS_EQUAL(200, repeated);
 }
+
+// Guards LOST: the record of a job of many tasks may outgrow what the store takes, so that the job
+// could never start. The largest job that fits is accepted, one more task is refused for good, and
+// nothing of that job is stored.
+TEST(platform_process, frontRefusesAJobWhoseRecordMayOutgrowTheStore)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    const std::unique_ptr<http_client> caller = makeCurlClient(loop);
+    const auto call
+        = [&](const std::string &method, const std::string &url, const std::string &body) {
+              std::optional<http_response> answer;
+              http_request request;
+              request.method = method;
+              request.url = "http://" + url;
+              request.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "3000"}};
+              request.body = body;
+              caller->send(std::move(request), [&answer](const result<http_response> &outcome) {
+                  answer = failureOf(outcome) ? http_response{} : valueOf(outcome);
+              });
+              CHECK(loop.runUntil([&] { return answer.has_value(); }, conditionLimit));
+              return *answer;
+          };
+    startFront(frontSettings());
+    const time_point limit = loop.now() + conditionLimit;
+    while (call("GET", addressOf(1) + "/v1/ready", {}).status != 200 && loop.now() < limit)
+        loop.runUntil([] { return false; }, 50ms);
+    // 1 MiB at 96 bytes a task, 16 a step and 256 besides.
+    constexpr int largestCount = (1'048'576 - 256 - 2 * 16) / 96;
+    const auto submit = [&](const std::string &id, int count) {
+        return call("POST", addressOf(0) + "/q0/" + id,
+                    R"({"spec":"s","steps":[{"count":10000,"cpu":100,"estimated_ms":50},{"count":)"
+                        + std::to_string(count - 10000) + R"(,"cpu":100,"estimated_ms":50}]})");
+    };
+    const http_response over = submit("5c0e7a21d94b36f8", largestCount + 1);
+    LONGS_EQUAL(400, over.status);
+    STRCMP_CONTAINS("the limit is 1048576", over.body.c_str());
+    CHECK(!store.hasJob("5c0e7a21d94b36f8"));
+    LONGS_EQUAL(200, submit("5c0e7a21d94b36f9", largestCount).status);
+    CHECK(store.hasJob("5c0e7a21d94b36f9"));
+    CHECK(!store.hasJob("5c0e7a21d94b36f8"));
+}
