Test that a front never admits a withdrawn key again

Callers would see a key that was withdrawn still accepted. Not seen: both tests passed from the start. They run the real goldcrest-front: killed while the key is in force and started again while the store is closed, then silent, then back; and running while its reads hang but its writes work.

The first was not tried against a fault.

--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -21,7 +21,8 @@
 
 namespace {
 
-// A store with one public queue, whose server can be lost while it carries out a transaction.
+// A store with a public queue and one that needs a key. Its server can be lost while it carries out
+// a transaction, or leave all reads without an answer.
 class losable_store
 {
 public:
@@ -30,17 +31,35 @@
         , m_port(port)
         , m_service(loop, m_model)
     {
+        putConfiguration(1, R"(["key-1"])");
+        listen();
+    }
+
+    // @param keys of team-1, as a JSON array
+    void putConfiguration(int version, const std::string &keys)
+    {
+        const auto route = [](const std::string &name, const std::string &isPublic) {
+            return R"({"name": ")" + name + R"(", "host": "jobs.example", "prefix": "/)" + name
+                + R"(/", "priority": 0, "kind": "non_idempotent", "timeout_ms": 3000,
+                "target_completion_ms": 1000, "service": "svc", "max_attempts": 4,
+                "slack_factor": 3.0, "public": )"
+                + isPublic + "}";
+        };
         store_transaction transaction;
-        transaction.put("op/config", R"({"version": 1, "limits": {"max_body_bytes": 262144},
+        transaction.put("op/config",
+                        R"({"version": )" + std::to_string(version)
+                            + R"(, "limits": {"max_body_bytes": 262144},
             "services": [{"name": "svc", "enforces_capacity": false, "standby": false}],
-            "tenants": [{"name": "team-1", "api_keys": ["key-1"], "guaranteed": {"gpus": 4}}],
-            "routes": [{"name": "q0", "host": "jobs.example", "prefix": "/q0/", "priority": 0,
-                "kind": "non_idempotent", "timeout_ms": 3000, "target_completion_ms": 1000,
-                "service": "svc", "max_attempts": 4, "slack_factor": 3.0, "public": true}]})");
+            "tenants": [{"name": "team-1", "api_keys": )"
+                            + keys + R"(, "guaranteed": {"gpus": 4}}],
+            "routes": [)" + route("q0", "true")
+                            + "," + route("q1", "false") + "]}");
         m_model.commit(transaction);
-        listen();
     }
 
+    // Closes all connections and takes no new ones.
+    void close() { m_server.reset(); }
+
     void listen()
     {
         m_server = std::make_unique<soak_http_server>(
@@ -56,10 +75,15 @@
     // ones until listen().
     bool isLostAtNextWrite = false;
 
+    // Reads stay without an answer, on open connections.
+    bool areReadsSilent = false;
+
 private:
     void serve(const soak_request &request, const soak_http_server::respond_function &respond)
     {
         const bool isWrite = request.target == "/v1/kv-txn";
+        if (areReadsSilent && request.method == "GET")
+            return;
         http_request passed;
         passed.method = request.method;
         passed.url = "http://store" + request.target;
@@ -80,6 +104,52 @@
     std::unique_ptr<soak_http_server> m_server;
 };
 
+// A caller of a front, which runs the event loop of the stand-ins while it waits for the response.
+class queue_caller
+{
+public:
+    explicit queue_caller(asio_event_loop &loop)
+        : m_loop(loop)
+        , m_client(makeCurlClient(loop))
+    { }
+
+    // Returns the status, 0 without a response. POST submits a job of one task.
+    int call(const std::string &method, const std::string &url, const std::string &key = "")
+    {
+        std::optional<int> status;
+        http_request request;
+        request.method = method;
+        request.url = "http://" + url;
+        request.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "3000"}};
+        if (!key.empty())
+            request.headers.emplace_back("Key", key);
+        if (method == "POST")
+            request.body = R"({"spec":"s","steps":[{"count":1,"cpu":100,"estimated_ms":50}]})";
+        m_client->send(std::move(request), [&status](const result<http_response> &outcome) {
+            status = failureOf(outcome) ? 0 : valueOf(outcome).status;
+        });
+        CHECK(m_loop.runUntil([&] { return status.has_value(); }, conditionLimit));
+        return *status;
+    }
+
+    // Repeats a call until it returns this status. Returns whether it does.
+    bool reaches(int status, const std::string &method, const std::string &url,
+                 const std::string &key = "")
+    {
+        const time_point limit = m_loop.now() + conditionLimit;
+        while (call(method, url, key) != status) {
+            if (m_loop.now() > limit)
+                return false;
+            m_loop.runUntil([] { return false; }, 50ms);
+        }
+        return true;
+    }
+
+private:
+    asio_event_loop &m_loop;
+    std::unique_ptr<http_client> m_client;
+};
+
 } // namespace
 
 TEST_GROUP(platform_process)
@@ -238,34 +308,94 @@
 {
     asio_event_loop loop;
     losable_store store(loop, port + 3);
-    const std::unique_ptr<http_client> caller = makeCurlClient(loop);
-    const auto call = [&](const std::string &method, const std::string &url) {
-        std::optional<int> status;
-        http_request request;
-        request.method = method;
-        request.url = "http://" + url;
-        request.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "3000"}};
-        if (method == "POST")
-            request.body = R"({"spec":"s","steps":[{"count":1,"cpu":100,"estimated_ms":50}]})";
-        caller->send(std::move(request), [&status](const result<http_response> &outcome) {
-            status = failureOf(outcome) ? 0 : valueOf(outcome).status;
-        });
-        CHECK(loop.runUntil([&] { return status.has_value(); }, conditionLimit));
-        return *status;
-    };
+    queue_caller caller(loop);
     startFront(frontSettings());
-    const time_point limit = loop.now() + conditionLimit;
-    while (call("GET", addressOf(1) + "/v1/ready") != 200 && loop.now() < limit)
-        loop.runUntil([] { return false; }, 50ms);
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
     const std::string id = "5c0e7a21d94b36f8";
     store.isLostAtNextWrite = true;
-    const int status = call("POST", addressOf(0) + "/q0/" + id);
+    const int status = caller.call("POST", addressOf(0) + "/q0/" + id);
     CHECK(store.hasJob(id));
     LONGS_EQUAL(504, status); // 503 and 429 would mean that the job never runs
     store.listen();
     CHECK(hasLogged("front", "event=\"job not stored\""));
-    int repeated = 0;
-    while (repeated != 200 && loop.now() < limit)
-        repeated = call("POST", addressOf(0) + "/q0/" + id);
-    LONGS_EQUAL(200, repeated);
+    CHECK(caller.reaches(200, "POST", addressOf(0) + "/q0/" + id));
+}
+
+// Guards against a key that was withdrawn while its front was down and is admitted by the next
+// process: before it has read the configuration, or from an earlier one.
+TEST(platform_process, keyWithdrawnWhileTheFrontWasKilledIsNotAdmittedAgain)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    const std::string before = addressOf(0) + "/q1/00000000000000a1";
+    const std::string after = addressOf(0) + "/q1/00000000000000a2";
+    startFront(frontSettings());
+    CHECK(caller.reaches(200, "POST", before, "key-1"));
+
+    processes.kill("front");
+    store.putConfiguration(2, "[]");
+    store.close();
+    startFront(frontSettings());
+    CHECK(caller.reaches(503, "POST", after, "key-1")); // 0 until it listens
+    const auto refusesFor = [&](duration time) {
+        const time_point end = loop.now() + time;
+        while (loop.now() < end) {
+            LONGS_EQUAL(503, caller.call("POST", after, "key-1"));
+            LONGS_EQUAL(503, caller.call("GET", addressOf(1) + "/v1/ready"));
+            loop.runUntil([] { return false; }, 20ms);
+        }
+    };
+    refusesFor(1000ms);
+    store.areReadsSilent = true;
+    store.listen();
+    refusesFor(1500ms);
+
+    store.areReadsSilent = false;
+    const time_point limit = loop.now() + conditionLimit;
+    int status = 503;
+    while (status == 503 && loop.now() < limit)
+        status = caller.call("POST", after, "key-1");
+    LONGS_EQUAL(401, status);
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
+    LONGS_EQUAL(401, caller.call("POST", after, "key-1"));
+    CHECK(!store.hasJob("00000000000000a2"));
+    LONGS_EQUAL(200, caller.call("POST", addressOf(0) + "/q0/00000000000000a3"));
+}
+
+// Guards against a key that stays in use at a front whose reads of the configuration hang, while
+// the store would still take its jobs.
+TEST(platform_process, withdrawnKeyIsNotAdmittedWithoutAnswersOfTheStore)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    constexpr duration allowedTime = 2000ms;
+    std::string settings = frontSettings();
+    settings.replace(settings.size() - 1, 1,
+                     R"(, "keyRevocationMs": )" + std::to_string(allowedTime.count()) + "}");
+    startFront(settings);
+    const std::string url = addressOf(0) + "/q1/00000000000000b";
+    CHECK(caller.reaches(200, "POST", url + "1", "key-1"));
+
+    store.areReadsSilent = true;
+    store.putConfiguration(2, "[]");
+    const time_point allowedUntil = loop.now() + allowedTime;
+    loop.runUntil([] { return false; }, allowedTime);
+    // The store takes jobs of the public queue meanwhile, whenever the circuit breaker lets one
+    // through, so only the front keeps those of the key out.
+    bool isPublicJobStored = false;
+    const time_point limit = allowedUntil + conditionLimit;
+    while (loop.now() < allowedUntil + 1500ms || (!isPublicJobStored && loop.now() < limit)) {
+        LONGS_EQUAL(503, caller.call("POST", url + "2", "key-1"));
+        const int status = caller.call("POST", addressOf(0) + "/q0/00000000000000b3");
+        isPublicJobStored = isPublicJobStored || status == 200;
+        loop.runUntil([] { return false; }, 20ms);
+    }
+    CHECK(isPublicJobStored);
+    CHECK(!store.hasJob("00000000000000b2"));
+
+    store.areReadsSilent = false;
+    CHECK(caller.reaches(401, "POST", url + "2", "key-1"));
+    CHECK(!store.hasJob("00000000000000b2"));
 }
