Don't refuse a whole body for one number beyond the range of a double

Callers would see jobs that are not started, cancelled or shown: with one item of another writer that has the number 1e400, the list it is in failed for good, its watch was repeated from the same revision again and again, and the status of a backend server could not be read.

The JSON library refuses such a number while it parses, and with it the whole text. parseJson() now parses a refused text again with these numbers replaced by the largest double of their sign. A field then treats it as it treats 1e300, so that only the item is left out. Text that is not JSON stays refused.

--- a/testing/fuzz_support.cc
+++ b/testing/fuzz_support.cc
@@ -99,9 +99,9 @@
         if (!begins)
             continue;
         const std::size_t end = valid.find_first_not_of("0123456789.", at);
-        for (const char *number :
-             {"-1", "-9223372036854775808", "1e300", "-1e300", "4294967297", "2147483648",
-              "9223372036854775807", "9223372036854775808", "18446744073709551615"})
+        for (const char *number : {"-1", "-9223372036854775808", "1e300", "-1e300", "4294967297",
+                                   "2147483648", "9223372036854775807", "9223372036854775808",
+                                   "18446744073709551615", "1e400", "-1e400"})
             inputs.push_back(std::string(valid).replace(at, end - at, number));
     }
     return inputs;
--- a/testing/json_text_test.cc
+++ b/testing/json_text_test.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/json_text.h"
 
+#include <limits>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -46,3 +47,27 @@
     CHECK(parseJson("[").is_discarded());
     CHECK(parseJson("").is_discarded());
 }
+
+// Guards against one number that makes a whole text unreadable: the library refuses numbers beyond
+// the range of a double, which are valid JSON.
+TEST(json_text, takesNumbersBeyondTheRangeOfADouble)
+{
+    constexpr double largest = std::numeric_limits<double>::max();
+    const std::string digits(400, '9');
+    for (const std::string &number : {std::string("1e400"), std::string("2.5E+999"), digits}) {
+        const auto body = parseJson(R"({"a":[)" + number + ",-" + number + R"(,7],"b":"\"1e400"})");
+        CHECK_TEXT(!body.is_discarded(), number.c_str());
+        CHECK(body["a"][0] == largest);
+        CHECK(body["a"][1] == -largest);
+        CHECK(body["a"][0].is_number_float());
+        LONGS_EQUAL(7, body["a"][2].get<int>());
+        STRCMP_EQUAL("\"1e400", body["b"].get<std::string>().c_str());
+    }
+    CHECK(parseJson("1e400") == largest);
+    CHECK(parseJson("1e-400") == 0);
+    // Text that is not JSON stays so.
+    for (const char *text :
+         {"[1e400", "[01e400]", "[1e400.5]", "[+1e400]", "[1e400 1]", "{1e400:1}", "[1e400e]",
+          "[--1e400]", "\"1e400", "[.1e400]", "[1.e400]", "[-.1e400]"})
+        CHECK_TEXT(parseJson(text).is_discarded(), text);
+}
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -337,7 +337,8 @@
     const std::string second = R"({"key":"gc/c","value":"eA==","revision":8,"created":4})";
     for (const std::string &item :
          {std::string("7"), std::string("[]"), std::string("{}"), std::string(R"({"key":5})"),
-          std::string(R"({"key":"gc/b","value":"eA==","revision":9223372036854775808})")}) {
+          std::string(R"({"key":"gc/b","value":"eA==","revision":9223372036854775808})"),
+          std::string(R"({"key":"gc/b","value":"eA==","revision":1e400})")}) {
         client.urls.clear();
         client.bodies = {pageOf(first, item, true), pageOf(item, second, false)};
         const auto entries = list();
@@ -360,7 +361,8 @@
     platform::kv_store odd{client, loop, "10.0.0.7:8524"};
     const std::string good = R"({"key":"gc/a","value":"eA==","revision":8,"created":3})";
     client.bodies = {R"({"as_of":8,"events":[7,{"key":"gc/b","revision":7,"deleted":"yes"},
-                         {"key":"gc/c","revision":18446744073709551615},)"
+                         {"key":"gc/c","revision":18446744073709551615},
+                         {"key":"gc/d","revision":7,"created":-1e400},)"
                          + good + "]}",
                      R"({"as_of":9,"events":[{"key":"gc/a","revision":9,"deleted":true}]})"};
     std::vector<watch_event> events;
