Test front and sidecar with broken inputs on each port

Guards against a process that ends, grows or stops serving a port after malformed, oversized or cut requests, slow senders and connections that stay open. The real programs get 300 seeded inputs on each port, the link port of the sidecar also broken messages after a valid hello.

--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -4,16 +4,26 @@
 #include "goldcrest/graph_job.h"
 #include "goldcrest/http_client.h"
 #include "goldcrest/http_server.h"
+#include "goldcrest/message_codec.h"
 #include "standins/kv_service.h"
 #include "standins/store_model.h"
 #include "testing/process_support.h"
 #include "testing/soak_network_support.h"
 
 #include <csignal>
+#include <cstdint>
+#include <cstdlib>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -150,6 +160,141 @@
     std::unique_ptr<http_client> m_client;
 };
 
+// A connection whose bytes a test chooses.
+class raw_connection
+{
+public:
+    explicit raw_connection(int port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const timeval limit{10, 0};
+        ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        m_isOpen = ::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+    }
+    ~raw_connection() { ::close(m_socket); }
+    raw_connection(const raw_connection &) = delete;
+    raw_connection &operator=(const raw_connection &) = delete;
+
+    bool isOpen() const { return m_isOpen; }
+
+    // Sends as many bytes as there is room for. The peer may have closed the connection.
+    void send(std::string_view bytes)
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
+    // Returns the next bytes, empty at the end or after 10 s.
+    std::string receive()
+    {
+        std::string bytes(1024, '\0');
+        const ssize_t size = ::recv(m_socket, bytes.data(), bytes.size(), 0);
+        bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return bytes;
+    }
+
+    // Makes the destructor reset the connection.
+    void resetAtClose()
+    {
+        const linger now{1, 0};
+        ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+
+private:
+    int m_socket;
+    bool m_isOpen = false;
+};
+
+const std::string upgradeRequest
+    = "GET /link HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+
+// A binary WebSocket frame of a client, with a mask of zeros.
+std::string frameOf(const message &sent)
+{
+    const std::string payload = encodeMessage(sent);
+    constexpr std::size_t mostShort = 125; // longer frames have an extended length
+    std::string frame = "\x82";
+    if (payload.size() <= mostShort) {
+        frame += static_cast<char>(0x80 | payload.size());
+    } else {
+        frame += "\xfe";
+        frame += static_cast<char>(payload.size() >> 8);
+        frame += static_cast<char>(payload.size() & 0xff);
+    }
+    return frame + std::string(4, '\0') + payload;
+}
+
+std::string postOf(const std::string &path, const std::string &body)
+{
+    return "POST " + path
+        + " HTTP/1.1\r\nHost: jobs.example\r\nDeadline-Ms: 500\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns a valid input with a random fault: cut, bytes replaced or inserted, sizes that are not
+// those of the body, much larger headers and bodies, or noise alone.
+std::string brokenInput(const std::string &valid, soak_random &random)
+{
+    const auto noise = [&](std::size_t size) {
+        std::string bytes(size, '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random.between(0, 255));
+        return bytes;
+    };
+    std::string input = valid;
+    const std::size_t at = random.below(input.size());
+    switch (random.below(8)) {
+    case 0:
+        return input.substr(0, at);
+    case 1:
+        for (std::int64_t i = random.between(1, 8); i > 0; --i)
+            input[random.below(input.size())] = noise(1)[0];
+        return input;
+    case 2:
+        return input.insert(at, noise(random.below(2000)));
+    case 3:
+        return noise(random.below(5000));
+    case 4: {
+        const std::size_t header = input.find("Content-Length: ");
+        const char *sizes[]
+            = {"-1", "99999999999999999999", "2000000", "0", "1\r\nContent-Length: 7"};
+        if (header == std::string::npos)
+            return input + input;
+        return input.insert(header + 16, std::string(sizes[random.below(5)]) + "\r\nX: ");
+    }
+    case 5:
+        return input.insert(input.find("\r\n") + 2, "X: " + std::string(100'000, 'x') + "\r\n");
+    case 6:
+        return postOf("/", std::string(3'000'000, '['));
+    default:
+        return input
+            + "POST /v1/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"
+            + noise(random.below(3000));
+    }
+}
+
+// GOLDCREST_FUZZ_FIRST chooses another seed.
+std::uint64_t firstSeed()
+{
+    const char *text = std::getenv("GOLDCREST_FUZZ_FIRST");
+    return text ? std::strtoull(text, nullptr, 10) : 1;
+}
+
+// Twelve seeds grew by up to 1 MiB (front) and 5 MiB (sidecar).
+constexpr std::int64_t mostGrowthKiB = 16 * 1024;
+
+// Resident memory of a process in KiB.
+std::int64_t residentMemory(pid_t process)
+{
+    const std::string status = readFile("/proc/" + std::to_string(process) + "/status");
+    const std::size_t at = status.find("VmRSS:");
+    return at == std::string::npos ? 0 : std::strtoll(status.c_str() + at + 6, nullptr, 10);
+}
+
 } // namespace
 
 TEST_GROUP(platform_process)
@@ -158,6 +303,8 @@
     const int port = findFreePorts(5);
     process_group processes{directory};
     test_client client;
+    std::vector<std::unique_ptr<raw_connection>> held;
+    std::map<int, std::size_t> heldPerPort;
 
     std::string addressOf(int offset) const
     {
@@ -195,6 +342,32 @@
             + "}";
     }
 
+    // Sends broken inputs to a port. Some connections are closed, some reset, and some stay open
+    // and send a byte from time to time until the test ends.
+    void sendBrokenInputs(asio_event_loop & loop, int offset, const std::vector<std::string> &valid,
+                          std::uint64_t seed)
+    {
+        constexpr int inputs = 300;
+        constexpr int inputsAtOnce = 5;
+        constexpr std::size_t mostHeld = 60;
+        soak_random random(seed);
+        for (int i = 0; i < inputs; ++i) {
+            auto connection = std::make_unique<raw_connection>(port + offset);
+            CHECK(connection->isOpen());
+            connection->send(brokenInput(valid[random.below(valid.size())], random));
+            if (random.chance(0.2) && heldPerPort[offset] < mostHeld) {
+                ++heldPerPort[offset];
+                held.push_back(std::move(connection));
+            } else if (random.chance(0.5)) {
+                connection->resetAtClose();
+            }
+            if (!held.empty())
+                held[random.below(held.size())]->send("x");
+            if (i % inputsAtOnce == 0)
+                loop.runUntil([] { return false; }, 1ms); // serves the store
+        }
+    }
+
     bool hasLogged(const std::string &name, const std::string &text)
     {
         return waitFor(
@@ -399,3 +572,81 @@
     CHECK(caller.reaches(401, "POST", url + "2", "key-1"));
     CHECK(!store.hasJob("00000000000000b2"));
 }
+
+// Guards against a front that ends, grows, or stops serving a port after broken, oversized or
+// incomplete requests and with connections that stay open.
+TEST(platform_process, frontServesAfterBrokenInputsOnEachPort)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    startFront(frontSettings());
+    const std::string url = addressOf(0) + "/q0/00000000000000c";
+    CHECK(caller.reaches(200, "POST", url + "1"));
+    const std::vector<std::string> valid
+        = {postOf("/q0/00000000000000c2", R"({"spec":"s","steps":[{"count":1,"cpu":100}]})"),
+           "GET /q0/00000000000000c1 HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
+           "DELETE /q0/00000000000000c3 HTTP/1.1\r\nHost: jobs.example\r\nKey: k\r\n\r\n",
+           "GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n"};
+    const std::int64_t before = residentMemory(processes.idOf("front"));
+    for (const int offset : {0, 1, 2})
+        sendBrokenInputs(loop, offset, valid, firstSeed() + static_cast<std::uint64_t>(offset));
+    CHECK(processes.isRunning("front"));
+    CHECK(caller.reaches(200, "POST", url + "4"));
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    CHECK_COMPARE(residentMemory(processes.idOf("front")) - before, <, mostGrowthKiB);
+}
+
+// As the test above, for the sidecar, which is the planner of its cell. Its link port also gets
+// messages that are broken after a valid handshake and hello.
+TEST(platform_process, sidecarServesAfterBrokenInputsOnEachPort)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    writeFile(directory + "/sidecar.json", sidecarSettings("svc", 500));
+    processes.start("sidecar",
+                    {binary("goldcrest-sidecar"), "--settings", directory + "/sidecar.json"});
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    const auto logged = [&](const std::string &text) {
+        return loop.runUntil(
+            [&] {
+                return readFile(processes.outputPath("sidecar")).find(text) != std::string::npos;
+            },
+            conditionLimit);
+    };
+    CHECK(logged("event=\"planner elected\""));
+    const std::vector<std::string> requests
+        = {postOf("/v1/Instances.Heartbeat/i-1",
+                  R"({"service":"svc","zone":"north","state":"ready","labels":["a","r1"],
+                      "capacity":{"cpu":1000},"sequence":1,"born":5,"address":"127.0.0.1:9"})"),
+           postOf("/v1/Instances.Deregister/i-1", R"({"born":5})"),
+           "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"};
+    worker_report_message report;
+    report.worker = "w1";
+    report.labels = {"a", "r1"};
+    report.running.push_back({{"5c0e.0.0.0", 1}, "saved", 40, 0});
+    const std::string hello = upgradeRequest + frameOf(hello_message{"agent", "w1", "main", {}});
+    const std::vector<std::string> links = {upgradeRequest, hello, hello + frameOf(report),
+                                            hello + frameOf(graph_intake_message{"a", "b"})
+                                                + frameOf(graph_query_message{1, "a", "q"})};
+    const std::int64_t before = residentMemory(processes.idOf("sidecar"));
+    sendBrokenInputs(loop, 0, requests, firstSeed());
+    sendBrokenInputs(loop, 1, links, firstSeed() + 1);
+    sendBrokenInputs(loop, 2, requests, firstSeed() + 2);
+    CHECK(processes.isRunning("sidecar"));
+    CHECK(caller.reaches(404, "POST", addressOf(0) + "/v1/other"));
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    // A link that has opened gets a ping after 600 ms without messages; one that has not is closed.
+    raw_connection link(port + 1);
+    link.send(hello);
+    std::string received;
+    for (std::string next = "-"; !next.empty() && received.find('\x89') == std::string::npos;) {
+        next = link.receive();
+        received += next;
+    }
+    STRNCMP_EQUAL("HTTP/1.1 101", received.c_str(), 12);
+    CHECK(received.find('\x89') != std::string::npos);
+    CHECK_COMPARE(residentMemory(processes.idOf("sidecar")) - before, <, mostGrowthKiB);
+}
