Apply a changed length of leases in the agent of a running sidecar

Callers could see a task run twice: reload() gave the new length to the planner only. With a shorter lease the agent looked for the report that a lease was granted for too far in the past, found none, and so did not stop the runs after a suspension of the machine that outlasted the lease.

changedLeaseAppliesAtOnce failed before (with a setter that applies nothing). The settings of the real processes were not changed in this way.

--- a/goldcrest/run_agent.cc
+++ b/goldcrest/run_agent.cc
@@ -61,6 +61,11 @@
     m_state->options.stopTime = stopTime;
 }
 
+void run_agent::setWorkerLease(duration workerLease)
+{
+    m_state->options.workerLease = workerLease;
+}
+
 epoch run_agent::currentEpoch() const
 {
     return m_state->token;
--- a/goldcrest/run_agent.h
+++ b/goldcrest/run_agent.h
@@ -101,8 +101,9 @@
     // @return whether the orders were accepted
     bool onOrders(const worker_orders_message &orders);
 
-    // Sets run_agent_options::stopTime, for changed settings.
+    // Set run_agent_options::stopTime and workerLease, for changed settings.
     void setStopTime(duration stopTime);
+    void setWorkerLease(duration workerLease);
 
     // Returns the last confirmed announcement of the backend server; empty if there was none.
     const std::optional<host_announcement> &backend() const;
--- a/testing/run_agent_test.cc
+++ b/testing/run_agent_test.cc
@@ -1410,6 +1410,22 @@
     CHECK(host.stops[1].run == earlierRun);
 }
 
+// Guards TWICE: after the settings have changed to a shorter lease, the agent must find the report
+// that a lease was granted for, and stop the runs after a suspension.
+TEST(run_agent, changedLeaseAppliesAtOnce)
+{
+    agent.setWorkerLease(4s);
+    answerStatusQuery({{someRun, {}, 10, 0}});
+    worker_orders_message message = orders(5, 1);
+    message.holdUntil = clock + 4000;
+    agent.onOrders(message);
+    agent.onPlanner(0);
+    loop.jump(4s);
+    CHECK(host.stops.empty());
+    loop.jump(700ms);
+    LONGS_EQUAL(1, host.stops.size());
+}
+
 // Work that runs must not be stopped by its own agent.
 TEST(run_agent, runsAreNotStoppedWhileTheirLeaseIsExtended)
 {
