--- a/testing/json_text_test.cc
+++ b/testing/json_text_test.cc
@@ -55,7 +55,9 @@
     constexpr double largest = std::numeric_limits<double>::max();
     const std::string digits(400, '9');
     for (const std::string &number : {std::string("1e400"), std::string("2.5E+999"), digits}) {
-        const auto body = parseJson(R"({"a":[)" + number + ",-" + number + R"(,7],"b":"\"1e400"})");
+        std::string text = R"({"a":[)";
+        text.append(number).append(",-").append(number).append(R"(,7],"b":"\"1e400"})");
+        const auto body = parseJson(text);
         CHECK_TEXT(!body.is_discarded(), number.c_str());
         CHECK(body["a"][0] == largest);
         CHECK(body["a"][1] == -largest);
