--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -4,6 +4,7 @@
 #include "goldcrest/graph_job.h"
 #include "goldcrest/http_client.h"
 #include "goldcrest/http_server.h"
+#include "goldcrest/message_codec.h"
 #include "standins/kv_service.h"
 #include "standins/store_model.h"
 #include "testing/process_support.h"
@@ -12,14 +13,21 @@
 #include <fmt/format.h>
 
 #include <csignal>
+#include <cstdint>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include <CppUTest/MemoryLeakWarningPlugin.h>
@@ -35,7 +43,8 @@
 };
 [[gnu::init_priority(101)]] leak_check_off leakCheckOff;
 
-// A store with one public queue, whose server can be lost while it carries out a transaction.
+// A store with a public queue and one that needs a key. Its server can be lost while it carries out
+// a transaction, or leave all reads without an answer.
 class losable_store
 {
 public:
@@ -44,17 +53,35 @@
         , m_port(port)
         , m_service(loop, m_model)
     {
+        putConfiguration(1, R"(["key-1"])");
+        listen();
+    }
+
+    // @param keys of team-1, as a JSON array
+    void putConfiguration(int version, const std::string &keys)
+    {
+        const auto route = [](const std::string &name, const std::string &isPublic) {
+            return R"({"name": ")" + name + R"(", "host": "jobs.example", "prefix": "/)" + name
+                + R"(/", "priority": 0, "kind": "non_idempotent", "timeout_ms": 3000,
+                "target_completion_ms": 1000, "service": "svc", "max_attempts": 4,
+                "slack_factor": 3.0, "public": )"
+                + isPublic + "}";
+        };
         store_transaction transaction;
-        transaction.put("op/config", R"({"version": 1, "limits": {"max_body_bytes": 262144},
+        transaction.put("op/config",
+                        R"({"version": )" + std::to_string(version)
+                            + R"(, "limits": {"max_body_bytes": 262144},
             "services": [{"name": "svc", "enforces_capacity": false, "standby": false}],
-            "tenants": [{"name": "team-1", "api_keys": ["key-1"], "guaranteed": {"gpus": 4}}],
-            "routes": [{"name": "q0", "host": "jobs.example", "prefix": "/q0/", "priority": 0,
-                "kind": "non_idempotent", "timeout_ms": 3000, "target_completion_ms": 1000,
-                "service": "svc", "max_attempts": 4, "slack_factor": 3.0, "public": true}]})");
+            "tenants": [{"name": "team-1", "api_keys": )"
+                            + keys + R"(, "guaranteed": {"gpus": 4}}],
+            "routes": [)" + route("q0", "true")
+                            + "," + route("q1", "false") + "]}");
         m_model.commit(transaction);
-        listen();
     }
 
+    // Closes all connections and takes no new ones.
+    void close() { m_server.reset(); }
+
     void listen()
     {
         m_server = std::make_unique<soak_http_server>(
@@ -70,10 +97,15 @@
     // ones until listen().
     bool isLostAtNextWrite = false;
 
+    // Reads stay without an answer, on open connections.
+    bool areReadsSilent = false;
+
 private:
     void serve(const soak_request &request, const soak_http_server::respond_function &respond)
     {
         const bool isWrite = request.target == "/v1/kv-txn";
+        if (areReadsSilent && request.method == "GET")
+            return;
         http_request passed;
         passed.method = request.method;
         passed.url = "http://store" + request.target;
@@ -94,6 +126,187 @@
     std::unique_ptr<soak_http_server> m_server;
 };
 
+// A caller of a front, which runs the event loop of the stand-ins while it waits for the response.
+class queue_caller
+{
+public:
+    explicit queue_caller(asio_event_loop &loop)
+        : m_loop(loop)
+        , m_client(makeCurlClient(loop))
+    { }
+
+    // Returns the status, 0 without a response. POST submits a job of one task.
+    int call(const std::string &method, const std::string &url, const std::string &key = "")
+    {
+        std::optional<int> status;
+        http_request request;
+        request.method = method;
+        request.url = "http://" + url;
+        request.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "3000"}};
+        if (!key.empty())
+            request.headers.emplace_back("Key", key);
+        if (method == "POST")
+            request.body = R"({"spec":"s","steps":[{"count":1,"cpu":100,"estimated_ms":50}]})";
+        m_client->send(std::move(request), [&status](const result<http_response> &outcome) {
+            status = failureOf(outcome) ? 0 : valueOf(outcome).status;
+        });
+        CHECK(m_loop.runUntil([&] { return status.has_value(); }, conditionLimit));
+        return *status;
+    }
+
+    // Repeats a call until it returns this status. Returns whether it does.
+    bool reaches(int status, const std::string &method, const std::string &url,
+                 const std::string &key = "")
+    {
+        const time_point limit = m_loop.now() + conditionLimit;
+        while (call(method, url, key) != status) {
+            if (m_loop.now() > limit)
+                return false;
+            m_loop.runUntil([] { return false; }, 50ms);
+        }
+        return true;
+    }
+
+private:
+    asio_event_loop &m_loop;
+    std::unique_ptr<http_client> m_client;
+};
+
+// A connection whose bytes a test chooses.
+class raw_connection
+{
+public:
+    explicit raw_connection(int port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const timeval limit{10, 0};
+        ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        m_isOpen = ::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+    }
+    ~raw_connection() { ::close(m_socket); }
+    raw_connection(const raw_connection &) = delete;
+    raw_connection &operator=(const raw_connection &) = delete;
+
+    bool isOpen() const { return m_isOpen; }
+
+    // Sends as many bytes as there is room for. The peer may have closed the connection.
+    void send(std::string_view bytes)
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
+    // Returns the next bytes, empty at the end or after 10 s.
+    std::string receive()
+    {
+        std::string bytes(1024, '\0');
+        const ssize_t size = ::recv(m_socket, bytes.data(), bytes.size(), 0);
+        bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return bytes;
+    }
+
+    // Makes the destructor reset the connection.
+    void resetAtClose()
+    {
+        const linger now{1, 0};
+        ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+
+private:
+    int m_socket;
+    bool m_isOpen = false;
+};
+
+const std::string upgradeRequest
+    = "GET /link HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+
+// A binary WebSocket frame of a client, with a mask of zeros.
+std::string frameOf(const message &sent)
+{
+    const std::string payload = encodeMessage(sent);
+    constexpr std::size_t mostShort = 125; // longer frames have an extended length
+    std::string frame = "\x82";
+    if (payload.size() <= mostShort) {
+        frame += static_cast<char>(0x80 | payload.size());
+    } else {
+        frame += "\xfe";
+        frame += static_cast<char>(payload.size() >> 8);
+        frame += static_cast<char>(payload.size() & 0xff);
+    }
+    return frame + std::string(4, '\0') + payload;
+}
+
+std::string postOf(const std::string &path, const std::string &body)
+{
+    return "POST " + path
+        + " HTTP/1.1\r\nHost: jobs.example\r\nDeadline-Ms: 500\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns a valid input with a random fault: cut, bytes replaced or inserted, sizes that are not
+// those of the body, much larger headers and bodies, or noise alone.
+std::string brokenInput(const std::string &valid, soak_random &random)
+{
+    const auto noise = [&](std::size_t size) {
+        std::string bytes(size, '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random.between(0, 255));
+        return bytes;
+    };
+    std::string input = valid;
+    const std::size_t at = random.below(input.size());
+    switch (random.below(8)) {
+    case 0:
+        return input.substr(0, at);
+    case 1:
+        for (std::int64_t i = random.between(1, 8); i > 0; --i)
+            input[random.below(input.size())] = noise(1)[0];
+        return input;
+    case 2:
+        return input.insert(at, noise(random.below(2000)));
+    case 3:
+        return noise(random.below(5000));
+    case 4: {
+        const std::size_t header = input.find("Content-Length: ");
+        const char *sizes[]
+            = {"-1", "99999999999999999999", "2000000", "0", "1\r\nContent-Length: 7"};
+        if (header == std::string::npos)
+            return input + input;
+        return input.insert(header + 16, std::string(sizes[random.below(5)]) + "\r\nX: ");
+    }
+    case 5:
+        return input.insert(input.find("\r\n") + 2, "X: " + std::string(100'000, 'x') + "\r\n");
+    case 6:
+        return postOf("/", std::string(3'000'000, '['));
+    default:
+        return input
+            + "POST /v1/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"
+            + noise(random.below(3000));
+    }
+}
+
+// GOLDCREST_FUZZ_FIRST chooses another seed.
+std::uint64_t firstSeed()
+{
+    const char *text = std::getenv("GOLDCREST_FUZZ_FIRST");
+    return text ? std::strtoull(text, nullptr, 10) : 1;
+}
+
+// Twelve seeds grew by up to 1 MiB (front) and 5 MiB (sidecar).
+constexpr std::int64_t mostGrowthKiB = 16 * 1024;
+
+// Resident memory of a process in KiB.
+std::int64_t residentMemory(pid_t process)
+{
+    const std::string status = readFile("/proc/" + std::to_string(process) + "/status");
+    const std::size_t at = status.find("VmRSS:");
+    return at == std::string::npos ? 0 : std::strtoll(status.c_str() + at + 6, nullptr, 10);
+}
+
 } // namespace
 
 TEST_GROUP(platform_process)
@@ -102,6 +315,8 @@
     const int port = findFreePorts(5);
     process_group processes{directory};
     test_client client;
+    std::vector<std::unique_ptr<raw_connection>> held;
+    std::map<int, std::size_t> heldPerPort;
 
     std::string addressOf(int offset) const
     {
@@ -155,6 +370,49 @@
         });
     }
 
+    // Checks for 1.5 s that a front refuses key-1 while its reads of the store have no answer. The
+    // store takes jobs of the public queue meanwhile, whenever the circuit breaker lets one
+    // through, so only the front keeps those of the key out.
+    void checkKeyIsRefused(asio_event_loop & loop, queue_caller & caller, const std::string &id)
+    {
+        bool isPublicJobStored = false;
+        const time_point start = loop.now();
+        while (loop.now() < start + 1500ms
+               || (!isPublicJobStored && loop.now() < start + conditionLimit)) {
+            LONGS_EQUAL(503, caller.call("POST", addressOf(0) + "/q1/" + id, "key-1"));
+            const int status = caller.call("POST", addressOf(0) + "/q0/00000000000000e1");
+            isPublicJobStored = isPublicJobStored || status == 200;
+            loop.runUntil([] { return false; }, 20ms);
+        }
+        CHECK(isPublicJobStored);
+    }
+
+    // Sends broken inputs to a port. Some connections are closed, some reset, and some stay open
+    // and send a byte from time to time until the test ends.
+    void sendBrokenInputs(asio_event_loop & loop, int offset, const std::vector<std::string> &valid,
+                          std::uint64_t seed)
+    {
+        constexpr int inputs = 300;
+        constexpr int inputsAtOnce = 5;
+        constexpr std::size_t mostHeld = 60;
+        soak_random random(seed);
+        for (int i = 0; i < inputs; ++i) {
+            auto connection = std::make_unique<raw_connection>(port + offset);
+            CHECK(connection->isOpen());
+            connection->send(brokenInput(valid[random.below(valid.size())], random));
+            if (random.chance(0.2) && heldPerPort[offset] < mostHeld) {
+                ++heldPerPort[offset];
+                held.push_back(std::move(connection));
+            } else if (random.chance(0.5)) {
+                connection->resetAtClose();
+            }
+            if (!held.empty())
+                held[random.below(held.size())]->send("x");
+            if (i % inputsAtOnce == 0)
+                loop.runUntil([] { return false; }, 1ms); // serves the store
+        }
+    }
+
     bool hasLogged(const std::string &name, const std::string &text)
     {
         return waitFor(
@@ -181,6 +439,39 @@
     CHECK(hasLogged("front", "event=\"front stopped\""));
 }
 
+// Guards against a front that goes on with an earlier time for the revocation of keys after the
+// platform has changed its settings file, which it may do without a signal, and against one that
+// hides that a change is not in force.
+TEST(platform_process, frontAppliesAChangedRevocationTimeWithoutASignal)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    const auto settingsWith = [&](const std::string &fields) {
+        std::string settings = frontSettings();
+        return settings.replace(settings.size() - 1, 1, fields + "}");
+    };
+    const auto logs = [&](const std::string &text) {
+        return loop.runUntil(
+            [&] { return readFile(processes.outputPath("front")).find(text) != std::string::npos; },
+            conditionLimit);
+    };
+    startFront(settingsWith(R"(, "keyRevocationMs": 60000)"));
+    const std::string url = addressOf(0) + "/q1/00000000000000d";
+    CHECK(caller.reaches(200, "POST", url + "1", "key-1"));
+    writeFile(directory + "/front.json", settingsWith(R"(, "keyRevocationMs": 1500)"));
+    CHECK(logs("event=\"settings read again\""));
+    store.areReadsSilent = true;
+    store.putConfiguration(2, "[]");
+    loop.runUntil([] { return false; }, 1500ms);
+    checkKeyIsRefused(loop, caller, "00000000000000d2");
+    CHECK(!store.hasJob("00000000000000d2"));
+    CHECK(hasLogged("front", "event=\"bounds changed\" name=front-1 key_revocation_ms=1500"));
+    writeFile(directory + "/front.json",
+              settingsWith(R"(, "keyRevocationMs": 1500, "maxConnections": 7)"));
+    CHECK(logs("event=\"changed settings need a restart\""));
+}
+
 // Guards against a sidecar that goes on with earlier bounds, such as a shorter time of a stop,
 // after the platform has changed its settings file, which it may do without a signal.
 TEST(platform_process, sidecarAppliesChangedSettingsWithoutASignal)
@@ -268,28 +559,163 @@
 {
     asio_event_loop loop;
     losable_store store(loop, port + 3);
-    const std::unique_ptr<http_client> caller = makeCurlClient(loop);
-    const auto call = [&](const std::string &method, const std::string &url) {
-        std::optional<int> status;
-        startCall(*caller, method, url, [&status](int answered) { status = answered; });
-        CHECK(loop.runUntil([&] { return status.has_value(); }, conditionLimit));
-        return *status;
-    };
+    queue_caller caller(loop);
     startFront(frontSettings());
-    const time_point limit = loop.now() + conditionLimit;
-    while (call("GET", addressOf(1) + "/v1/ready") != 200 && loop.now() < limit)
-        loop.runUntil([] { return false; }, 50ms);
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
     const std::string id = "5c0e7a21d94b36f8";
     store.isLostAtNextWrite = true;
-    const int status = call("POST", addressOf(0) + "/q0/" + id);
+    const int status = caller.call("POST", addressOf(0) + "/q0/" + id);
     CHECK(store.hasJob(id));
     LONGS_EQUAL(504, status); // 503 and 429 would mean that the job never runs
     store.listen();
     CHECK(hasLogged("front", "event=\"job not stored\""));
-    int repeated = 0;
-    while (repeated != 200 && loop.now() < limit)
-        repeated = call("POST", addressOf(0) + "/q0/" + id);
-    LONGS_EQUAL(200, repeated);
+    CHECK(caller.reaches(200, "POST", addressOf(0) + "/q0/" + id));
+}
+
+// Guards against a key that was withdrawn while its front was down and is admitted by the next
+// process: before it has read the configuration, or from an earlier one.
+TEST(platform_process, keyWithdrawnWhileTheFrontWasKilledIsNotAdmittedAgain)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    const std::string before = addressOf(0) + "/q1/00000000000000a1";
+    const std::string after = addressOf(0) + "/q1/00000000000000a2";
+    startFront(frontSettings());
+    CHECK(caller.reaches(200, "POST", before, "key-1"));
+
+    processes.kill("front");
+    store.putConfiguration(2, "[]");
+    store.close();
+    startFront(frontSettings());
+    CHECK(caller.reaches(503, "POST", after, "key-1")); // 0 until it listens
+    const auto refusesFor = [&](duration time) {
+        const time_point end = loop.now() + time;
+        while (loop.now() < end) {
+            LONGS_EQUAL(503, caller.call("POST", after, "key-1"));
+            LONGS_EQUAL(503, caller.call("GET", addressOf(1) + "/v1/ready"));
+            loop.runUntil([] { return false; }, 20ms);
+        }
+    };
+    refusesFor(1000ms);
+    store.areReadsSilent = true;
+    store.listen();
+    refusesFor(1500ms);
+
+    store.areReadsSilent = false;
+    const time_point limit = loop.now() + conditionLimit;
+    int status = 503;
+    while (status == 503 && loop.now() < limit)
+        status = caller.call("POST", after, "key-1");
+    LONGS_EQUAL(401, status);
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
+    LONGS_EQUAL(401, caller.call("POST", after, "key-1"));
+    CHECK(!store.hasJob("00000000000000a2"));
+    LONGS_EQUAL(200, caller.call("POST", addressOf(0) + "/q0/00000000000000a3"));
+}
+
+// Guards against a key that stays in use at a front whose reads of the configuration hang, while
+// the store would still take its jobs.
+TEST(platform_process, withdrawnKeyIsNotAdmittedWithoutAnswersOfTheStore)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    constexpr duration allowedTime = 2000ms;
+    std::string settings = frontSettings();
+    settings.replace(settings.size() - 1, 1,
+                     R"(, "keyRevocationMs": )" + std::to_string(allowedTime.count()) + "}");
+    startFront(settings);
+    const std::string url = addressOf(0) + "/q1/00000000000000b";
+    CHECK(caller.reaches(200, "POST", url + "1", "key-1"));
+
+    store.areReadsSilent = true;
+    store.putConfiguration(2, "[]");
+    loop.runUntil([] { return false; }, allowedTime);
+    checkKeyIsRefused(loop, caller, "00000000000000b2");
+    CHECK(!store.hasJob("00000000000000b2"));
+
+    store.areReadsSilent = false;
+    CHECK(caller.reaches(401, "POST", url + "2", "key-1"));
+    CHECK(!store.hasJob("00000000000000b2"));
+}
+
+// Guards against a front that ends, grows, or stops serving a port after broken, oversized or
+// incomplete requests and with connections that stay open.
+TEST(platform_process, frontServesAfterBrokenInputsOnEachPort)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    startFront(frontSettings());
+    const std::string url = addressOf(0) + "/q0/00000000000000c";
+    CHECK(caller.reaches(200, "POST", url + "1"));
+    const std::vector<std::string> valid
+        = {postOf("/q0/00000000000000c2", R"({"spec":"s","steps":[{"count":1,"cpu":100}]})"),
+           "GET /q0/00000000000000c1 HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
+           "DELETE /q0/00000000000000c3 HTTP/1.1\r\nHost: jobs.example\r\nKey: k\r\n\r\n",
+           "GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n"};
+    const std::int64_t before = residentMemory(processes.idOf("front"));
+    for (const int offset : {0, 1, 2})
+        sendBrokenInputs(loop, offset, valid, firstSeed() + static_cast<std::uint64_t>(offset));
+    CHECK(processes.isRunning("front"));
+    CHECK(caller.reaches(200, "POST", url + "4"));
+    CHECK(caller.reaches(200, "GET", addressOf(1) + "/v1/ready"));
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    CHECK_COMPARE(residentMemory(processes.idOf("front")) - before, <, mostGrowthKiB);
+}
+
+// As the test above, for the sidecar, which is the planner of its cell. Its link port also gets
+// messages that are broken after a valid handshake and hello.
+TEST(platform_process, sidecarServesAfterBrokenInputsOnEachPort)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    queue_caller caller(loop);
+    writeFile(directory + "/sidecar.json", sidecarSettings("svc", 500));
+    processes.start("sidecar",
+                    {binary("goldcrest-sidecar"), "--settings", directory + "/sidecar.json"});
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    const auto logged = [&](const std::string &text) {
+        return loop.runUntil(
+            [&] {
+                return readFile(processes.outputPath("sidecar")).find(text) != std::string::npos;
+            },
+            conditionLimit);
+    };
+    CHECK(logged("event=\"planner elected\""));
+    const std::vector<std::string> requests
+        = {postOf("/v1/Instances.Heartbeat/i-1",
+                  R"({"service":"svc","zone":"north","state":"ready","labels":["a","r1"],
+                      "capacity":{"cpu":1000},"sequence":1,"born":5,"address":"127.0.0.1:9"})"),
+           postOf("/v1/Instances.Deregister/i-1", R"({"born":5})"),
+           "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"};
+    worker_report_message report;
+    report.worker = "w1";
+    report.labels = {"a", "r1"};
+    report.running.push_back({{"5c0e.0.0.0", 1}, "saved", 40, 0});
+    const std::string hello = upgradeRequest + frameOf(hello_message{"agent", "w1", "main", {}});
+    const std::vector<std::string> links = {upgradeRequest, hello, hello + frameOf(report),
+                                            hello + frameOf(graph_intake_message{"a", "b"})
+                                                + frameOf(graph_query_message{1, "a", "q"})};
+    const std::int64_t before = residentMemory(processes.idOf("sidecar"));
+    sendBrokenInputs(loop, 0, requests, firstSeed());
+    sendBrokenInputs(loop, 1, links, firstSeed() + 1);
+    sendBrokenInputs(loop, 2, requests, firstSeed() + 2);
+    CHECK(processes.isRunning("sidecar"));
+    CHECK(caller.reaches(404, "POST", addressOf(0) + "/v1/other"));
+    CHECK(caller.reaches(200, "GET", addressOf(2) + "/metrics"));
+    // A link that has opened gets a ping after 600 ms without messages; one that has not is closed.
+    raw_connection link(port + 1);
+    link.send(hello);
+    std::string received;
+    for (std::string next = "-"; !next.empty() && received.find('\x89') == std::string::npos;) {
+        next = link.receive();
+        received += next;
+    }
+    STRNCMP_EQUAL("HTTP/1.1 101", received.c_str(), 12);
+    CHECK(received.find('\x89') != std::string::npos);
+    CHECK_COMPARE(residentMemory(processes.idOf("sidecar")) - before, <, mostGrowthKiB);
 }
 
 // Guards against a job that runs though it was refused while it waited for the front's budget of
