Add refused connections after a stored call to the soak

Reset closes before the call is carried out, LostAnswer leaves the connection open, and the listeners always stayed.

Change: soak_listener::refuse() closes the listener and listens at the same port later; a socket that is bound but doesn't listen keeps the port meanwhile. Store fault Restart: after a transaction, all connections of that process to the store are closed by FIN or RST without an answer and new ones are refused for 0.3 to 5 s. Server fault Refusal does the same between a sidecar and its backend server after an order; the server keeps its runs.

Result: listenerRefusesForATimeAndTakesItsPortAgain passes.

--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -224,3 +224,29 @@
     loop.context().poll();
     LONGS_EQUAL(1, accepted);
 }
+
+// Guards against faults without effect: a client must be refused, and served again at the same
+// port.
+TEST(soak_network, listenerRefusesForATimeAndTakesItsPortAgain)
+{
+    asio_event_loop loop;
+    int accepted = 0;
+    soak_listener listener(loop, 0, [&accepted](const asio::ip::tcp::socket &) { ++accepted; });
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                          static_cast<std::uint16_t>(listener.port()));
+    asio::io_context clientContext;
+    const auto connect = [&] {
+        asio::error_code error;
+        asio::ip::tcp::socket client(clientContext);
+        client.connect(address, error);
+        return error;
+    };
+    listener.refuse(100ms);
+    CHECK(connect() == asio::error::connection_refused);
+    listener.refuse(10ms); // doesn't end the longer time
+    loop.runUntil([] { return false; }, 50ms);
+    CHECK(connect() == asio::error::connection_refused);
+    loop.runUntil([] { return false; }, 100ms);
+    CHECK_FALSE(connect());
+    CHECK(loop.runUntil([&] { return accepted == 1; }, 1s));
+}
--- a/testing/soak_backend_support.cc
+++ b/testing/soak_backend_support.cc
@@ -56,7 +56,7 @@
         m_startedAt = now();
         m_stoodStill = 0ms;
         m_suspendedAt.reset();
-        m_hangsUntil = {};
+        m_hangsUntil = m_refusesUntil = {};
         m_isDraining = m_isLeaving = false;
         m_sequence = m_token = m_leaseEnds = m_lastEnd = 0;
         m_capacity = m_options.capacity;
@@ -78,8 +78,9 @@
     {
         if (!m_server || isAway())
             return;
-        constexpr const char *names[] = {"crash",        "hang",           "drain",      "shrink",
-                                         "odd check-in", "late check-ins", "late calls", "suspend"};
+        constexpr const char *names[]
+            = {"crash",          "hang",       "drain",   "shrink", "odd check-in",
+               "late check-ins", "late calls", "refusal", "suspend"};
         note("{} for {} ms", names[static_cast<int>(kind)], time.count());
         switch (kind) {
         case server_fault::Crash:
@@ -103,6 +104,9 @@
         case server_fault::LateCalls:
             m_callsLateUntil = now() + time;
             return;
+        case server_fault::Refusal:
+            m_refusesUntil = now() + time;
+            return;
         case server_fault::Suspend:
             m_suspendedAt = now();
             inThisLife(time, [this] { resume(); });
@@ -113,7 +117,7 @@
     {
         m_isSettled = true;
         resume();
-        m_callsLateUntil = m_checkInsLateUntil = m_hangsUntil = {};
+        m_callsLateUntil = m_checkInsLateUntil = m_hangsUntil = m_refusesUntil = {};
         m_capacity = m_options.capacity;
     }
 
@@ -359,8 +363,11 @@
         const bool losesAnswer = hasTrouble && random.chance(0.1);
         const std::int64_t answerDelay = random.chance(0.3) ? random.between(0, overtakeUs) : 0;
         const auto answerLater
-            = [this, respond, losesAnswer, answerDelay](int status, const std::string &body) {
-                  if (!losesAnswer)
+            = [this, respond, losesAnswer, answerDelay,
+               isOrder = request.target != "/v1/hold"](int status, const std::string &body) {
+                  if (isOrder && now() < m_refusesUntil)
+                      refuse();
+                  else if (!losesAnswer)
                       afterMicroseconds(m_around.loop, answerDelay,
                                         [respond, status, body] { respond(status, body); });
               };
@@ -371,6 +378,15 @@
         });
     }
 
+    void refuse()
+    {
+        const duration time = m_around.random.time(300ms, 5000ms);
+        const bool withReset = m_around.random.chance(0.5);
+        note("closes its connections{} after an order, refuses new ones for {} ms",
+             withReset ? " by a reset" : "", time.count());
+        m_server->refuse(time, withReset);
+    }
+
     void carryOut(const soak_request &request, const respond_function &respond, bool isLate)
     {
         const json body = json::parse(request.body, nullptr, false);
@@ -630,6 +646,7 @@
     time_point m_startedAt{};
     duration m_stoodStill{}; // of the clock
     time_point m_hangsUntil{};
+    time_point m_refusesUntil{};
     std::optional<time_point> m_suspendedAt;
     time_point m_callsLateUntil{};
     time_point m_checkInsLateUntil{};
--- a/testing/soak_backend_support.h
+++ b/testing/soak_backend_support.h
@@ -39,6 +39,7 @@
     OddCheckIn, // another writer sends a check-in
     LateCheckIns, // arrive out of order, and after the end of their lifetime
     LateCalls, // get no response, and may be carried out seconds later
+    Refusal, // after an order: closes the connections and refuses new ones for a time
     Suspend, // stops, its clock too
 };
 
--- a/testing/soak_network_support.cc
+++ b/testing/soak_network_support.cc
@@ -21,6 +21,22 @@
     return {asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)};
 }
 
+void bindTo(tcp::acceptor &acceptor, int port)
+{
+    acceptor.open(tcp::v4());
+    ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(loopback(port));
+}
+
+void closeSocket(tcp::socket &socket, bool withReset)
+{
+    asio::error_code ignored;
+    if (withReset)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 void prepare(tcp::socket &socket)
 {
     asio::error_code ignored;
@@ -55,10 +71,32 @@
 }
 
 soak_listener::soak_listener(asio_event_loop &loop, int port, accepted_function onAccepted)
-    : m_acceptor(loop.context(), loopback(port))
+    : m_loop(loop)
+    , m_reservation(loop.context())
+    , m_acceptor(loop.context())
     , m_onAccepted(std::move(onAccepted))
 {
-    ::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    bindTo(m_reservation, port);
+    listen();
+}
+
+void soak_listener::refuse(duration time)
+{
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    m_refusedUntil = std::max(m_refusedUntil, m_loop.now() + time);
+    afterMicroseconds(m_loop, std::chrono::microseconds(time).count(),
+                      [this, lifetime = std::weak_ptr(m_lifetime)] {
+                          if (!lifetime.expired() && !m_acceptor.is_open()
+                              && m_loop.now() >= m_refusedUntil)
+                              listen();
+                      });
+}
+
+void soak_listener::listen()
+{
+    bindTo(m_acceptor, port());
+    m_acceptor.listen();
     accept();
 }
 
@@ -66,7 +104,7 @@
 {
     m_acceptor.async_accept([this, lifetime = std::weak_ptr(m_lifetime)](
                                 const asio::error_code &error, tcp::socket accepted) {
-        if (error || lifetime.expired())
+        if (error || lifetime.expired() || !m_acceptor.is_open())
             return;
         prepare(accepted);
         m_onAccepted(std::move(accepted));
@@ -122,11 +160,8 @@
 
     void respond(int status, const std::string &body)
     {
-        asio::error_code ignored;
-        if (status == 0) {
-            socket.close(ignored);
-            return;
-        }
+        if (status == 0)
+            return closeSocket(socket, false);
         response = "HTTP/1.1 " + std::to_string(status)
             + " Status\r\nContent-Type: application/json\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -155,14 +190,20 @@
     })
 { }
 
-soak_http_server::~soak_http_server()
+void soak_http_server::closeConnections(bool withReset)
 {
     for (const std::weak_ptr<connection> &opened : m_connections) {
         if (const std::shared_ptr<connection> open = opened.lock())
-            open->respond(0, {});
+            closeSocket(open->socket, withReset);
     }
 }
 
+void soak_http_server::refuse(duration time, bool withReset)
+{
+    m_listener.refuse(time);
+    closeConnections(withReset);
+}
+
 struct soak_proxy::fault_state
 {
     duration delayBy{};
@@ -224,12 +265,8 @@
     void close(bool withReset)
     {
         isClosed = true;
-        asio::error_code ignored;
-        for (tcp::socket &side : sides) {
-            if (withReset)
-                side.set_option(asio::socket_base::linger(true, 0), ignored);
-            side.close(ignored);
-        }
+        for (tcp::socket &side : sides)
+            closeSocket(side, withReset);
     }
 
     asio_event_loop &loop;
@@ -270,6 +307,13 @@
     }
 }
 
+void soak_proxy::refuse(duration time, bool withReset)
+{
+    m_listener.refuse(time);
+    for (const std::shared_ptr<link> &open : m_links)
+        open->close(withReset);
+}
+
 void soak_proxy::heal()
 {
     *m_faults = fault_state{};
--- a/testing/soak_network_support.h
+++ b/testing/soak_network_support.h
@@ -58,12 +58,19 @@
 
     // Throws asio::system_error if the port is in use.
     soak_listener(asio_event_loop &loop, int port, accepted_function onAccepted);
-    int port() const { return m_acceptor.local_endpoint().port(); }
+    int port() const { return m_reservation.local_endpoint().port(); }
+    // Refuses new connections for a time, and then listens at the same port again.
+    void refuse(duration time);
 
 private:
+    void listen();
     void accept();
 
+    asio_event_loop &m_loop;
+    // Bound to the port but never listening, so that nobody else gets the port meanwhile.
+    asio::ip::tcp::acceptor m_reservation;
     asio::ip::tcp::acceptor m_acceptor;
+    time_point m_refusedUntil{};
     accepted_function m_onAccepted;
     // Expires with the listener, of which an accepted connection may still be queued.
     std::shared_ptr<char> m_lifetime = std::make_shared<char>();
@@ -88,12 +95,16 @@
 
     soak_http_server(asio_event_loop &loop, int port, handler_function handler);
     // Closes all connections at once, as a crash does.
-    ~soak_http_server();
+    ~soak_http_server() { closeConnections(false); }
     int port() const { return m_listener.port(); }
+    // Closes all connections, and refuses new ones for a time.
+    void refuse(duration time, bool withReset);
 
 private:
     struct connection;
 
+    void closeConnections(bool withReset);
+
     handler_function m_handler;
     std::vector<std::weak_ptr<connection>> m_connections;
     soak_listener m_listener;
@@ -113,6 +124,8 @@
 
     // @param time until a delay or a cut ends by itself
     void inject(link_fault kind, duration time, duration delay = 0ms);
+    // Closes all connections, and refuses new ones for a time.
+    void refuse(duration time, bool withReset);
     // Ends delays and cuts.
     void heal();
 
--- a/testing/soak_scene_support.cc
+++ b/testing/soak_scene_support.cc
@@ -40,7 +40,17 @@
 
 enum class process_phase { Running, Paused, Stopping, Down };
 
-enum class store_fault { None, Unavailable, TooMany, Reset, NoAnswer, Slow, LostAnswer, LateWrite };
+enum class store_fault {
+    None,
+    Unavailable,
+    TooMany,
+    Reset, // before the call is carried out
+    NoAnswer,
+    Slow,
+    LostAnswer,
+    LateWrite,
+    Restart, // after a transaction: closes the connections and refuses new ones for a time
+};
 
 struct store_fault_state
 {
@@ -228,9 +238,25 @@
             return passToStore(node, request, ignore);
         case store_fault::LateWrite:
             return passLater(300ms, 4000ms, ignore);
+        case store_fault::Restart:
+            if (request.target != "/v1/kv-txn")
+                return passToStore(node, request, respond);
+            return passToStore(node, request,
+                               [this, &node](int, const std::string &) { refuseStore(node); });
         }
     }
 
+    void refuseStore(soak_node &node)
+    {
+        const duration time = m_faultChoices.time(300ms, 5000ms);
+        const bool withReset = m_faultChoices.chance(0.5);
+        note(
+            "store: {} loses its connections{} after a transaction, new ones are refused for {} ms",
+            node.name, withReset ? " by a reset" : "", time.count());
+        disturb(node, time);
+        node.storeProxy->refuse(time, withReset);
+    }
+
     void passToStore(soak_node &node, const soak_request &request, const respond_function &respond)
     {
         http_request passed;
@@ -594,7 +620,9 @@
     void injectStoreFault(soak_node *node)
     {
         const duration time = m_faultChoices.time(200ms, 3000ms);
-        const auto kind = static_cast<store_fault>(m_faultChoices.between(0, 7));
+        const auto kind = m_faultChoices.chance(0.25)
+            ? store_fault::Restart
+            : static_cast<store_fault>(m_faultChoices.between(0, 7));
         note("store: fault {} for {}, for {} ms", static_cast<int>(kind),
              node == nullptr ? "all" : node->name, time.count());
         if (kind == store_fault::None) // the store forgets its history
@@ -612,7 +640,7 @@
         soak_backend &server = *m_around.servers[m_faultChoices.below(m_around.servers.size())];
         const duration time = m_faultChoices.time(300ms, 5000ms);
         const auto kind = static_cast<server_fault>(
-            m_faultChoices.between(0, m_options.hasSuspensions ? 7 : 6));
+            m_faultChoices.between(0, m_options.hasSuspensions ? 8 : 7));
         soak_node &node = *findNode(server.name());
         if (kind == server_fault::Suspend) { // stops both processes of the machine
             if (node.phase != process_phase::Running)
