--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -78,10 +78,12 @@
 
 // Seeds that failed once. TWICE and LIMIT at b2cc142 (4, 9): a list from before a start was carried
 // out was taken for a later one, because both had the same millisecond.
+// REFUSED at fa02c7b (106): a write whose connection was lost counted as unsent, because the next
+// connection was refused.
 TEST(platform_soak, seedsThatFailedOnceHold)
 {
     int failed = 0;
-    for (const std::uint64_t seed : {4, 9})
+    for (const std::uint64_t seed : {4, 9, 106})
         failed += holds(seed) ? 0 : 1;
     LONGS_EQUAL(0, failed);
 }
@@ -224,3 +226,29 @@
     loop.context().poll();
     LONGS_EQUAL(1, accepted);
 }
+
+// Guards against faults without effect: a client must be refused, and served again at the same
+// port.
+TEST(soak_network, listenerRefusesForATimeAndTakesItsPortAgain)
+{
+    asio_event_loop loop;
+    int accepted = 0;
+    soak_listener listener(loop, 0, [&accepted](const asio::ip::tcp::socket &) { ++accepted; });
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                          static_cast<std::uint16_t>(listener.port()));
+    asio::io_context clientContext;
+    const auto connect = [&] {
+        asio::error_code error;
+        asio::ip::tcp::socket client(clientContext);
+        client.connect(address, error);
+        return error;
+    };
+    listener.refuse(100ms);
+    CHECK(connect() == asio::error::connection_refused);
+    listener.refuse(10ms); // doesn't end the longer time
+    loop.runUntil([] { return false; }, 50ms);
+    CHECK(connect() == asio::error::connection_refused);
+    loop.runUntil([] { return false; }, 100ms);
+    CHECK_FALSE(connect());
+    CHECK(loop.runUntil([&] { return accepted == 1; }, 1s));
+}
