--- a/testing/decoder_fuzz_test.cc
+++ b/testing/decoder_fuzz_test.cc
@@ -22,14 +22,12 @@
 
 } // namespace
 
-TEST_GROUP(decoder_fuzz){void setup() override{silenceLog();
-}
-}
-;
+TEST_GROUP(decoder_fuzz){};
 
 // Reports the first fault of each decoder.
 TEST(decoder_fuzz, decodersTakeMutatedInputs)
 {
+    silenceLog();
     std::string faults;
     for (const outside_decoder &decoder : outsideDecoders()) {
         for (const std::string &valid : decoder.valid) {
