--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -394,11 +394,12 @@
     static void finish(std::unique_ptr<exchange> ended, CURLcode outcome)
     {
         ended->response.status = ended->status();
+        // libcurl reports success if the connection ends within the headers.
+        const bool isCut = outcome == CURLE_OK && !ended->isHeadComplete;
         std::optional<failure> error;
         if (outcome != CURLE_OK)
             error = failureFrom(*ended, outcome);
-        else if (!ended->isHeadComplete) // libcurl takes the end of the connection for that of the
-                                         // head
+        else if (isCut)
             error = makeFailure(code::StoreAmbiguous, "the response ended within its headers");
         else if (ended->isStream() && !isSuccess(ended->response.status))
             error = makeFailure(code::StoreProtocol,
