Keep capacity that is cleared for a guaranteed job until it starts

With extra log lines in a trial copy the planner expected for seconds that capacity would be free 'in 50 ms': members of a gang that had done their share wait for the slowest one, and each counted as about to end. The claim therefore stopped nobody, or not enough runs, and when its reservation ended by the clock, work of lower rank took the workers that had been cleared.

Change: all runs of a gang are expected to end with the last one; a run past its expected end is expected to take as long again; forecasts are relied on only while there is time to stop others; capacity that is being cleared for a guaranteed job is held from all other jobs until it starts or no stops help; reservations are logged when they are made and when they end.

Ruled out: advice, racks and slow workers (the log shows 65 eligible workers and free capacity beside the runs 'about to end').

Result: three new tests without a network fail before and pass after.

--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -211,18 +211,14 @@
     return run.priority > rule.belowPriority || rule.alsoUnguaranteed;
 }
 
-// A run that is expected to end within this time is not stopped, because stopping it takes almost
-// as long.
-constexpr duration imminentEnd = 700ms;
-
 // Returns the capacity that is free now, becomes free soon, or is freed by the units chosen so far.
 resources capacityAfterStops(const worker_capacity &capacity, const std::set<std::size_t> &chosen,
-                             time_point now)
+                             const eviction_rule &rule, time_point now)
 {
     resources available = capacity.free;
     available -= capacity.reserved;
     for (const placed_run &run : capacity.runs) {
-        if (run.isStopping || run.endsAt <= now + imminentEnd || chosen.count(run.unit) > 0)
+        if (run.isStopping || run.endsAt <= now + rule.imminentEnd || chosen.count(run.unit) > 0)
             available += run.demand;
     }
     return available;
@@ -240,11 +236,11 @@
                                     const resources &taken, const std::set<std::size_t> &chosen,
                                     const eviction_rule &rule, time_point now)
 {
-    resources available = capacityAfterStops(capacity, chosen, now);
+    resources available = capacityAfterStops(capacity, chosen, rule, now);
     available -= taken;
     std::vector<const placed_run *> candidates;
     for (const placed_run &run : capacity.runs) {
-        const bool isCounted = run.endsAt <= now + imminentEnd || chosen.count(run.unit) > 0;
+        const bool isCounted = run.endsAt <= now + rule.imminentEnd || chosen.count(run.unit) > 0;
         if (!isCounted && mayEvict(run, rule))
             candidates.push_back(&run);
     }
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -98,6 +98,9 @@
     bool alsoUnguaranteed = false; // also all units that run outside a guarantee
     bool anyUnit = false; // also units within guarantees; last resort
     double maxLoss = 0; // total cost limit in core-seconds
+    // Runs that are expected to end within this time are not stopped, because stopping them takes
+    // almost as long.
+    duration imminentEnd = 700ms;
 };
 
 // Returns a cheap set of units to stop so that the request fits, or nothing if there is none within
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -223,9 +223,12 @@
     // Workers on which other runs are being stopped to make capacity for a unit.
     struct preemption_reservation
     {
-        std::vector<worker_id> workers;
+        std::vector<worker_id> workers; // for each task
+        resources perTask;
         duration estimate = 0ms; // run time of one task there
         time_point until{};
+        // The unit is within a guarantee: the capacity is kept for it until it starts.
+        bool isGuaranteed = false;
     };
 
     struct advice_ticket
@@ -365,6 +368,9 @@
                                  time_point now);
     void makePreemptionReservation(const unit &next, const std::vector<worker_capacity> &capacities,
                                    const placement &where, time_point now);
+    void holdClearedCapacity(std::vector<worker_capacity> &capacities, time_point now);
+    void releaseClearedCapacity(const unit &next, std::vector<worker_capacity> &capacities) const;
+    void endReservation(const task_key &unitKey, std::string_view reason);
     std::optional<placement> reservedPlacement(const unit &next,
                                                const std::vector<worker_capacity> &capacities,
                                                time_point now);
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -45,6 +45,7 @@
                                                 time_point now)
 {
     const placement_request request = requestFor(next, eligible);
+    releaseClearedCapacity(next, capacities);
     const std::optional<placement> found = bestPlacement(capacities, request, now);
     if (found && found->start <= now)
         return startOrReserve(next, capacities, request, *found, now);
@@ -58,6 +59,7 @@
         makePreemptionReservation(next, capacities, evicted->where, now);
         return startOnReserved(next, capacities, request, evicted->where, now);
     }
+    endReservation(next.job->keyOf(next.step, next.indexes.front()), "no stops help");
     if (!found)
         return unit_outcome::NotPlaced;
     reserveCapacity(capacities, request, *found);
@@ -102,13 +104,83 @@
                                             const std::vector<worker_capacity> &capacities,
                                             const placement &where, time_point now)
 {
-    preemption_reservation &made
-        = m_preemptionReservations[next.job->keyOf(next.step, next.indexes.front())];
+    const task_key key = next.job->keyOf(next.step, next.indexes.front());
+    preemption_reservation &made = m_preemptionReservations[key];
     made.until = now + m_options.stopTime + preemptionSlack;
     made.estimate = where.estimate;
+    made.perTask = demandOf(next.job->specOf(next.step));
+    made.isGuaranteed = next.isGuaranteed;
     made.workers.clear();
     for (const std::size_t index : where.indexes)
         made.workers.push_back(capacities[index].worker);
+    recordDecision("capacity reserved", key, 0, made.workers.front(),
+                   "other runs are being stopped",
+                   fmt::format("workers={} guaranteed={} for_ms={}", made.workers.size(),
+                               made.isGuaranteed, (made.until - now).count()));
+}
+
+void run_planner::endReservation(const task_key &unitKey, std::string_view reason)
+{
+    const auto ended = m_preemptionReservations.find(unitKey);
+    if (ended == m_preemptionReservations.end())
+        return;
+    recordDecision("reservation ended", unitKey, 0, ended->second.workers.front(),
+                   std::string(reason),
+                   fmt::format("workers={} guaranteed={}", ended->second.workers.size(),
+                               ended->second.isGuaranteed));
+    m_preemptionReservations.erase(ended);
+}
+
+// Keeps the capacity that was cleared for units within guarantees from all other units, also from
+// those of higher rank: they would take it as soon as the first of several workers is free, and the
+// runs there would have been stopped in vain. Reservations with a worker that is no longer usable
+// end, since the unit can't start there.
+void run_planner::holdClearedCapacity(std::vector<worker_capacity> &capacities, time_point now)
+{
+    std::map<worker_id, std::size_t> indexes;
+    for (std::size_t i = 0; i < capacities.size(); ++i)
+        indexes.emplace(capacities[i].worker, i);
+    std::vector<task_key> impossible;
+    for (const auto &[key, made] : m_preemptionReservations) {
+        if (!made.isGuaranteed)
+            continue;
+        const bool isPossible
+            = std::all_of(made.workers.begin(), made.workers.end(),
+                          [&](const worker_id &worker) { return indexes.count(worker) > 0; });
+        if (!isPossible) {
+            // Of another service, or one of its workers has left.
+            if (std::any_of(made.workers.begin(), made.workers.end(),
+                            [&](const worker_id &worker) { return indexes.count(worker) > 0; }))
+                impossible.push_back(key);
+            continue;
+        }
+        for (const worker_id &worker : made.workers) {
+            worker_capacity &capacity = capacities[indexes.at(worker)];
+            capacity.reserved += made.perTask;
+            capacity.reservedFrom = now;
+        }
+    }
+    for (const task_key &key : impossible)
+        endReservation(key, "a worker is no longer usable");
+}
+
+// Undoes holdClearedCapacity() for one unit, whose turn it is.
+void run_planner::releaseClearedCapacity(const unit &next,
+                                         std::vector<worker_capacity> &capacities) const
+{
+    const auto made
+        = m_preemptionReservations.find(next.job->keyOf(next.step, next.indexes.front()));
+    if (made == m_preemptionReservations.end() || !made->second.isGuaranteed)
+        return;
+    for (const worker_id &worker : made->second.workers) {
+        for (worker_capacity &capacity : capacities) {
+            if (capacity.worker != worker)
+                continue;
+            capacity.reserved -= made->second.perTask;
+            if (capacity.reserved == resources{})
+                capacity.reservedFrom = time_point::max();
+        }
+    }
 }
 
 // Returns where others are being stopped for a unit, or nothing if it has no preemption reservation
@@ -121,8 +193,12 @@
         = m_preemptionReservations.find(next.job->keyOf(next.step, next.indexes.front()));
     if (made == m_preemptionReservations.end())
         return std::nullopt;
+    // Stops that take longer than expected don't end a reservation within a guarantee. Those that
+    // were missed are ordered when the unit looks for capacity again, which finds these workers
+    // first, since they need the fewest stops.
     if (now > made->second.until) {
-        m_preemptionReservations.erase(made);
+        if (!next.isGuaranteed)
+            endReservation(made->first, "its time has passed");
         return std::nullopt;
     }
     placement where;
@@ -154,12 +230,16 @@
         rule.maxLoss = onTimeValueOf(next.policy->priority);
         return cheapestEviction(capacities, request, rule, now);
     }
-    if (found && found->start - now <= m_options.guaranteedWaitLimit)
+    // Forecasts are only relied on while there is time to stop others if they prove wrong.
+    const bool isLate = now - next.job->acceptedAt() > m_options.lastResortMaxAge;
+    if (found && !isLate && found->start - now <= m_options.guaranteedWaitLimit)
         return std::nullopt;
+    if (isLate)
+        rule.imminentEnd = 0ms;
     rule.alsoUnguaranteed = true;
     rule.maxLoss = std::numeric_limits<double>::max();
     std::optional<eviction> evicted = cheapestEviction(capacities, request, rule, now);
-    if (evicted || now - next.job->acceptedAt() > m_options.lastResortMaxAge)
+    if (evicted || isLate)
         return evicted;
     rule.anyUnit = true;
     return cheapestEviction(capacities, request, rule, now);
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -212,7 +212,8 @@
     if (task.isListed && progress >= least) {
         const duration elapsed = task.percentChangedAt - task.listedAt;
         const time_point end = task.percentChangedAt + elapsed * (100 - task.percent) / progress;
-        return std::max(end, now + 50ms);
+        // Run times have long tails: a run that is past its end by some time takes as long again.
+        return now + std::max<duration>(50ms, end > now ? end - now : now - end);
     }
     // Once the estimate has passed, assume that the run takes as long again.
     return estimated > now ? estimated : now + (now - task.begunAt);
@@ -243,6 +244,9 @@
 {
     std::vector<worker_capacity> capacities;
     std::map<std::size_t, double> losses;
+    // The members of a gang that have done their share wait for the others, so all runs of a unit
+    // end with the last of them.
+    std::map<std::size_t, time_point> ends;
     for (auto &[id, worker] : m_pool.workers()) {
         if (worker.service != service || !isUsable(worker, now))
             continue;
@@ -267,6 +271,8 @@
             if (losses.count(run.unit) == 0)
                 losses[run.unit] = latenessCost(job, expectedTimeOf(job, step), now);
             losses[run.unit] += lostWork(task, step, now);
+            time_point &end = ends[run.unit];
+            end = std::max(end, run.endsAt);
             capacity.free -= run.demand;
             capacity.runs.push_back(run);
         }
@@ -277,8 +283,10 @@
         capacities.push_back(std::move(capacity));
     }
     for (worker_capacity &capacity : capacities) {
-        for (placed_run &run : capacity.runs)
+        for (placed_run &run : capacity.runs) {
             run.lossOnStop = losses[run.unit];
+            run.endsAt = ends[run.unit];
+        }
     }
     return capacities;
 }
@@ -292,6 +300,7 @@
     constexpr std::size_t unitsByTurns = 32;
     service_pass pass;
     pass.capacities = makeCapacities(service, now);
+    holdClearedCapacity(pass.capacities, now);
     std::size_t unitsLeft = unitsByRank;
     std::size_t tried = 0;
     for (; tried < units.size() && unitsLeft > 0; ++tried)
@@ -309,7 +318,8 @@
     }
 }
 
-// Plans a step, unless an earlier one of the same shape could not be placed in this pass.
+// Plans a step, unless an earlier one of the same shape could not be placed in this pass. One for
+// which others were stopped is planned in any case, since its capacity is free for it only.
 void run_planner::tryStep(unit &next, service_pass &pass, std::size_t &unitsLeft, time_point now)
 {
     // Capacity is reserved for this many steps. Reservations for more would hold back work for
@@ -317,7 +327,9 @@
     constexpr std::size_t maxWaitingSteps = 32;
     next.mayReserve = pass.waitingSteps < maxWaitingSteps;
     const auto [found, isNew] = pass.notPlaced.emplace(shapeOf(next), duration::max());
-    if (next.estimate >= found->second)
+    const bool hasReservation
+        = m_preemptionReservations.count(next.job->keyOf(next.step, next.indexes.front())) > 0;
+    if (next.estimate >= found->second && !hasReservation)
         return;
     switch (planStep(next, pass.capacities, unitsLeft, now)) {
     case step_outcome::Started:
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1107,6 +1107,114 @@
     LONGS_EQUAL(1, ordersOf("w3").starts.size());
 }
 
+// Guards RECLAIM: a member of a gang that has done its share waits for the others, so that its
+// worker becomes free only with the last of them. A claim waited there for an end "in 50 ms" for 5
+// s.
+TEST(run_planner, guaranteedJobDoesNotWaitForAGangWithASlowMember)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    planner.onReport(reportOf("w2"), wall, now);
+    step_spec gang = makeStep(2, 8);
+    gang.gang = true;
+    addJob("low", 1, gang);
+    planAndStore();
+    for (const char *worker : {"w1", "w2"}) {
+        const worker_orders_message orders = ordersOf(worker);
+        LONGS_EQUAL(1, orders.starts.size());
+        worker_report_message report = reportOf(worker);
+        report.ordersSeen = orders.sequence;
+        report.running.push_back({orders.starts[0].run, {}, 0, 0});
+        planner.onReport(report, wall, now);
+    }
+    now += 5s;
+    for (const char *worker : {"w1", "w2"}) {
+        worker_report_message report = reportOf(worker);
+        const std::string task = std::string("low.0.0.") + (*(worker + 1) == '1' ? "0" : "1");
+        const std::int32_t percent = *(worker + 1) == '1' ? 100 : 20;
+        report.running.push_back({{task, 1}, {}, percent, 0});
+        planner.onReport(report, wall, now);
+    }
+    addJob("urgent", 0, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
+// Guards RECLAIM: a run that is past the end that its progress showed may go on for long, and is
+// not expected to end at any moment.
+TEST(run_planner, guaranteedJobDoesNotWaitForARunThatIsPastItsEnd)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    addJob("low", 1, makeStep(1, 8));
+    planAndStore();
+    ordersOf("w1");
+    const auto reportRunning = [this](std::int32_t percent) {
+        worker_report_message report = reportOf("w1");
+        report.running.push_back({{"low.0.0.0", 1}, {}, percent, 0});
+        planner.onReport(report, wall, now);
+    };
+    reportRunning(0);
+    now += 5s;
+    reportRunning(99);
+    now += 1s;
+    reportRunning(99);
+    addJob("urgent", 0, makeStep(1, 8));
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+}
+
+// Guards RECLAIM: capacity that is being cleared for a claim is not given to work of lower rank,
+// nor to another claim, while the last of the runs there takes longer to stop than expected.
+TEST(run_planner, clearedCapacityBelongsToItsClaimUntilItIsUsed)
+{
+    catalogue->teams.push_back({"u", {}, 8});
+    step_spec small = makeStep(1, 8);
+    const auto startLow = [this, &small](const std::string &worker) {
+        planner.onReport(reportOf(worker), wall, now);
+        addJob("low-" + worker, 2, small);
+        planAndStore();
+        LONGS_EQUAL(1, ordersOf(worker).starts.size());
+        worker_report_message report = reportOf(worker);
+        report.running.push_back({{"low-" + worker + ".0.0.0", 1}, {}, 0, 0});
+        planner.onReport(report, wall, now);
+    };
+    startLow("w1");
+    startLow("w2");
+    step_spec gang = makeStep(2, 8);
+    gang.gang = true;
+    addJob("claim", 0, gang);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").stops.size());
+    LONGS_EQUAL(1, ordersOf("w2").stops.size());
+    startLow("w3");
+    // The worker w1 is free, and w2 keeps its run for longer than a stop should take.
+    worker_report_message report = reportOf("w1");
+    report.ended.push_back({1, {"low-w1.0.0.0", 1}, run_end::Stopped, {}});
+    planner.onReport(report, wall, now);
+    step_spec shorter = makeStep(1, 8);
+    shorter.estimated = 1s;
+    addJob("other", 0, shorter, "u");
+    addJob("next", 1, small);
+    for (int i = 0; i < 12; ++i) {
+        now += 200ms;
+        planner.onReport(reportOf("w1"), wall, now);
+        for (const char *worker : {"w2", "w3"}) {
+            report = reportOf(worker);
+            report.running.push_back(
+                {{std::string("low-") + worker + ".0.0.0", 1}, {}, i < 9 ? 0 : 1, 0});
+            planner.onReport(report, wall, now);
+        }
+        planAndStore();
+        CHECK(ordersOf("w1").starts.empty());
+    }
+    report = reportOf("w2");
+    report.ended.push_back({1, {"low-w2.0.0.0", 1}, run_end::Stopped, {}});
+    planner.onReport(report, wall, now);
+    planAndStore();
+    LONGS_EQUAL(1, ordersOf("w1").starts.size());
+    STRCMP_EQUAL("claim.0.0.0", ordersOf("w1").starts[0].run.task.c_str());
+    LONGS_EQUAL(1, ordersOf("w2").starts.size());
+}
+
 // Guards against a task that is started without end though it crashes each backend server that
 // starts it (violated BUDGET on day deadly of all sites).
 TEST(run_planner, givesUpATaskThatCrashesBackendServers)
