--- a/goldcrest/run_time_model.cc
+++ b/goldcrest/run_time_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace goldcrest {
 
@@ -17,6 +18,14 @@
 // from disturbed workers.
 constexpr double outlierFactor = 6;
 
+// Bins of the residuals: of this width, from this value on. They cover a ratio of run time to
+// expected time from 1/20 to 55; what is beyond counts in the first or last one.
+constexpr double binWidth = 0.25;
+constexpr double firstBin = -3;
+// The prior of the residuals: their standard deviation, and the weight in observations.
+constexpr double priorResidualSpread = 0.6;
+constexpr double priorResidualWeight = 10;
+
 double logOf(duration time)
 {
     return std::log(static_cast<double>(std::max<duration::rep>(1, time.count())));
@@ -33,6 +42,10 @@
     const double predicted = predict(past, x);
     const double y = std::clamp(logOf(ran), predicted - limit, predicted + limit);
     const double kept = std::pow(retained, weight);
+    const double bin = std::floor((logOf(ran) - predicted - firstBin) / binWidth);
+    for (double &share : past.residuals)
+        share *= kept;
+    past.residuals[static_cast<std::size_t>(std::clamp(bin, 0.0, binCount - 1.0))] += weight;
     for (double *sum : {&past.weight, &past.x, &past.y, &past.xx, &past.xy})
         *sum *= kept;
     past.weight += weight;
@@ -65,4 +78,49 @@
     return duration(std::llround(std::exp(predict(past->second, logOf(declared)))));
 }
 
+// Returns the histogram that the prior expects, whose sum is priorResidualWeight.
+const run_time_model::histogram &run_time_model::priorResiduals()
+{
+    static const histogram prior = [] {
+        const auto below
+            = [](double x) { return 0.5 * std::erfc(-x / priorResidualSpread / std::sqrt(2.0)); };
+        histogram made{};
+        for (std::size_t i = 0; i < binCount; ++i) {
+            const double start = firstBin + binWidth * static_cast<double>(i);
+            made[i] = priorResidualWeight * (below(start + binWidth) - below(start));
+        }
+        return made;
+    }();
+    return prior;
+}
+
+// Returns the residual below which a share `p` of the tasks is, interpolated within its bin.
+double run_time_model::residualQuantile(const histogram &residuals, double p)
+{
+    const histogram &prior = priorResiduals();
+    double total = 0;
+    for (std::size_t i = 0; i < binCount; ++i)
+        total += residuals[i] + prior[i];
+    // Written so that a value that is not a number becomes the lower limit.
+    double left = (p > 0.001 ? std::min(p, 0.999) : 0.001) * total;
+    std::size_t bin = 0;
+    while (bin + 1 < binCount && left > residuals[bin] + prior[bin]) {
+        left -= residuals[bin] + prior[bin];
+        ++bin;
+    }
+    const double inBin = std::clamp(left / (residuals[bin] + prior[bin]), 0.0, 1.0);
+    return firstBin + binWidth * (static_cast<double>(bin) + inBin);
+}
+
+duration run_time_model::quantile(const std::string &queue, duration declared, double p) const
+{
+    if (declared <= 0ms)
+        return declared;
+    const auto past = m_histories.find(queue);
+    const bool isKnown = past != m_histories.end();
+    const double residual = residualQuantile(isKnown ? past->second.residuals : histogram{}, p);
+    const double predicted = isKnown ? predict(past->second, logOf(declared)) : logOf(declared);
+    return duration(std::llround(std::exp(predicted + residual)));
+}
+
 } // namespace goldcrest
--- a/goldcrest/run_time_model.h
+++ b/goldcrest/run_time_model.h
@@ -7,9 +7,15 @@
 //   run_time_model model;
 //   model.observe("orders", declared, ran, 1.0);
 //   duration expected = model.expected("orders", declared);
+//   duration rarelyExceeded = model.quantile("orders", declared, 0.99);
+//
+// Run times are those at speed 1: the caller multiplies the time that a run took by the speed of
+// its worker (worker_speed_model.h).
 
 #include "goldcrest/clock.h"
 
+#include <array>
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 
@@ -25,10 +31,22 @@
     // Returns the expected run time. Without observations it is the declared time.
     duration expected(const std::string &queue, duration declared) const;
 
+    // Returns the run time that a task stays within with probability `p`. The distribution is that
+    // of the logarithm of the ratio of run times to expected ones, and a wide prior while there are
+    // few observations.
+    // @param p is limited to 0.001 to 0.999
+    duration quantile(const std::string &queue, duration declared, double p) const;
+
 private:
+    // Histogram of log(ran / expected). Unlike a variance, it shows a small share of tasks that
+    // take several times as long as the others.
+    static constexpr std::size_t binCount = 28;
+    using histogram = std::array<double, binCount>;
+
     // Weighted sums over x = log(declared) and y = log(ran).
     struct history
     {
+        histogram residuals{};
         double weight = 0;
         double x = 0;
         double y = 0;
@@ -37,6 +55,8 @@
     };
 
     static double predict(const history &past, double x);
+    static const histogram &priorResiduals();
+    static double residualQuantile(const histogram &residuals, double p);
 
     std::unordered_map<std::string, history> m_histories; // by queue
 };
