Use machine speeds in placement, with the setting workerSpeeds

In a deployment whose workers run at 0.8, 1 or 1.25 times the usual speed, the planner expected the same run time everywhere, spread gangs over slow and fast workers, and learned the speed of the worker as the run time of the queue.

With workerSpeeds on, the planner learns the speed of each machine from completed runs and from progress, corrects the run times that it learns by it, and gives worker_capacity a speed. A gang runs at the speed of its slowest member and takes workers of one speed where that leaves no more accelerators over. Urgent work takes the faster of the free workers; work that would be on time at half the speed leaves them. The fit still comes first unless a faster worker ends the task sooner by more than a tenth. Tasks don't wait for faster workers. compareSpeeds takes known speeds into account, limited so that workers that turn slow are found as before. The stall limit also covers a tenth of the 99% quantile of the queue's run times. The setting is off by default and on in deploy/sidecar.json; off, nothing changes but a field in a log line.

--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -61,6 +61,8 @@
     // Sidecars.
     RunDecisions,
     AnnouncementsRefused,
+    WorkerMachines,
+    SpeedObservations,
     // Agents.
     AgentParts,
     AgentMessagesFenced,
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -1,6 +1,8 @@
 #include "goldcrest/run_placement.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -15,6 +17,9 @@
 // Weight of the extra run time at a slow placement, which occupies capacity that others could use.
 constexpr double slowPlacementWeight = 0.5;
 
+// Maximum number of sets of workers above some speed that are searched, to bound the time.
+constexpr std::size_t maxSpeedSets = 4;
+
 using index_list = std::vector<std::size_t>; // indexes of worker capacities
 
 // Returns the capacity available on a worker at a time for a task that ends at `until`.
@@ -36,6 +41,7 @@
     std::size_t index = 0;
     resources available;
     std::int32_t tasks = 0; // of the step
+    double speedRank = 0; // the lower one is preferred
 };
 
 std::int32_t placedOn(const placement_request &request, const worker_capacity &capacity)
@@ -49,11 +55,26 @@
     return request.step->maxPerWorker == 0 || capacity.tasks < request.step->maxPerWorker;
 }
 
-// Sort key for best fit: fewest accelerators, then fewest cores, left over.
+// Sort key for best fit: fewest accelerators left over, then by speed, then fewest cores left over.
 auto leftoverOf(const scratch_capacity &capacity, const resources &demand)
 {
     return std::make_tuple(capacity.available.accelerators - demand.accelerators,
-                           capacity.available.cores - demand.cores, capacity.index);
+                           capacity.speedRank, capacity.available.cores - demand.cores,
+                           capacity.index);
+}
+
+// Returns the time that a task takes on a worker of some speed.
+duration timeAtSpeed(duration estimate, double speed)
+{
+    return speed == 1 ? estimate : scaled(estimate, 1 / speed);
+}
+
+double slowestOf(const std::vector<worker_capacity> &capacities, const index_list &among)
+{
+    double slowest = among.empty() ? 1 : capacities[among.front()].speed;
+    for (const std::size_t index : among)
+        slowest = std::min(slowest, capacities[index].speed);
+    return slowest;
 }
 
 // Returns how many tasks with this demand fit into the capacity, at most `limit`.
@@ -110,15 +131,21 @@
     return chosen;
 }
 
+// @param estimate run time at speed 1
 std::vector<scratch_capacity> scratchAt(const std::vector<worker_capacity> &capacities,
                                         const index_list &among, const placement_request &request,
                                         time_point at, duration estimate)
 {
     std::vector<scratch_capacity> scratch;
+    scratch.reserve(among.size());
+    // It is not known yet which of these is the slowest member of a gang.
+    const double slowest = request.count > 1 ? slowestOf(capacities, among) : 0;
     for (const std::size_t index : among) {
         const worker_capacity &capacity = capacities[index];
-        scratch.push_back(
-            {index, availableAt(capacity, at, at + estimate), placedOn(request, capacity)});
+        const double speed = request.count > 1 ? slowest : capacity.speed;
+        const time_point until = at + timeAtSpeed(estimate, speed);
+        scratch.push_back({index, availableAt(capacity, at, until), placedOn(request, capacity),
+                           request.prefersSlow ? capacity.speed : -capacity.speed});
     }
     return scratch;
 }
@@ -140,6 +167,18 @@
     return ordered;
 }
 
+// Returns the placement on some workers that starts at a time, or nothing if the tasks don't fit.
+std::optional<placement> placementAt(const std::vector<worker_capacity> &capacities,
+                                     const index_list &among, const placement_request &request,
+                                     duration estimate, time_point at)
+{
+    auto chosen = assign(scratchAt(capacities, among, request, at, estimate), request);
+    if (!chosen)
+        return std::nullopt;
+    const duration there = timeAtSpeed(estimate, slowestOf(capacities, *chosen));
+    return placement{at, there, *std::move(chosen)};
+}
+
 std::optional<placement> earliestIn(const std::vector<worker_capacity> &capacities,
                                     const index_list &among, const placement_request &request,
                                     duration estimate, time_point now)
@@ -147,12 +186,119 @@
     const std::vector<time_point> times
         = request.onlyNow ? std::vector<time_point>{now} : startTimes(capacities, among, now);
     for (const time_point at : times) {
-        if (auto chosen = assign(scratchAt(capacities, among, request, at, estimate), request))
-            return placement{at, estimate, *std::move(chosen)};
+        if (auto found = placementAt(capacities, among, request, estimate, at))
+            return found;
     }
     return std::nullopt;
 }
 
+// Returns the speeds above `above` among some workers, in ascending order. Of more than
+// maxSpeedSets, some between the lowest and the highest one are left out.
+std::vector<double> speedsAbove(const std::vector<worker_capacity> &capacities,
+                                const index_list &among, double above)
+{
+    std::set<double> distinct;
+    for (const std::size_t index : among) {
+        if (capacities[index].speed > above)
+            distinct.insert(capacities[index].speed);
+    }
+    std::vector<double> speeds(distinct.begin(), distinct.end());
+    if (speeds.size() <= maxSpeedSets)
+        return speeds;
+    std::vector<double> some;
+    for (std::size_t i = 0; i < maxSpeedSets; ++i)
+        some.push_back(speeds[i * (speeds.size() - 1) / (maxSpeedSets - 1)]);
+    return some;
+}
+
+// Returns those of some workers whose speed is within the limits.
+index_list withSpeed(const std::vector<worker_capacity> &capacities, const index_list &among,
+                     double least, double most)
+{
+    index_list within;
+    std::copy_if(among.begin(), among.end(), std::back_inserter(within), [&](std::size_t index) {
+        return capacities[index].speed >= least && capacities[index].speed <= most;
+    });
+    return within;
+}
+
+// Returns the accelerators that stay free on the workers of a placement.
+std::int64_t leftoverAccelerators(const std::vector<worker_capacity> &capacities,
+                                  const placement_request &request, const placement &where)
+{
+    const std::set<std::size_t> workers(where.indexes.begin(), where.indexes.end());
+    std::int64_t left
+        = -demandOf(*request.step).accelerators * static_cast<std::int64_t>(where.indexes.size());
+    for (const std::size_t index : workers) {
+        const worker_capacity &capacity = capacities[index];
+        left += availableAt(capacity, where.start, where.start + where.estimate).accelerators;
+    }
+    return left;
+}
+
+// Returns a placement on faster workers that starts at the same time, if it ends sooner by more
+// than the dead band. Tasks don't wait for faster workers: the ends of the runs there are
+// uncertain, and a unit within a guarantee would have other runs stopped meanwhile.
+placement fasterThan(const std::vector<worker_capacity> &capacities, const index_list &among,
+                     const placement_request &request, duration estimate, placement best)
+{
+    const duration band = scaled(estimate, speedDeadBand);
+    const double slowest = slowestSpeed(capacities, best);
+    for (const double least : speedsAbove(capacities, among, slowest)) {
+        const index_list fast
+            = withSpeed(capacities, among, least, std::numeric_limits<double>::max());
+        auto found = placementAt(capacities, fast, request, estimate, best.start);
+        if (!found)
+            break; // they are too few, so that those above the next speed are too
+        if (found->estimate + band < best.estimate)
+            best = *std::move(found);
+    }
+    return best;
+}
+
+// Returns a placement of a gang on workers of the same speed, if it starts at the same time, is no
+// slower, and leaves no more accelerators over. The faster members of a gang of mixed speeds would
+// only wait for the slowest one.
+placement evenlyFast(const std::vector<worker_capacity> &capacities, const index_list &among,
+                     const placement_request &request, duration estimate, placement mixed)
+{
+    const double slowest = slowestSpeed(capacities, mixed);
+    const bool isMixed
+        = std::any_of(mixed.indexes.begin(), mixed.indexes.end(),
+                      [&](std::size_t index) { return capacities[index].speed > slowest; });
+    if (!isMixed)
+        return mixed;
+    const std::int64_t most = leftoverAccelerators(capacities, request, mixed);
+    std::vector<double> speeds = speedsAbove(capacities, among, slowest);
+    speeds.insert(speeds.begin(), slowest);
+    for (const double speed : speeds) {
+        auto found = placementAt(capacities, withSpeed(capacities, among, speed, speed), request,
+                                 estimate, mixed.start);
+        if (found && leftoverAccelerators(capacities, request, *found) <= most)
+            return *std::move(found);
+    }
+    return mixed;
+}
+
+// Returns the earliest placement on some workers, or one that is preferred to it for the speed of
+// the workers.
+std::optional<placement> placementIn(const std::vector<worker_capacity> &capacities,
+                                     const index_list &among, const placement_request &request,
+                                     duration estimate, time_point now)
+{
+    auto found = earliestIn(capacities, among, request, estimate, now);
+    const bool areAlike = std::all_of(among.begin(), among.end(), [&](std::size_t index) {
+        return capacities[index].speed == capacities[among.front()].speed;
+    });
+    if (!found || areAlike)
+        return found;
+    if (!request.prefersSlow)
+        found = fasterThan(capacities, among, request, estimate, *std::move(found));
+    if (request.count > 1)
+        found = evenlyFast(capacities, among, request, estimate, *std::move(found));
+    return found;
+}
+
 index_list eligibleIndexes(const std::vector<worker_capacity> &capacities,
                            const placement_request &request)
 {
@@ -291,7 +437,7 @@
     {
         candidate *best = nullptr;
         for (candidate &one : m_candidates) {
-            const scratch_capacity limit{one.index, {}, one.tasks};
+            const scratch_capacity limit{one.index, {}, one.tasks, 0};
             if (one.victims && takesAnother(m_request, limit)
                 && (!best || one.victims->loss < best->victims->loss))
                 best = &one;
@@ -351,16 +497,56 @@
 {
     eviction found;
     found.where.start = now;
-    found.where.estimate = estimate;
     victim_search search(capacities, among, request, rule, now);
     for (std::int32_t i = 0; i < request.count; ++i) {
         if (!search.chooseNext(found))
             return std::nullopt;
     }
+    found.where.estimate = timeAtSpeed(estimate, slowestOf(capacities, found.where.indexes));
     found.units.assign(search.chosen().begin(), search.chosen().end());
     return found;
 }
 
+// Chooses among the placements of several options. Those that start now are compared by their
+// expected end, and so are those that start later. Between the best of each, the speed does not
+// count, since tasks don't wait for faster workers.
+class option_choice
+{
+public:
+    // @param cost time until the end, with penalties
+    // @param usualCost the same at speed 1
+    void add(placement &&found, duration cost, duration usualCost, time_point now)
+    {
+        std::optional<candidate> &best = found.start <= now ? m_now : m_later;
+        if (!best || cost < best->cost)
+            best = candidate{std::move(found), cost, usualCost, m_added};
+        ++m_added;
+    }
+
+    std::optional<placement> takeBest()
+    {
+        if (!m_now && !m_later)
+            return std::nullopt;
+        const auto rank
+            = [](const candidate &one) { return std::make_tuple(one.usualCost, one.order); };
+        const bool isNow = m_now && (!m_later || rank(*m_now) < rank(*m_later));
+        return std::move((isNow ? m_now : m_later)->found);
+    }
+
+private:
+    struct candidate
+    {
+        placement found;
+        duration cost = 0ms;
+        duration usualCost = 0ms;
+        std::size_t order = 0;
+    };
+
+    std::optional<candidate> m_now;
+    std::optional<candidate> m_later;
+    std::size_t m_added = 0;
+};
+
 } // namespace
 
 resources demandOf(const step_spec &step)
@@ -371,24 +557,34 @@
     return demand;
 }
 
+double slowestSpeed(const std::vector<worker_capacity> &capacities, const placement &where)
+{
+    return slowestOf(capacities, where.indexes);
+}
+
+duration timeAtUsualSpeed(const std::vector<worker_capacity> &capacities, const placement &where)
+{
+    // Covers what the conversion to the time at another speed and back rounds.
+    constexpr duration rounding = 2ms;
+    const double speed = slowestSpeed(capacities, where);
+    return speed == 1 ? where.estimate : scaled(where.estimate, speed) - rounding;
+}
+
 std::optional<placement> bestPlacement(const std::vector<worker_capacity> &capacities,
                                        const placement_request &request, time_point now)
 {
-    std::optional<placement> best;
-    duration bestCost = duration::max();
+    option_choice choice;
     for (const placement_option &option : optionsOf(capacities, request)) {
         const duration estimate = scaled(request.estimate, option.factor);
-        auto found = earliestIn(capacities, option.among, request, estimate, now);
+        auto found = placementIn(capacities, option.among, request, estimate, now);
         if (!found)
             continue;
-        const duration cost = found->start - now + estimate
+        const duration waits = found->start - now
             + scaled(request.estimate, (option.factor - 1) * slowPlacementWeight);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = std::move(found);
-        }
+        const duration there = request.prefersSlow ? estimate : found->estimate;
+        choice.add(*std::move(found), waits + there, waits + estimate, now);
     }
-    return best;
+    return choice.takeBest();
 }
 
 std::optional<placement> placementNowOn(const std::vector<worker_capacity> &capacities,
@@ -403,10 +599,7 @@
                                        == where.indexes.end();
                                }),
                 among.end());
-    auto chosen = assign(scratchAt(capacities, among, request, now, where.estimate), request);
-    if (!chosen)
-        return std::nullopt;
-    return placement{now, where.estimate, *std::move(chosen)};
+    return placementAt(capacities, among, request, timeAtUsualSpeed(capacities, where), now);
 }
 
 std::optional<eviction> cheapestEviction(const std::vector<worker_capacity> &capacities,
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -12,6 +12,12 @@
 //
 // A step that runs slower away from its data, or over several racks, is placed where it ends first:
 // immediately on slower workers, or later on faster ones.
+//
+// Workers may differ in speed. A gang runs at the speed of its slowest member. Of the workers with
+// the same number of accelerators left over, the faster one is chosen, or the slower one for a
+// request that leaves the fast workers to others. A worker with more accelerators left over is
+// chosen for its speed only if the tasks end sooner by more than speedDeadBand. Without differences
+// in speed, placement only depends on the fit.
 
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
@@ -42,6 +48,7 @@
 struct worker_capacity
 {
     worker_id worker;
+    double speed = 1; // relative to the usual worker; a task takes its estimate divided by this
     std::string incarnation;
     std::string rack;
     resources free;
@@ -54,7 +61,9 @@
 {
     const step_spec *step = nullptr;
     std::int32_t count = 1; // tasks to place together
-    duration estimate = 0ms; // run time of one task near its data
+    duration estimate = 0ms; // run time of one task near its data, at speed 1
+    // Leaves the fast workers to others if there is a choice.
+    bool prefersSlow = false;
     double remoteFactor = 3; // slowdown away from the data, or over several racks
     std::map<worker_id, std::int32_t> placedBefore; // number of tasks of the step already running
     bool onlyNow = false; // later starts are of no use
@@ -65,13 +74,24 @@
 struct placement
 {
     time_point start{};
-    duration estimate = 0ms; // run time of one task there
+    duration estimate = 0ms; // run time there, of the task on the slowest worker
     std::vector<std::size_t> indexes; // index in the list of capacities, for each task
 };
 
+// Share of the run time by which a placement must end sooner to be preferred for its speed over one
+// that leaves fewer accelerators. Smaller differences are within the errors of the speeds.
+constexpr double speedDeadBand = 0.1;
+
 // Returns the resources that one task takes from a worker's capacity.
 resources demandOf(const step_spec &step);
 
+// Returns the speed of the slowest worker of a placement.
+double slowestSpeed(const std::vector<worker_capacity> &capacities, const placement &where);
+
+// Returns the run time of a placement as it would be on workers of speed 1, for comparisons with
+// run times that don't take the speed into account.
+duration timeAtUsualSpeed(const std::vector<worker_capacity> &capacities, const placement &where);
+
 // Returns the placement that ends first, or nothing if the tasks would not fit even after all
 // current runs have ended. Slow placements are penalized beyond their run time.
 std::optional<placement> bestPlacement(const std::vector<worker_capacity> &capacities,
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -153,6 +153,8 @@
     const duration predecessorLease = m_options.predecessorLease;
     m_options = options;
     m_options.predecessorLease = predecessorLease;
+    if (!m_options.workerSpeeds)
+        m_speeds.clear();
 }
 
 void run_planner::setView(const operator_view &view)
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -27,6 +27,7 @@
 #include "goldcrest/run_time_model.h"
 #include "goldcrest/tracked_job.h"
 #include "goldcrest/worker_pool.h"
+#include "goldcrest/worker_speed_model.h"
 
 #include <cstdint>
 #include <map>
@@ -77,6 +78,8 @@
     duration gangTimeout = 3s;
     // Slowdown of tasks away from their data, and of gangs spread over several racks.
     double remoteFactor = 3;
+    // Whether the speeds of the workers are estimated and used. Otherwise all count as equal.
+    bool workerSpeeds = false;
     // A worker on which runs fail or stall gets no starts for this long. Such faults last 5 to 7 s
     // on the users' machines.
     duration avoidTime = 8s;
@@ -205,6 +208,10 @@
     // Returns the decisions since the last call, for the log.
     std::vector<run_decision> takeDecisions();
 
+    // Returns the number of machines by their class of speed, and of the observations.
+    speed_counts machinesBySpeed() const;
+    std::uint64_t speedObservations() const;
+
     const worker_pool &workers() const { return m_pool; }
     std::size_t jobCount() const { return m_jobs.size(); }
     std::size_t unfinishedJobs() const { return m_unfinished.size(); }
@@ -326,6 +333,14 @@
     job_lateness latenessOf(const tracked_job &job, time_point end) const;
     duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
     void observeRunTime(const task_key &key, std::int32_t run, time_point now);
+    double speedOf(const pool_worker &worker) const;
+    void refreshSpeeds(time_point now);
+    void observeSpeed(tracked_job &job, const task_key &key, duration ran, double share,
+                      time_point now);
+    void observeProgress(tracked_job &job, const task_key &key, time_point now);
+    bool leavesFastWorkers(const unit &next, time_point now) const;
+    duration longTaskStall(const tracked_job &job, const step_spec &step,
+                           const tracked_task &task) const;
     void planService(std::vector<unit> &units, const std::string &service, time_point now);
     void tryStep(unit &next, service_pass &pass, std::size_t &unitsLeft, time_point now);
     step_shape shapeOf(const unit &next) const;
@@ -384,6 +399,7 @@
     operator_view m_view;
     std::unordered_map<std::string, std::size_t> m_queueIndexes; // in the catalogue, by name
     run_time_model m_runTimes;
+    std::map<std::string, worker_speed_model> m_speeds; // by service
     std::map<std::string, tracked_job> m_jobs;
     // By job: the worker of each task with an active run, in key order, as entered in the pool.
     std::map<std::string, std::vector<std::pair<task_key, worker_id>>> m_activeRuns;
--- a/goldcrest/run_planner_advice.cc
+++ b/goldcrest/run_planner_advice.cc
@@ -66,8 +66,8 @@
     return found != advice->second.tickets.end() && now < found->second.usableUntil;
 }
 
-// Returns a placement for which the unit has all tickets and that is as fast as the one found, if
-// there is any.
+// Returns a placement for which the unit has all tickets and that is as near as the one found, if
+// there is any. It may be on slower workers, since a start now is worth more than their speed.
 std::optional<placement>
 run_planner::placementWithTickets(const unit &next, const std::vector<worker_capacity> &capacities,
                                   const placement_request &request, const placement &found,
@@ -84,8 +84,11 @@
     placement_request narrowed = request;
     narrowed.onlyNow = true;
     narrowed.eligible = &ready;
+    constexpr duration rounding = 3ms; // of two conversions between speeds
     const std::optional<placement> where = bestPlacement(capacities, narrowed, now);
-    return where && where->estimate <= found.estimate ? where : std::nullopt;
+    const bool isAsNear = where
+        && timeAtUsualSpeed(capacities, *where) <= timeAtUsualSpeed(capacities, found) + rounding;
+    return isAsNear ? where : std::nullopt;
 }
 
 // Prepares a request for advice on a unit that could start now, unless another one comes first. It
--- a/goldcrest/run_planner_health.cc
+++ b/goldcrest/run_planner_health.cc
@@ -24,6 +24,10 @@
 // all. Workers that have turned slow take five times as long or more.
 constexpr double slowFactor = 3.5;
 constexpr double fineFactor = 2;
+// Known speeds explain differences between workers up to these limits only, so that a worker that
+// has turned several times slower is found whatever its known speed.
+constexpr double leastUsualSpeed = 0.75;
+constexpr double mostUsualSpeed = 1.33;
 
 struct speed_sample
 {
@@ -64,7 +68,8 @@
             if (!task.isListed || task.stopWanted || step.longRunning || task.percent >= 100)
                 continue;
             const duration stallTimeout
-                = std::max(shortestStall, scaled(task.runEstimate, stallShare));
+                = std::max({shortestStall, scaled(task.runEstimate, stallShare),
+                            longTaskStall(job, step, task)});
             // Measured up to the last report, since time without reports does not prove anything
             // about the task.
             const duration stalled = worker.reportedAt - task.percentChangedAt;
@@ -107,11 +112,14 @@
         if (!task.isListed || task.stopWanted || step.gang || step.longRunning || step.bestEffort
             || task.runEstimate <= 0ms)
             return;
-        const duration observed = m_pool.at(task.record.worker).reportedAt - task.listedAt;
+        const pool_worker &worker = m_pool.at(task.record.worker);
+        const duration observed = worker.reportedAt - task.listedAt;
         if (observed < leastObserved)
             return;
-        const double elapsed
-            = static_cast<double>(observed.count()) / static_cast<double>(task.runEstimate.count());
+        // The estimated run time includes the speed as it was known when the run was placed.
+        const double speed = std::clamp(speedOf(worker), leastUsualSpeed, mostUsualSpeed);
+        const double elapsed = static_cast<double>(observed.count()) * speed
+            / (static_cast<double>(task.runEstimate.count()) * task.runSpeed);
         steps[{key.occurrence, key.step}].push_back(
             {task.record.worker, (task.percent - task.listedPercent) / elapsed, elapsed});
     });
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -44,7 +44,8 @@
                                                 std::vector<worker_capacity> &capacities,
                                                 time_point now)
 {
-    const placement_request request = requestFor(next, eligible);
+    placement_request request = requestFor(next, eligible);
+    request.prefersSlow = leavesFastWorkers(next, now);
     const std::optional<placement> found = bestPlacement(capacities, request, now);
     if (found && found->start <= now)
         return startOrReserve(next, capacities, request, *found, now);
@@ -169,11 +170,13 @@
                             const placement &where, time_point now)
 {
     const step_spec &step = next.job->specOf(next.step);
+    const double speed = slowestSpeed(capacities, where);
+    const bool isNear = timeAtUsualSpeed(capacities, where) <= next.estimate;
     std::vector<run_assignment> runs;
     for (std::size_t i = 0; i < next.indexes.size(); ++i) {
         const worker_capacity &capacity = capacities[where.indexes[i]];
         runs.push_back({next.indexes[i], capacity.worker, capacity.incarnation, where.estimate,
-                        where.estimate <= next.estimate});
+                        isNear, speed});
     }
     next.job->beginRuns(next.step, runs, now);
     noteChanged(*next.job);
@@ -197,10 +200,10 @@
         recordDecision("run recorded", key, next.job->find(key)->record.lastRun, assigned.worker,
                        {},
                        fmt::format("queue={} priority={} guaranteed={} rack={} estimate_ms={} "
-                                   "view_age_ms={} waited_ms={}",
+                                   "speed={:.2f} view_age_ms={} waited_ms={}",
                                    next.job->spec().queue, next.policy->priority, next.isGuaranteed,
                                    m_pool.find(assigned.worker)->rack, where.estimate.count(),
-                                   (now - m_view.confirmedAt).count(),
+                                   speed, (now - m_view.confirmedAt).count(),
                                    (now - next.job->acceptedAt()).count()));
     }
 }
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -34,6 +34,7 @@
         m_jobs.at(id).openDue(wall);
     stopStalledRuns(now);
     findSlowWorkers(now);
+    refreshSpeeds(now);
     stopRunsOnLeavingWorkers(now);
     stopIncompleteGangs(now);
     storeCheckpoints(now);
@@ -248,6 +249,7 @@
             continue;
         worker_capacity capacity;
         capacity.worker = id;
+        capacity.speed = speedOf(worker);
         capacity.incarnation = worker.incarnation;
         capacity.rack = worker.rack;
         capacity.free = worker.capacity;
--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -295,10 +295,14 @@
     if (!task || task->record.isDone || !task->isActive() || task->record.lastRun != run
         || !task->isTypical)
         return;
-    const tracked_job &job = found->second;
+    tracked_job &job = found->second;
     const step_spec &step = job.specOf({key.occurrence, key.step});
-    const time_point begunAt = task->isListed ? task->listedAt : task->begunAt;
-    m_runTimes.observe(job.spec().queue, step.estimated, now - begunAt,
+    const duration ran = now - (task->isListed ? task->listedAt : task->begunAt);
+    const bool isSingle = !step.gang || step.count == 1;
+    const pool_worker *worker = isSingle ? m_pool.find(task->record.worker) : nullptr;
+    observeSpeed(job, key, ran, task->isSpeedObserved ? 0.5 : 1, now);
+    m_runTimes.observe(job.spec().queue, step.estimated,
+                       scaled(ran, worker ? speedOf(*worker) : task->runSpeed),
                        step.gang ? 1.0 : 1.0 / step.count);
 }
 
@@ -405,6 +409,7 @@
         if (running.percent != task->percent) {
             task->percent = running.percent;
             task->percentChangedAt = now;
+            observeProgress(job->second, valueOf(key), now);
         }
         if (!running.saved.empty() && running.saved != task->record.saved) {
             job->second.noteCheckpoint(valueOf(key), running.saved);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -229,6 +229,8 @@
         task.percentChangedAt = now;
         task.runEstimate = run.estimate;
         task.isTypical = run.isNear && task.record.saved.empty();
+        task.runSpeed = run.speed;
+        task.isSpeedObserved = false;
     }
     m_state = graph_job_state::Running;
 }
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -17,6 +17,7 @@
 #include "goldcrest/messages.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -59,6 +60,9 @@
     // The current run started from the beginning and near its data, so its length tells how long
     // such tasks take.
     bool isTypical = false;
+    // Speed that was assumed in runEstimate; for a member of a gang, that of the slowest one.
+    double runSpeed = 1;
+    bool isSpeedObserved = false; // the progress of the current run was used as an observation
 
     bool isActive() const { return !record.worker.empty(); }
     // Returns whether the current run has not worked for startupTime yet.
@@ -78,8 +82,18 @@
     bool isSuspect() const { return record.crashes > 0 || record.possibleCrashes > 0; }
 };
 
+// How long one task of a step takes at speed 1, from its run on a machine.
+struct task_time
+{
+    std::size_t machine = 0; // hash of its name
+    double logTime = 0;
+};
+
 struct tracked_step
 {
+    // Of tasks that run or ran, at most maxTaskTimes: they show the work of the others.
+    std::vector<task_time> taskTimes;
+    static constexpr std::size_t maxTaskTimes = 64;
     std::vector<tracked_task> tasks;
     std::int32_t failedRuns = 0; // of a gang
     std::int32_t lastFailedRun = 0; // failures of several members in one run count once
@@ -112,6 +126,7 @@
     std::string incarnation; // of the worker's backend server
     duration estimate = 0ms; // expected time on that worker
     bool isNear = true; // not slowed by its distance to its data or to the other tasks
+    double speed = 1; // that is assumed in the estimate
 };
 
 class tracked_job
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -164,6 +164,15 @@
     CHECK(second.errors.empty());
     CHECK(second.value.bounds.stopTime == 200ms);
     CHECK(optionsFor(second.value.bounds).workerLease == 8s);
+    CHECK(!optionsFor(second.value.bounds).workerSpeeds);
+    const auto withSpeeds = platform::parseSidecarSettings(
+        replaced(sidecar, "\"stopTimeMs\": 200", "\"workerSpeeds\": true"));
+    CHECK(withSpeeds.errors.empty());
+    CHECK(optionsFor(withSpeeds.value.bounds).workerSpeeds);
+    // A reload applies the bounds only if they differ.
+    planner_bounds otherwiseEqual = withSpeeds.value.bounds;
+    otherwiseEqual.workerSpeeds = false;
+    CHECK(!(otherwiseEqual == withSpeeds.value.bounds));
     const auto fraction = platform::parseSidecarSettings(
         replaced(sidecar, "\"remoteFactor\": 3", "\"remoteFactor\": 2.5"));
     CHECK(fraction.errors.empty());
@@ -277,5 +286,6 @@
         CHECK(used.freshView == one.expected.freshView);
         CHECK(used.retention == one.expected.retention);
         DOUBLES_EQUAL(one.expected.remoteFactor, used.remoteFactor, 1e-9);
+        CHECK(used.workerSpeeds); // off in the product, on in deploy/
     }
 }
