--- a/testing/capacity_benchmark.cc
+++ b/testing/capacity_benchmark.cc
@@ -4,14 +4,18 @@
 //
 //   build/capacity_benchmark [workers...]
 //   build/capacity_benchmark outage          starts during a store outage under each outage rule
+//   build/capacity_benchmark speeds          cost of worker speeds in a planning pass
 //
 // Message and byte counts are exact; processor times depend on the machine.
 
 #include "goldcrest/cell_planner.h"
 #include "goldcrest/message_codec.h"
+#include "goldcrest/run_placement.h"
+#include "goldcrest/worker_speed_model.h"
 
 #include <fmt/format.h>
 
+#include <cmath>
 #include <cstdlib>
 #include <ctime>
 #include <deque>
@@ -368,6 +372,97 @@
     }
 }
 
+// Workers with 12 runs each, of which most have free accelerators. Tasks of two accelerators fit
+// best on the slowest ones, so that all sets of faster workers are searched.
+// @param speeds number of different speeds
+std::vector<worker_capacity> makeCapacities(int workers, int speeds)
+{
+    constexpr int runsPerWorker = 12;
+    constexpr double speedStep = 0.075; // in log(speed), as in worker_speed_model
+    std::vector<worker_capacity> capacities;
+    for (int i = 0; i < workers; ++i) {
+        const worker_info info = makeWorker(i);
+        worker_capacity capacity;
+        capacity.worker = info.id;
+        capacity.rack = info.rack;
+        const int stepsFromUsual = i % speeds - speeds / 2;
+        capacity.speed = speeds == 1 ? 1 : std::exp(speedStep * stepsFromUsual);
+        capacity.free = {64000, 262144, 8};
+        const int used = speeds == 1 ? i % 7 : 6 - 6 * (i % speeds) / (speeds - 1);
+        for (int run = 0; run < runsPerWorker; ++run) {
+            placed_run placed;
+            placed.demand = {1000, 1024, run < used ? 1 : 0};
+            placed.endsAt = time_point{} + duration(100 + (i * 7919 + run * 104729) % 20000);
+            capacity.free -= placed.demand;
+            capacity.runs.push_back(placed);
+        }
+        capacities.push_back(std::move(capacity));
+    }
+    return capacities;
+}
+
+// Returns the processor time of one search for a placement, in microseconds.
+double placementTime(const std::vector<worker_capacity> &capacities, const step_spec &step,
+                     std::int32_t count, bool prefersSlow)
+{
+    constexpr int searches = 20;
+    placement_request request;
+    request.step = &step;
+    request.count = count;
+    request.estimate = 2500ms;
+    request.prefersSlow = prefersSlow;
+    std::size_t found = 0;
+    const double start = processorSeconds();
+    for (int i = 0; i < searches; ++i)
+        found += bestPlacement(capacities, request, time_point{}) ? 1 : 0;
+    if (found != searches)
+        std::abort();
+    return (processorSeconds() - start) * 1e6 / searches;
+}
+
+// Returns the processor time of one refresh of the speeds of all machines, in microseconds.
+double refreshTime(int workers)
+{
+    constexpr int refreshes = 20;
+    worker_speed_model model;
+    time_point now{1h};
+    double total = 0;
+    for (int i = 0; i < refreshes; ++i) {
+        now += 2s;
+        for (int worker = 0; worker < workers; ++worker)
+            model.observe(makeWorker(worker).id, 2500ms,
+                          duration(2000 + (worker * 7919 + i * 31) % 1000), 1, now);
+        const double start = processorSeconds();
+        model.refresh(now);
+        total += processorSeconds() - start;
+    }
+    return total * 1e6 / refreshes;
+}
+
+// Prints what the speeds cost in a pass: one search for each unit that is tried, and one refresh.
+void measureSpeeds()
+{
+    step_spec step;
+    step.perTask = {1000, 1024, 2};
+    fmt::print("processor time in us; speeds: different speeds among the workers\n");
+    fmt::print("{:>7} {:>7} {:>9} {:>9} {:>9} {:>9} {:>9}\n", "workers", "speeds", "urgent",
+               "spare", "gang of 8", "waiting", "refresh");
+    for (const int workers : {30, 300, 1000, targetWorkers}) {
+        const double refresh = refreshTime(workers);
+        for (const int speeds : {1, 7, 19}) {
+            const std::vector<worker_capacity> capacities = makeCapacities(workers, speeds);
+            std::vector<worker_capacity> full = capacities;
+            for (worker_capacity &capacity : full)
+                capacity.free.accelerators = 0;
+            fmt::print("{:>7} {:>7} {:>9.1f} {:>9.1f} {:>9.1f} {:>9.1f} {:>9.1f}\n", workers,
+                       speeds, placementTime(capacities, step, 1, false),
+                       placementTime(capacities, step, 1, true),
+                       placementTime(capacities, step, 8, false),
+                       placementTime(full, step, 1, false), refresh);
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -376,6 +471,10 @@
         compareOutageRules();
         return EXIT_SUCCESS;
     }
+    if (argc > 1 && std::string_view(argv[1]) == "speeds") {
+        measureSpeeds();
+        return EXIT_SUCCESS;
+    }
     fmt::print("planner of one cell; jobs of {} tasks, {} teams\n", tasksPerJob, targetTeams);
     fmt::print("{:>7} {:>7} {:>7} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>9}\n",
                "workers", "running", "queued", "B/worker", "B/task", "B/queued", "us/worker",
--- a/testing/run_planner_speeds_test.cc
+++ b/testing/run_planner_speeds_test.cc
@@ -149,11 +149,35 @@
         return report;
     }
 
-    // Lets the runs of a worker progress. Those that are done end.
-    static void work(simulated_worker & worker)
+    static std::string jobOf(const run_id &run)
+    {
+        return run.task.substr(0, run.task.find('.'));
+    }
+
+    // Returns the speed of the slowest member of each gang that runs.
+    std::map<std::string, double> speedsOfGangs() const
+    {
+        std::map<std::string, double> speeds;
+        for (const auto &[name, worker] : workers) {
+            for (const auto &[run, state] : worker.running) {
+                const std::string job = jobOf(run);
+                if (!specs.at(job).steps[0].gang)
+                    continue;
+                const auto found = speeds.emplace(job, worker.speed).first;
+                found->second = std::min(found->second, worker.speed);
+            }
+        }
+        return speeds;
+    }
+
+    // Lets the runs of a worker progress, those of gangs at the speed of the slowest member. Those
+    // that are done end.
+    static void work(simulated_worker & worker, const std::map<std::string, double> &gangs)
     {
         for (auto it = worker.running.begin(); it != worker.running.end();) {
-            it->second.done += static_cast<double>(reportInterval.count()) * worker.speed;
+            const auto gang = gangs.find(jobOf(it->first));
+            const double speed = gang == gangs.end() ? worker.speed : gang->second;
+            it->second.done += static_cast<double>(reportInterval.count()) * speed;
             if (it->second.done < it->second.work) {
                 ++it;
                 continue;
@@ -174,8 +198,7 @@
                 worker.ended.push_back({++worker.lastEnd, run, run_end::Stopped, {}});
         }
         for (const start_order &start : orders->starts) {
-            const std::string job = start.run.task.substr(0, start.run.task.find('.'));
-            worker.running.insert({start.run, {jobs.at(job).work, 0}});
+            worker.running.insert({start.run, {jobs.at(jobOf(start.run)).work, 0}});
         }
         const auto isStored
             = [&](const ended_task &end) { return end.number <= orders->endsStored; };
@@ -214,8 +237,9 @@
     void step()
     {
         now += reportInterval;
+        const std::map<std::string, double> gangs = speedsOfGangs();
         for (auto &[name, worker] : workers) {
-            work(worker);
+            work(worker, gangs);
             planner->onReport(reportOf(name, worker), wall(), now);
         }
         planAndStore();
