Leave room for the urgent jobs that are expected

Cause: urgent jobs wait for wide ones to end, or stop their runs, which wastes work (docs/design/hard-load.md, 3.6). Change: urgent_demand forecasts their demand from recent arrivals. While some are expected, work of lower priority prefers workers in use, and beside runs that end at a similar time. Setting urgentRoom, default off.

--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -89,6 +89,9 @@
      "Processor time that the scheduler uses for one event."},
     {metric::RunDecisions, "run_decisions_total", counterKind, "event", "sidecar",
      "Decisions of the planner of graph jobs, by kind."},
+    {metric::UrgentRoom, "urgent_room_accelerators", gaugeKind, "kind", "sidecar",
+     "Accelerators that urgent jobs are expected to need at a time (needed), and those that are "
+     "kept free for them (held)."},
     {metric::AnnouncementsRefused, "announcements_refused_total", counterKind, "reason", "sidecar",
      "Announcements that were not taken as the backend server's own, by reason."},
     {metric::AgentParts, "agent_parts", gaugeKind, "state", "agent",
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -60,6 +60,7 @@
     DecisionTime,
     // Sidecars.
     RunDecisions,
+    UrgentRoom,
     AnnouncementsRefused,
     // Agents.
     AgentParts,
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -36,6 +36,8 @@
     std::size_t index = 0;
     resources available;
     std::int32_t tasks = 0; // of the step
+    bool isSpared = false; // has no runs, and the request prefers others
+    std::int64_t mismatch = 0; // of the end of the task and those of the runs there
 };
 
 std::int32_t placedOn(const placement_request &request, const worker_capacity &capacity)
@@ -52,8 +54,25 @@
 // Sort key for best fit: fewest accelerators, then fewest cores, left over.
 auto leftoverOf(const scratch_capacity &capacity, const resources &demand)
 {
-    return std::make_tuple(capacity.available.accelerators - demand.accelerators,
-                           capacity.available.cores - demand.cores, capacity.index);
+    return std::make_tuple(capacity.isSpared, capacity.available.accelerators - demand.accelerators,
+                           capacity.mismatch, capacity.available.cores - demand.cores,
+                           capacity.index);
+}
+
+// Sets the preferences of a request that spares free workers. A task that outlasts the runs of a
+// worker puts off the time at which the worker is free, so it counts twice as much as one that ends
+// earlier.
+void spareFree(scratch_capacity &scratch, const worker_capacity &capacity, time_point at,
+               time_point until)
+{
+    constexpr duration unit = 500ms; // estimates are no closer than that
+    constexpr std::int64_t largest = 20;
+    time_point last = at;
+    for (const placed_run &run : capacity.runs)
+        last = std::max(last, run.endsAt);
+    scratch.isSpared = last == at;
+    const std::int64_t outlasts = until > last ? (until - last) / unit : (last - until) / (unit * 2);
+    scratch.mismatch = scratch.isSpared ? 0 : std::min(outlasts, largest);
 }
 
 // Returns how many tasks with this demand fit into the capacity, at most `limit`.
@@ -104,6 +123,7 @@
         if (!best)
             return std::nullopt;
         best->available -= demand;
+        best->isSpared = false;
         ++best->tasks;
         chosen.push_back(best->index);
     }
@@ -119,6 +139,8 @@
         const worker_capacity &capacity = capacities[index];
         scratch.push_back(
             {index, availableAt(capacity, at, at + estimate), placedOn(request, capacity)});
+        if (request.sparesFreeWorkers)
+            spareFree(scratch.back(), capacity, at, at + estimate);
     }
     return scratch;
 }
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -58,6 +58,8 @@
     double remoteFactor = 3; // slowdown away from the data, or over several racks
     std::map<worker_id, std::int32_t> placedBefore; // number of tasks of the step already running
     bool onlyNow = false; // later starts are of no use
+    // Prefers workers in use to free ones, and those whose runs end at a similar time.
+    bool sparesFreeWorkers = false;
     // Indexes of the workers that may be used; nullptr: all of them.
     const std::vector<std::size_t> *eligible = nullptr;
 };
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -99,6 +99,7 @@
         = m_jobs.emplace(job.id, tracked_job(job, progress, now - age)).first->second;
     if (!added.isFinished())
         m_unfinished.insert(job.id);
+    noteUrgentArrival(added);
     m_needsPass = true;
     added.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
         task.begunAt = now;
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -26,6 +26,7 @@
 #include "goldcrest/run_placement.h"
 #include "goldcrest/run_time_model.h"
 #include "goldcrest/tracked_job.h"
+#include "goldcrest/urgent_demand.h"
 #include "goldcrest/worker_pool.h"
 
 #include <cstdint>
@@ -92,6 +93,8 @@
     duration lastResortMaxAge = 2s;
     // Finished jobs are kept this long, so that callers can query their state.
     duration retention = 150s;
+    // Leaves room for the urgent jobs that are expected, see urgent_demand.h.
+    bool urgentRoom = false;
 };
 
 // A version of a job's progress record that must be stored.
@@ -211,6 +214,8 @@
     // Returns the number of entries that are kept for jobs and their tasks beside the jobs
     // themselves. It does not grow with the number of jobs that have ended.
     std::size_t entriesBesideJobs() const;
+    // Returns the room that is left for urgent work, over all services. Its horizon is not set.
+    urgent_forecast urgentRoom() const;
 
 private:
     struct unit;
@@ -246,6 +251,23 @@
         time_point retryAt{}; // after a failed request
     };
 
+    // What is known of the urgent jobs of a service.
+    struct urgent_state
+    {
+        urgent_demand demand;
+        urgent_forecast last; // of the last pass
+        urgent_room_class logged = urgent_room_class::None;
+        time_point loggedAt{};
+    };
+
+    // Room for urgent work in the current pass over a service.
+    struct urgent_room
+    {
+        urgent_forecast forecast;
+        bool isChosen = false;
+        std::vector<bool> kept; // workers to be kept free, by index of their capacity
+    };
+
     void extendLease(pool_worker &worker, duration extension) const;
     static void endLeaseExtension(pool_worker &worker);
     time_point lastListed(const pool_worker &worker) const;
@@ -370,6 +392,15 @@
                                                time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
                    const unit &beneficiary, time_point now);
+    void noteUrgentArrival(const tracked_job &job);
+    void noteUrgentWait(const unit &next, time_point now);
+    void prepareUrgentRoom(const std::string &service,
+                           const std::vector<worker_capacity> &capacities, time_point now);
+    void chooseKeptWorkers(const std::vector<worker_capacity> &capacities);
+    bool leavesUrgentRoom(const unit &next) const;
+    std::vector<std::size_t> besideUrgentRoom(const unit &next,
+                                              std::vector<std::size_t> eligible) const;
+    void logUrgentRoom(time_point now);
     std::set<std::string> guaranteedJobs() const;
     const queue_entry *queueOf(const tracked_job &job) const;
     const queue_policy &policyOf(const tracked_job &job) const;
@@ -416,6 +447,8 @@
     // By service: how many of the steps after those that a pass tries in rank order were tried by
     // turns.
     std::map<std::string, std::size_t> m_stepsTriedByTurns;
+    std::map<std::string, urgent_state> m_urgentStates; // by service
+    urgent_room m_urgentRoom; // in the current pass
 };
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -35,6 +35,8 @@
         }
     }
     request.onlyNow = !next.mayReserve;
+    request.sparesFreeWorkers
+        = next.policy->priority > 0 && m_urgentRoom.forecast.isExpected();
     request.eligible = &eligible;
     return request;
 }
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -49,6 +49,7 @@
         byService[next.policy->service].push_back(std::move(next));
     for (auto &[service, units] : byService)
         planService(units, service, now);
+    logUrgentRoom(now);
 }
 
 // Ends the runs on workers that have not reported since their lease ended. Before that, a worker
@@ -292,6 +293,7 @@
     constexpr std::size_t unitsByTurns = 32;
     service_pass pass;
     pass.capacities = makeCapacities(service, now);
+    prepareUrgentRoom(service, pass.capacities, now);
     std::size_t unitsLeft = unitsByRank;
     std::size_t tried = 0;
     for (; tried < units.size() && unitsLeft > 0; ++tried)
@@ -316,10 +318,15 @@
     // starts that the estimates can't predict. Further steps may only start now.
     constexpr std::size_t maxWaitingSteps = 32;
     next.mayReserve = pass.waitingSteps < maxWaitingSteps;
+    if (next.policy->priority > 0)
+        chooseKeptWorkers(pass.capacities);
     const auto [found, isNew] = pass.notPlaced.emplace(shapeOf(next), duration::max());
     if (next.estimate >= found->second)
         return;
-    switch (planStep(next, pass.capacities, unitsLeft, now)) {
+    const step_outcome outcome = planStep(next, pass.capacities, unitsLeft, now);
+    if (outcome != step_outcome::Started)
+        noteUrgentWait(next, now);
+    switch (outcome) {
     case step_outcome::Started:
         break;
     case step_outcome::Waiting:
@@ -344,6 +351,7 @@
     shape.demand = demandOf(step);
     shape.count = step.gang ? static_cast<std::int32_t>(next.indexes.size()) : 1;
     shape.sameRack = step.sameRack;
+    shape.leavesUrgentRoom = leavesUrgentRoom(next);
     return shape;
 }
 
@@ -368,7 +376,8 @@
                                                 std::vector<worker_capacity> &capacities,
                                                 std::size_t &unitsLeft, time_point now)
 {
-    const std::vector<std::size_t> eligible = eligibleCapacities(next, capacities, now);
+    const std::vector<std::size_t> eligible
+        = besideUrgentRoom(next, eligibleCapacities(next, capacities, now));
     if (next.job->specOf(next.step).gang) {
         --unitsLeft;
         return combined(
--- a/goldcrest/run_planner_unit.h
+++ b/goldcrest/run_planner_unit.h
@@ -43,12 +43,14 @@
     resources demand; // of one task
     std::int32_t count = 1; // tasks to place together
     bool sameRack = false;
+    bool leavesUrgentRoom = false;
 
     bool operator<(const step_shape &other) const
     {
         const auto fields = [](const step_shape &one) {
             return std::tie(one.step, one.requiredLabel, one.dataRack, one.demand.cores,
-                            one.demand.memory, one.demand.accelerators, one.count, one.sameRack);
+                            one.demand.memory, one.demand.accelerators, one.count, one.sameRack,
+                            one.leavesUrgentRoom);
         };
         return fields(*this) < fields(other);
     }
