--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -71,7 +71,8 @@
     for (const placed_run &run : capacity.runs)
         last = std::max(last, run.endsAt);
     scratch.isSpared = last == at;
-    const std::int64_t outlasts = until > last ? (until - last) / unit : (last - until) / (unit * 2);
+    const std::int64_t outlasts
+        = until > last ? (until - last) / unit : (last - until) / (unit * 2);
     scratch.mismatch = scratch.isSpared ? 0 : std::min(outlasts, largest);
 }
 
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -35,8 +35,7 @@
         }
     }
     request.onlyNow = !next.mayReserve;
-    request.sparesFreeWorkers
-        = next.policy->priority > 0 && m_urgentRoom.forecast.isExpected();
+    request.sparesFreeWorkers = next.policy->priority > 0 && m_urgentRoom.forecast.isExpected();
     request.eligible = &eligible;
     return request;
 }
--- a/goldcrest/run_planner_urgent.cc
+++ b/goldcrest/run_planner_urgent.cc
@@ -33,8 +33,8 @@
     const queue_policy &policy = policyOf(job);
     if (!m_options.urgentRoom || policy.priority > 0)
         return;
-    const urgent_job arrived = urgentJobOf(
-        job.spec(), [&](const step_spec &step) { return expectedTimeOf(job, step); });
+    const urgent_job arrived
+        = urgentJobOf(job.spec(), [&](const step_spec &step) { return expectedTimeOf(job, step); });
     m_urgentStates[policy.service].demand.noteArrival(arrived, job.acceptedAt());
 }
 
--- a/goldcrest/urgent_demand.cc
+++ b/goldcrest/urgent_demand.cc
@@ -21,10 +21,11 @@
 // A rate is not estimated from less than this, since one arrival would then count as a stream.
 constexpr double leastSeconds = 3;
 
-// Bounds of the room, as shares of the service's capacity. The preference costs little. Capacity
-// that is held idle is lost to other callers: one sixteenth is about four of 61 workers.
+// Bounds of the room, as shares of the service's capacity. Capacity that is held idle is lost to
+// other callers: with a sixteenth, an overloaded service of 61 workers stopped more runs and
+// completed less of value than without room; with half of that, neither.
 constexpr double neededShare = 0.25;
-constexpr double heldShare = 1.0 / 16;
+constexpr double heldShare = 1.0 / 32;
 
 amounts amountsOf(const resources &of)
 {
@@ -189,7 +190,8 @@
     urgent_forecast next;
     if (sum.jobs <= 0)
         return next;
-    const double runTime = std::min(sum.runTime / sum.jobs, static_cast<double>(longestTime.count()));
+    const double runTime
+        = std::min(sum.runTime / sum.jobs, static_cast<double>(longestTime.count()));
     next.horizon = std::max<duration>(0ms, stopTime) + duration(std::llround(runTime));
     next.perSecond = sum.jobs / sum.seconds;
     const double share
--- a/testing/run_placement_test.cc
+++ b/testing/run_placement_test.cc
@@ -172,3 +172,29 @@
     LONGS_EQUAL(0, demandOf(step).cores);
     LONGS_EQUAL(4, demandOf(step).accelerators);
 }
+
+// Load pattern: urgent jobs are expected. Other work leaves whole workers free, though a small one
+// fits it better, and goes beside work that ends at a similar time.
+TEST(run_placement, sparesFreeWorkersAndJoinsWorkThatEndsAtASimilarTime)
+{
+    capacities[2].free.accelerators = 4;
+    occupyCapacity(0, 2, 3s, 1, 0, 0);
+    occupyCapacity(1, 2, 10s, 2, 0, 0);
+    placement_request wanted = request(1);
+    LONGS_EQUAL(2, bestPlacement(capacities, wanted, now)->indexes[0]);
+    wanted.sparesFreeWorkers = true;
+    LONGS_EQUAL(1, bestPlacement(capacities, wanted, now)->indexes[0]);
+    wanted.estimate = 3s;
+    LONGS_EQUAL(0, bestPlacement(capacities, wanted, now)->indexes[0]);
+}
+
+// Guards against work that waits although a worker is free, since it is to be spared.
+TEST(run_placement, takesFreeWorkersIfItFitsNowhereElse)
+{
+    occupyCapacity(0, 8, 10s, 1, 0, 0);
+    placement_request wanted = request(4);
+    wanted.sparesFreeWorkers = true;
+    const auto found = bestPlacement(capacities, wanted, now);
+    CHECK(found->start == now);
+    LONGS_EQUAL(4, found->indexes.size());
+}
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -224,6 +224,19 @@
     CHECK(sidecar.value.bounds.gangTimeout == planner_bounds{}.gangTimeout);
 }
 
+// Guards against a policy that is on without being asked for, and against a reload that does not
+// apply it.
+TEST(settings, roomForUrgentWorkIsOnInTheDeploymentOnly)
+{
+    CHECK(!optionsFor(planner_bounds{}).urgentRoom);
+    const auto sidecar
+        = platform::parseSidecarSettings(filled("deploy/sidecar.json", nodeValues()));
+    CHECK(optionsFor(sidecar.value.bounds).urgentRoom);
+    planner_bounds changed = sidecar.value.bounds;
+    changed.urgentRoom = false;
+    CHECK(!(changed == sidecar.value.bounds));
+}
+
 // Guards deployments that nobody here has seen: the planner's times follow the bounds that the
 // platform states, fractions included.
 TEST(settings, plannerFollowsTheBoundsOfTheDeployment)
