--- a/testing/planner_scene_support.cc
+++ b/testing/planner_scene_support.cc
@@ -1,6 +1,7 @@
 #include "testing/planner_scene_support.h"
 
 #include <algorithm>
+#include <ctime>
 #include <iterator>
 #include <utility>
 
@@ -12,6 +13,13 @@
 constexpr duration reportInterval = 500ms;
 constexpr int workersPerRack = 8;
 
+std::chrono::nanoseconds processorTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 } // namespace
 
 planner_scene::planner_scene(const run_planner_options &options, int workers,
@@ -111,7 +119,10 @@
     view.catalogue = m_catalogue;
     view.confirmedAt = m_now;
     m_planner->setView(view);
+    const std::chrono::nanoseconds begun = processorTime();
     m_planner->plan(m_wall, m_now);
+    m_passTime += processorTime() - begun;
+    ++m_passes;
     for (bool hasMore = true; hasMore;) {
         const std::vector<stored_change> changes = m_planner->takeChanges(100);
         for (const stored_change &change : changes)
@@ -227,6 +238,13 @@
     return jobs;
 }
 
+std::chrono::nanoseconds planner_scene::takePassTime()
+{
+    const std::chrono::nanoseconds mean = m_passTime / std::max(1, std::exchange(m_passes, 0));
+    m_passTime = {};
+    return mean;
+}
+
 int planner_scene::freeWorkers() const
 {
     return static_cast<int>(std::count_if(m_backends.begin(), m_backends.end(),
--- a/testing/planner_scene_support.h
+++ b/testing/planner_scene_support.h
@@ -63,6 +63,8 @@
     double wastedCoreSeconds() const { return m_wasted; }
     // Returns the ids of the jobs with runs on a worker, one for each run.
     std::vector<std::string> jobsOn(int worker) const;
+    // Returns the mean processor time of a pass of the planner since the last call.
+    std::chrono::nanoseconds takePassTime();
     // Returns the number of workers without runs.
     int freeWorkers() const;
     // Returns the events of the decisions so far, with their inputs.
@@ -107,6 +109,8 @@
     std::vector<run_decision> m_decisions;
     int m_stopped = 0;
     double m_wasted = 0;
+    std::chrono::nanoseconds m_passTime{};
+    int m_passes = 0;
 };
 
 } // namespace goldcrest
