Keep tasks apart that slow each other on the same worker

Change: interference_model learns the slowdown per ordered pair of images from the progress of tasks of one step, with those beside other images as the control. Among workers where a step can start at the same time, placement prefers those without bad neighbours, and opens unused workers for it only while one of eight is unused. Setting interference, default off, on in deploy/sidecar.json; metric interfering_pairs.

--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -92,6 +92,10 @@
     {metric::UrgentRoom, "urgent_room_accelerators", gaugeKind, "kind", "sidecar",
      "Accelerators that urgent jobs are expected to need at a time (needed), and those that are "
      "kept free for them (held)."},
+    {metric::InterferingPairs, "interfering_pairs", gaugeKind, "", "sidecar",
+     "Ordered pairs of images of which the tasks of one are found to slow those of the other on "
+     "the "
+     "same worker."},
     {metric::AnnouncementsRefused, "announcements_refused_total", counterKind, "reason", "sidecar",
      "Announcements that were not taken as the backend server's own, by reason."},
     {metric::AgentParts, "agent_parts", gaugeKind, "state", "agent",
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -61,6 +61,7 @@
     // Sidecars.
     RunDecisions,
     UrgentRoom,
+    InterferingPairs,
     AnnouncementsRefused,
     // Agents.
     AgentParts,
--- a/goldcrest/planner_bounds.cc
+++ b/goldcrest/planner_bounds.cc
@@ -35,6 +35,7 @@
     options.retention = bounds.stateTime + retentionMargin;
     options.remoteFactor = bounds.remoteFactor;
     options.urgentRoom = bounds.urgentRoom;
+    options.interference = bounds.interference;
     return options;
 }
 
--- a/goldcrest/planner_bounds.h
+++ b/goldcrest/planner_bounds.h
@@ -26,13 +26,15 @@
     duration stateTime = 120s; // for which callers can query a finished job
     double remoteFactor = 3; // slowdown of tasks away from their data
     bool urgentRoom = false; // leaves room for the urgent jobs that are expected
+    bool interference = false; // keeps tasks apart that slow each other
 
     friend bool operator==(const planner_bounds &a, const planner_bounds &b)
     {
         const auto fields = [](const planner_bounds &bounds) {
             return std::tie(bounds.stopTime, bounds.gangTimeout, bounds.longestLease,
                             bounds.checkpointInterval, bounds.reclaimTime, bounds.changeTime,
-                            bounds.stateTime, bounds.remoteFactor, bounds.urgentRoom);
+                            bounds.stateTime, bounds.remoteFactor, bounds.urgentRoom,
+                            bounds.interference);
         };
         return fields(a) == fields(b);
     }
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -36,6 +36,7 @@
     std::size_t index = 0;
     resources available;
     std::int32_t tasks = 0; // of the step
+    bool hasBadNeighbours = false; // or should be left to others all the same
     bool isSpared = false; // has no runs, and the request prefers others
     std::int64_t mismatch = 0; // of the end of the task and those of the runs there
 };
@@ -54,9 +55,9 @@
 // Sort key for best fit: fewest accelerators, then fewest cores, left over.
 auto leftoverOf(const scratch_capacity &capacity, const resources &demand)
 {
-    return std::make_tuple(capacity.isSpared, capacity.available.accelerators - demand.accelerators,
-                           capacity.mismatch, capacity.available.cores - demand.cores,
-                           capacity.index);
+    return std::make_tuple(capacity.hasBadNeighbours, capacity.isSpared,
+                           capacity.available.accelerators - demand.accelerators, capacity.mismatch,
+                           capacity.available.cores - demand.cores, capacity.index);
 }
 
 // Sets the preferences of a request that spares free workers. A task that outlasts the runs of a
@@ -125,12 +126,35 @@
             return std::nullopt;
         best->available -= demand;
         best->isSpared = false;
+        // Tasks of the same image may slow each other.
+        best->hasBadNeighbours
+            = best->hasBadNeighbours || (request.images & request.avoidedImages) != 0;
         ++best->tasks;
         chosen.push_back(best->index);
     }
     return chosen;
 }
 
+// Finds the workers with runs of images that slow the step, or that it slows. Unused workers count
+// like them unless there are enough: wide work needs whole ones, and waiting for them costs more
+// than a slowdown.
+void findBadNeighbours(std::vector<scratch_capacity> &scratch,
+                       const std::vector<worker_capacity> &capacities,
+                       const placement_request &request)
+{
+    constexpr std::size_t enoughOf = 8; // one of this many
+    std::size_t unused = 0;
+    for (scratch_capacity &one : scratch) {
+        const worker_capacity &capacity = capacities[one.index];
+        one.hasBadNeighbours = (capacity.images & request.avoidedImages) != 0;
+        unused += capacity.runs.empty() ? 1 : 0;
+    }
+    if (unused * enoughOf >= scratch.size())
+        return;
+    for (scratch_capacity &one : scratch)
+        one.hasBadNeighbours = one.hasBadNeighbours || capacities[one.index].runs.empty();
+}
+
 std::vector<scratch_capacity> scratchAt(const std::vector<worker_capacity> &capacities,
                                         const index_list &among, const placement_request &request,
                                         time_point at, duration estimate)
@@ -143,6 +167,8 @@
         if (request.sparesFreeWorkers)
             spareFree(scratch.back(), capacity, at, at + estimate);
     }
+    if (request.avoidedImages != 0)
+        findBadNeighbours(scratch, capacities, request);
     return scratch;
 }
 
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -46,6 +46,7 @@
     std::string rack;
     resources free;
     std::vector<placed_run> runs;
+    std::uint64_t images = 0; // of the runs there, as bits; those of no interfering pair have none
     resources reserved; // for waiting units of higher rank
     time_point reservedFrom = time_point::max(); // earliest start of those units
 };
@@ -60,6 +61,9 @@
     bool onlyNow = false; // later starts are of no use
     // Prefers workers in use to free ones, and those whose runs end at a similar time.
     bool sparesFreeWorkers = false;
+    // Bit of the step's image, and those of the images that it should not run beside.
+    std::uint64_t images = 0;
+    std::uint64_t avoidedImages = 0;
     // Indexes of the workers that may be used; nullptr: all of them.
     const std::vector<std::size_t> *eligible = nullptr;
 };
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -20,6 +20,7 @@
 
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
+#include "goldcrest/interference_model.h"
 #include "goldcrest/messages.h"
 #include "goldcrest/placement_advisor.h"
 #include "goldcrest/queue_catalogue.h"
@@ -95,6 +96,8 @@
     duration retention = 150s;
     // Leaves room for the urgent jobs that are expected, see urgent_demand.h.
     bool urgentRoom = false;
+    // Keeps tasks apart that slow each other, see interference_model.h.
+    bool interference = false;
 };
 
 // A version of a job's progress record that must be stored.
@@ -216,6 +219,8 @@
     std::size_t entriesBesideJobs() const;
     // Returns the room that is left for urgent work, over all services. Its horizon is not set.
     urgent_forecast urgentRoom() const;
+    // Returns the number of pairs of images that are taken for interfering.
+    std::size_t interferingPairs() const;
 
 private:
     struct unit;
@@ -268,6 +273,43 @@
         std::vector<bool> kept; // workers to be kept free, by index of their capacity
     };
 
+    // Progress of a run when its step was marked.
+    struct marked_task
+    {
+        task_key key;
+        std::int32_t run = 0;
+        std::int32_t percent = 0;
+        time_point at{};
+        std::set<std::string> neighbours; // images
+    };
+
+    // Tasks of a step whose progress will be compared.
+    struct marked_step
+    {
+        time_point at{};
+        std::string image;
+        std::vector<marked_task> tasks;
+    };
+
+    struct interference_state
+    {
+        interference_model model;
+        time_point comparedAt{};
+        std::vector<marked_step> marked;
+        std::string markedUpTo; // last job that was looked at
+        // Images of interfering pairs: their numbers, and by number the bits of those that they
+        // should not run beside.
+        std::uint64_t numbered = 0; // version of the model
+        std::unordered_map<std::string, std::size_t> numbers;
+        std::vector<std::uint64_t> avoided;
+    };
+
+    struct image_bits
+    {
+        std::uint64_t own = 0;
+        std::uint64_t avoided = 0;
+    };
+
     void extendLease(pool_worker &worker, duration extension) const;
     static void endLeaseExtension(pool_worker &worker);
     time_point lastListed(const pool_worker &worker) const;
@@ -392,6 +434,14 @@
                                                time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
                    const unit &beneficiary, time_point now);
+    void learnInterference(time_point now);
+    std::set<std::string> imagesBeside(const pool_worker &worker, const task_key &key) const;
+    void markSteps(time_point now);
+    void markStepOf(const std::string &id, const std::vector<std::pair<task_key, worker_id>> &runs,
+                    time_point now);
+    bool compareProgress(const marked_step &marked);
+    void numberImages();
+    image_bits imageBitsOf(const tracked_job &job, const step_spec &step) const;
     void noteUrgentArrival(const tracked_job &job);
     void noteUrgentWait(const unit &next, time_point now);
     void prepareUrgentRoom(const std::string &service,
@@ -449,6 +499,7 @@
     std::map<std::string, std::size_t> m_stepsTriedByTurns;
     std::map<std::string, urgent_state> m_urgentStates; // by service
     urgent_room m_urgentRoom; // in the current pass
+    interference_state m_interference;
 };
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -36,6 +36,9 @@
     }
     request.onlyNow = !next.mayReserve;
     request.sparesFreeWorkers = next.policy->priority > 0 && m_urgentRoom.forecast.isExpected();
+    const image_bits images = imageBitsOf(*next.job, step);
+    request.images = images.own;
+    request.avoidedImages = images.avoided;
     request.eligible = &eligible;
     return request;
 }
@@ -182,6 +185,7 @@
     m_preemptionReservations.erase(next.job->keyOf(next.step, next.indexes.front()));
     placement_request request;
     request.step = &step;
+    request.images = imageBitsOf(*next.job, step).own;
     placed_run run;
     run.unit = unitNumberOf(next.job->keyOf(next.step, next.indexes.front()), step);
     run.demand = demandOf(step);
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -34,6 +34,7 @@
         m_jobs.at(id).openDue(wall);
     stopStalledRuns(now);
     findSlowWorkers(now);
+    learnInterference(now);
     stopRunsOnLeavingWorkers(now);
     stopIncompleteGangs(now);
     storeCheckpoints(now);
@@ -269,6 +270,7 @@
                 losses[run.unit] = latenessCost(job, expectedTimeOf(job, step), now);
             losses[run.unit] += lostWork(task, step, now);
             capacity.free -= run.demand;
+            capacity.images |= imageBitsOf(job, step).own;
             capacity.runs.push_back(run);
         }
         if (const std::optional<resources> untracked = untrackedDemandOn(worker))
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -237,6 +237,19 @@
     CHECK(!(changed == sidecar.value.bounds));
 }
 
+// Guards against a policy that is on without being asked for, and against a reload that does not
+// apply it.
+TEST(settings, interferenceIsLearnedInTheDeploymentOnly)
+{
+    CHECK(!optionsFor(planner_bounds{}).interference);
+    const auto sidecar
+        = platform::parseSidecarSettings(filled("deploy/sidecar.json", nodeValues()));
+    CHECK(optionsFor(sidecar.value.bounds).interference);
+    planner_bounds changed = sidecar.value.bounds;
+    changed.interference = false;
+    CHECK(!(changed == sidecar.value.bounds));
+}
+
 // Guards deployments that nobody here has seen: the planner's times follow the bounds that the
 // platform states, fractions included.
 TEST(settings, plannerFollowsTheBoundsOfTheDeployment)
