--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -159,12 +159,13 @@
                                         const index_list &among, const placement_request &request,
                                         time_point at, duration estimate)
 {
+    const resources demand = demandOf(*request.step);
     std::vector<scratch_capacity> scratch;
     for (const std::size_t index : among) {
         const worker_capacity &capacity = capacities[index];
         scratch.push_back(
             {index, availableAt(capacity, at, at + estimate), placedOn(request, capacity)});
-        if (request.sparesFreeWorkers)
+        if (request.sparesFreeWorkers && scratch.back().available.covers(demand))
             spareFree(scratch.back(), capacity, at, at + estimate);
     }
     if (request.avoidedImages != 0)
