Hold no room for an urgent job that waits for longer than the window

Cause: an urgent job that no worker can run counts as waiting in each pass, so that capacity is held for as long as other urgent jobs arrive. Result: run_planner_urgent_test passes, with a test of that load.

--- a/goldcrest/run_planner_urgent.cc
+++ b/goldcrest/run_planner_urgent.cc
@@ -15,7 +15,7 @@
 
 // The room changes its class by itself at most every few seconds, as arrivals and waits count for
 // urgent_demand::window. This bounds the log if the setting is switched on and off.
-constexpr duration longestSilence = 1s;
+constexpr duration leastLogInterval = 1s;
 
 // Returns whether a step takes as much of the held capacity as makes holding it worthwhile: half of
 // its accelerators, or of its cores if none are held.
@@ -39,11 +39,13 @@
 }
 
 // Records an urgent step that could not start at once. A wait for advice says nothing about
-// capacity.
+// capacity, nor does a job that waits for much longer than capacity takes to become free: no worker
+// may be able to run it.
 void run_planner::noteUrgentWait(const unit &next, time_point now)
 {
     const auto found = m_urgentStates.find(next.policy->service);
-    if (next.policy->priority == 0 && found != m_urgentStates.end() && !advisedQueueOf(*next.job))
+    if (next.policy->priority == 0 && found != m_urgentStates.end() && !advisedQueueOf(*next.job)
+        && now - next.job->acceptedAt() <= urgent_demand::window)
         found->second.demand.noteWait(now);
 }
 
@@ -138,7 +140,7 @@
         if (!m_options.urgentRoom || !seen.isExpected())
             state.last = {};
         const urgent_room_class room = state.last.roomClass();
-        if (room != state.logged && now - state.loggedAt >= longestSilence) {
+        if (room != state.logged && now - state.loggedAt >= leastLogInterval) {
             recordDecision("room for urgent work", {}, 0, {}, std::string(nameOf(room)),
                            fmt::format("service={} before={} per_second={:.2f} horizon_ms={} "
                                        "accelerators={} cores={} held_accelerators={}",
--- a/testing/run_planner_urgent_test.cc
+++ b/testing/run_planner_urgent_test.cc
@@ -137,6 +137,21 @@
     CHECK(scene.freeWorkers() < room);
 }
 
+// Guards against capacity that is held for as long as an urgent job waits that no worker can run.
+TEST(run_planner_urgent, jobThatCanNotRunHoldsNoRoom)
+{
+    planner_scene scene(withRoom(true), 64, machine);
+    scene.advance(1s);
+    step_spec impossible = makeStep(1, 1, 2500ms);
+    impossible.requiredLabel = "missing";
+    scene.addJob("impossible", 0, impossible, 2500ms);
+    for (int i = 0; i < 30; ++i) {
+        scene.addJob("urgent" + std::to_string(i), 0, makeStep(2, 1, 2500ms), 2500ms);
+        scene.advance(1s);
+    }
+    CHECK(scene.planner().urgentRoom().roomClass() == urgent_room_class::Preferred);
+}
+
 // Failure: the planner is lost. Guards against a successor that waits for what it has not learned,
 // or takes old jobs for new ones.
 TEST(run_planner_urgent, successorLearnsFromStoredJobs)
