--- a/testing/run_placement_test.cc
+++ b/testing/run_placement_test.cc
@@ -198,3 +198,56 @@
     CHECK(found->start == now);
     LONGS_EQUAL(4, found->indexes.size());
 }
+
+// Load pattern: two images that slow each other. They are kept apart on workers in use, and on
+// unused ones while enough are left; without such workers they run together at once.
+TEST(run_placement, keepsImagesApartThatSlowEachOther)
+{
+    step.perTask.accelerators = 1;
+    placement_request wanted = request(1);
+    wanted.images = 1;
+    wanted.avoidedImages = 2;
+    occupyCapacity(0, 6, 10s, 1, 0, 0);
+    capacities[0].images = 2;
+    occupyCapacity(1, 2, 10s, 2, 0, 0);
+    capacities[1].images = 1;
+    LONGS_EQUAL(1, bestPlacement(capacities, wanted, now)->indexes[0]);
+    capacities[1].images = 2;
+    LONGS_EQUAL(2, bestPlacement(capacities, wanted, now)->indexes[0]);
+    capacities[2].free = {};
+    const auto together = bestPlacement(capacities, wanted, now);
+    CHECK(together->start == now);
+    LONGS_EQUAL(0, together->indexes[0]);
+}
+
+// Guards wide work, which needs whole workers: the last unused one of many is not opened to keep
+// images apart.
+TEST(run_placement, opensNoScarceUnusedWorkerToKeepImagesApart)
+{
+    for (int i = 3; i < 9; ++i)
+        addWorker("w" + std::to_string(i + 1), "r2", 8);
+    for (std::size_t i = 0; i < 8; ++i) {
+        occupyCapacity(i, 2, 10s, i, 0, 0);
+        capacities[i].images = 2;
+    }
+    placement_request wanted = request(1);
+    wanted.images = 1;
+    wanted.avoidedImages = 2;
+    CHECK(bestPlacement(capacities, wanted, now)->indexes[0] < 8);
+    capacities.erase(capacities.begin());
+    LONGS_EQUAL(7, bestPlacement(capacities, wanted, now)->indexes[0]);
+}
+
+// Tasks of one image that slow each other are spread, but never beyond the workers there are.
+TEST(run_placement, spreadsAnImageThatSlowsItself)
+{
+    step.perTask.accelerators = 1;
+    placement_request wanted = request(3);
+    wanted.images = wanted.avoidedImages = 1;
+    const auto spread = bestPlacement(capacities, wanted, now);
+    CHECK(spread->indexes[0] != spread->indexes[1] && spread->indexes[1] != spread->indexes[2]);
+    wanted.count = 24;
+    const auto all = bestPlacement(capacities, wanted, now);
+    CHECK(all->start == now);
+    LONGS_EQUAL(24, all->indexes.size());
+}
