--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -60,6 +60,8 @@
     DecisionTime,
     // Sidecars.
     RunDecisions,
+    UrgentRoom,
+    InterferingPairs,
     AnnouncementsRefused,
     WorkerMachines,
     SpeedObservations,
--- a/goldcrest/planner_bounds.cc
+++ b/goldcrest/planner_bounds.cc
@@ -35,6 +35,8 @@
     options.retention = bounds.stateTime + retentionMargin;
     options.remoteFactor = bounds.remoteFactor;
     options.workerSpeeds = bounds.workerSpeeds;
+    options.urgentRoom = bounds.urgentRoom;
+    options.interference = bounds.interference;
     return options;
 }
 
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -42,6 +42,9 @@
     resources available;
     std::int32_t tasks = 0; // of the step
     double speedRank = 0; // the lower one is preferred
+    bool hasBadNeighbours = false; // or should be left to others all the same
+    bool isSpared = false; // has no runs, and the request prefers others
+    std::int64_t mismatch = 0; // of the end of the task and those of the runs there
 };
 
 std::int32_t placedOn(const placement_request &request, const worker_capacity &capacity)
@@ -55,12 +58,14 @@
     return request.step->maxPerWorker == 0 || capacity.tasks < request.step->maxPerWorker;
 }
 
-// Sort key for best fit: fewest accelerators left over, then by speed, then fewest cores left over.
+// Sort key: no bad neighbours, no spared worker, then best fit: fewest accelerators left over, then
+// by speed, then runs that end at a similar time, then fewest cores left over.
 auto leftoverOf(const scratch_capacity &capacity, const resources &demand)
 {
-    return std::make_tuple(capacity.available.accelerators - demand.accelerators,
-                           capacity.speedRank, capacity.available.cores - demand.cores,
-                           capacity.index);
+    return std::make_tuple(capacity.hasBadNeighbours, capacity.isSpared,
+                           capacity.available.accelerators - demand.accelerators,
+                           capacity.speedRank, capacity.mismatch,
+                           capacity.available.cores - demand.cores, capacity.index);
 }
 
 // Returns the time that a task takes on a worker of some speed.
@@ -77,6 +82,23 @@
     return slowest;
 }
 
+// Sets the preferences of a request that spares free workers. A task that outlasts the runs of a
+// worker puts off the time at which the worker is free, so it counts twice as much as one that ends
+// earlier.
+void spareFree(scratch_capacity &scratch, const worker_capacity &capacity, time_point at,
+               time_point until)
+{
+    constexpr duration unit = 500ms; // estimates are no closer than that
+    constexpr std::int64_t largest = 20;
+    time_point last = at;
+    for (const placed_run &run : capacity.runs)
+        last = std::max(last, run.endsAt);
+    scratch.isSpared = last == at;
+    const std::int64_t outlasts
+        = until > last ? (until - last) / unit : (last - until) / (unit * 2);
+    scratch.mismatch = scratch.isSpared ? 0 : std::min(outlasts, largest);
+}
+
 // Returns how many tasks with this demand fit into the capacity, at most `limit`.
 std::int64_t slotsIn(const resources &available, const resources &demand, std::int64_t limit)
 {
@@ -125,17 +147,42 @@
         if (!best)
             return std::nullopt;
         best->available -= demand;
+        best->isSpared = false;
+        // Tasks of the same image may slow each other.
+        best->hasBadNeighbours
+            = best->hasBadNeighbours || (request.images & request.avoidedImages) != 0;
         ++best->tasks;
         chosen.push_back(best->index);
     }
     return chosen;
 }
 
+// Finds the workers with runs of images that slow the step, or that it slows. Unused workers count
+// like them unless there are enough: wide work needs whole ones, and waiting for them costs more
+// than a slowdown.
+void findBadNeighbours(std::vector<scratch_capacity> &scratch,
+                       const std::vector<worker_capacity> &capacities,
+                       const placement_request &request)
+{
+    constexpr std::size_t enoughOf = 8; // one of this many
+    std::size_t unused = 0;
+    for (scratch_capacity &one : scratch) {
+        const worker_capacity &capacity = capacities[one.index];
+        one.hasBadNeighbours = (capacity.images & request.avoidedImages) != 0;
+        unused += capacity.runs.empty() ? 1 : 0;
+    }
+    if (unused * enoughOf >= scratch.size())
+        return;
+    for (scratch_capacity &one : scratch)
+        one.hasBadNeighbours = one.hasBadNeighbours || capacities[one.index].runs.empty();
+}
+
 // @param estimate run time at speed 1
 std::vector<scratch_capacity> scratchAt(const std::vector<worker_capacity> &capacities,
                                         const index_list &among, const placement_request &request,
                                         time_point at, duration estimate)
 {
+    const resources demand = demandOf(*request.step);
     std::vector<scratch_capacity> scratch;
     scratch.reserve(among.size());
     // It is not known yet which of these is the slowest member of a gang.
@@ -146,7 +193,11 @@
         const time_point until = at + timeAtSpeed(estimate, speed);
         scratch.push_back({index, availableAt(capacity, at, until), placedOn(request, capacity),
                            request.prefersSlow ? capacity.speed : -capacity.speed});
+        if (request.sparesFreeWorkers && scratch.back().available.covers(demand))
+            spareFree(scratch.back(), capacity, at, until);
     }
+    if (request.avoidedImages != 0)
+        findBadNeighbours(scratch, capacities, request);
     return scratch;
 }
 
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -20,12 +20,14 @@
 
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
+#include "goldcrest/interference_model.h"
 #include "goldcrest/messages.h"
 #include "goldcrest/placement_advisor.h"
 #include "goldcrest/queue_catalogue.h"
 #include "goldcrest/run_placement.h"
 #include "goldcrest/run_time_model.h"
 #include "goldcrest/tracked_job.h"
+#include "goldcrest/urgent_demand.h"
 #include "goldcrest/worker_pool.h"
 #include "goldcrest/worker_speed_model.h"
 
@@ -95,6 +97,10 @@
     duration lastResortMaxAge = 2s;
     // Finished jobs are kept this long, so that callers can query their state.
     duration retention = 150s;
+    // Leaves room for the urgent jobs that are expected, see urgent_demand.h.
+    bool urgentRoom = false;
+    // Keeps tasks apart that slow each other, see interference_model.h.
+    bool interference = false;
 };
 
 // A version of a job's progress record that must be stored.
@@ -218,6 +224,10 @@
     // Returns the number of entries that are kept for jobs and their tasks beside the jobs
     // themselves. It does not grow with the number of jobs that have ended.
     std::size_t entriesBesideJobs() const;
+    // Returns the room that is left for urgent work, over all services. Its horizon is not set.
+    urgent_forecast urgentRoom() const;
+    // Returns the number of pairs of images that are taken for interfering.
+    std::size_t interferingPairs() const;
 
 private:
     struct unit;
@@ -256,6 +266,60 @@
         time_point retryAt{}; // after a failed request
     };
 
+    // What is known of the urgent jobs of a service.
+    struct urgent_state
+    {
+        urgent_demand demand;
+        urgent_forecast last; // of the last pass
+        urgent_room_class logged = urgent_room_class::None;
+        time_point loggedAt{};
+    };
+
+    // Room for urgent work in the current pass over a service.
+    struct urgent_room
+    {
+        urgent_forecast forecast;
+        bool isChosen = false;
+        std::vector<bool> kept; // workers to be kept free, by index of their capacity
+    };
+
+    // Progress of a run when its step was marked.
+    struct marked_task
+    {
+        task_key key;
+        std::int32_t run = 0;
+        std::int32_t percent = 0;
+        time_point at{};
+        std::set<std::string> neighbours; // images
+    };
+
+    // Tasks of a step whose progress will be compared.
+    struct marked_step
+    {
+        time_point at{};
+        std::string image;
+        std::vector<marked_task> tasks;
+    };
+
+    struct interference_state
+    {
+        interference_model model;
+        time_point comparedAt{};
+        std::vector<marked_step> marked;
+        std::string markedUpTo; // last job that was looked at
+        // Images of interfering pairs: their numbers, and by number the bits of those that they
+        // should not run beside.
+        std::uint64_t numbered = 0; // version of the model
+        std::unordered_map<std::string, std::size_t> numbers;
+        std::vector<std::uint64_t> avoided;
+    };
+
+    struct image_bits
+    {
+        std::uint64_t own = 0;
+        std::uint64_t avoided = 0;
+    };
+
     void extendLease(pool_worker &worker, duration extension) const;
     static void endLeaseExtension(pool_worker &worker);
     time_point lastListed(const pool_worker &worker) const;
@@ -391,6 +455,23 @@
                                                time_point now);
     void stopUnits(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
                    const unit &beneficiary, time_point now);
+    void learnInterference(time_point now);
+    std::set<std::string> imagesBeside(const pool_worker &worker, const task_key &key) const;
+    void markSteps(time_point now);
+    void markStepOf(const std::string &id, const std::vector<std::pair<task_key, worker_id>> &runs,
+                    time_point now);
+    bool compareProgress(const marked_step &marked);
+    void numberImages();
+    image_bits imageBitsOf(const tracked_job &job, const step_spec &step) const;
+    void noteUrgentArrival(const tracked_job &job);
+    void noteUrgentWait(const unit &next, time_point now);
+    void prepareUrgentRoom(const std::string &service,
+                           const std::vector<worker_capacity> &capacities, time_point now);
+    void chooseKeptWorkers(const std::vector<worker_capacity> &capacities);
+    bool leavesUrgentRoom(const unit &next) const;
+    std::vector<std::size_t> besideUrgentRoom(const unit &next,
+                                              std::vector<std::size_t> eligible) const;
+    void logUrgentRoom(time_point now);
     std::set<std::string> guaranteedJobs() const;
     const queue_entry *queueOf(const tracked_job &job) const;
     const queue_policy &policyOf(const tracked_job &job) const;
@@ -438,6 +519,9 @@
     // By service: how many of the steps after those that a pass tries in rank order were tried by
     // turns.
     std::map<std::string, std::size_t> m_stepsTriedByTurns;
+    std::map<std::string, urgent_state> m_urgentStates; // by service
+    urgent_room m_urgentRoom; // in the current pass
+    interference_state m_interference;
 };
 
 } // namespace goldcrest
