Add team shares and the preemption policy to the planner, off by default

Cause: the planner orders work of the same priority by target only, so a large team takes all capacity, and it stops running work without a limit. Change: team_shares ranks the waiting steps of a service by the dominant share of their teams and gives wide jobs precedence after a wait. preemption_policy decides what a stop costs, whether it pays, and limits the stops per job and per second. run_planner_policies.cc connects them. Settings teamShares and preemptionLimits, metrics and log lines.

--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -89,6 +89,13 @@
      "Processor time that the scheduler uses for one event."},
     {metric::RunDecisions, "run_decisions_total", counterKind, "event", "sidecar",
      "Decisions of the planner of graph jobs, by kind."},
+    {metric::RunStops, "run_stops_total", counterKind, "reason", "sidecar",
+     "Runs that this planner has stopped, by reason."},
+    {metric::StopsRefused, "stops_refused_total", counterKind, "limit", "sidecar",
+     "Times that a claim on running work was refused by a limit, once a pass: the rate of all "
+     "stops, jobs spared after a stop, or capacity that becomes free soon."},
+    {metric::TeamsOverShare, "teams_over_share", gaugeKind, "", "sidecar",
+     "Teams that use far more than their fair share of a service for which others wait."},
     {metric::AnnouncementsRefused, "announcements_refused_total", counterKind, "reason", "sidecar",
      "Announcements that were not taken as the backend server's own, by reason."},
     {metric::AgentParts, "agent_parts", gaugeKind, "state", "agent",
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -60,6 +60,9 @@
     DecisionTime,
     // Sidecars.
     RunDecisions,
+    RunStops,
+    StopsRefused,
+    TeamsOverShare,
     AnnouncementsRefused,
     // Agents.
     AgentParts,
--- a/goldcrest/planner_bounds.cc
+++ b/goldcrest/planner_bounds.cc
@@ -34,6 +34,8 @@
     options.freshView = std::max(bounds.changeTime - viewMargin, bounds.changeTime / 2);
     options.retention = bounds.stateTime + retentionMargin;
     options.remoteFactor = bounds.remoteFactor;
+    options.teamShares = bounds.teamShares;
+    options.preemptionLimits = bounds.preemptionLimits;
     return options;
 }
 
--- a/goldcrest/planner_bounds.h
+++ b/goldcrest/planner_bounds.h
@@ -25,13 +25,16 @@
     duration changeTime = 5s; // within which evacuations must take effect
     duration stateTime = 120s; // for which callers can query a finished job
     double remoteFactor = 3; // slowdown of tasks away from their data
+    bool teamShares = false; // order scarce work by the teams' shares (team_shares.h)
+    bool preemptionLimits = false; // limit stops of running work (preemption_policy.h)
 
     friend bool operator==(const planner_bounds &a, const planner_bounds &b)
     {
         const auto fields = [](const planner_bounds &bounds) {
             return std::tie(bounds.stopTime, bounds.gangTimeout, bounds.longestLease,
                             bounds.checkpointInterval, bounds.reclaimTime, bounds.changeTime,
-                            bounds.stateTime, bounds.remoteFactor);
+                            bounds.stateTime, bounds.remoteFactor, bounds.teamShares,
+                            bounds.preemptionLimits);
         };
         return fields(a) == fields(b);
     }
--- a/goldcrest/queue_catalogue.h
+++ b/goldcrest/queue_catalogue.h
@@ -51,6 +51,8 @@
     std::string name;
     std::vector<std::string> keys;
     std::int64_t guaranteedAccelerators = 0; // reserved for its jobs of priority 0
+    // Share of the capacity above the guarantees, relative to those of the other teams.
+    double weight = 1;
 };
 
 struct queue_catalogue
--- a/goldcrest/run_placement.cc
+++ b/goldcrest/run_placement.cc
@@ -202,7 +202,7 @@
 
 bool mayEvict(const placed_run &run, const eviction_rule &rule)
 {
-    if (run.isStopping || !run.mayStop)
+    if (run.isStopping || !run.mayStop || (run.isSpared && !rule.alsoSpared))
         return false;
     if (rule.anyUnit)
         return true;
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -35,6 +35,7 @@
     std::int32_t priority = 0;
     bool isGuaranteed = false;
     bool mayStop = true;
+    bool isSpared = false; // was stopped recently
     double lossOnStop = 0; // cost of stopping the whole unit, in core-seconds
 };
 
@@ -97,6 +98,7 @@
     std::int32_t belowPriority = 0; // units with a priority number above this
     bool alsoUnguaranteed = false; // also all units that run outside a guarantee
     bool anyUnit = false; // also units within guarantees; last resort
+    bool alsoSpared = true; // also units that were stopped recently
     double maxLoss = 0; // total cost limit in core-seconds
 };
 
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -39,6 +39,8 @@
 void run_planner::recordDecision(std::string_view event, const task_key &task, std::int32_t run,
                                  const worker_id &worker, std::string reason, std::string inputs)
 {
+    if (event == "run stopped")
+        ++m_stopsByReason[reason];
     if (m_decisions.size() < maxDecisions)
         m_decisions.push_back(
             {std::string(event), task, run, worker, std::move(reason), std::move(inputs)});
@@ -58,6 +60,7 @@
     if (job.isFinished()) {
         m_unfinished.erase(job.id());
         m_failedOn.erase(job.id());
+        m_preemption.forgetJob(job.id());
     }
     // A job that is repeated has many occurrences, and drops the tasks of those that are done.
     const auto isOver = [&](const task_key &task) { return job.isFinished() || !job.find(task); };
@@ -99,6 +102,9 @@
         = m_jobs.emplace(job.id, tracked_job(job, progress, now - age)).first->second;
     if (!added.isFinished())
         m_unfinished.insert(job.id);
+    // A job with progress was counted by an earlier planner.
+    if (!progress)
+        noteArrival(added);
     m_needsPass = true;
     added.forEachActive([&](const task_key &, const step_spec &, tracked_task &task) {
         task.begunAt = now;
@@ -153,6 +159,14 @@
     const duration predecessorLease = m_options.predecessorLease;
     m_options = options;
     m_options.predecessorLease = predecessorLease;
+    // What was learned before the policies were turned off is too old once they are on again.
+    if (!m_options.teamShares)
+        m_shares = {};
+    if (!m_options.preemptionLimits) {
+        m_preemption = {};
+        m_refusalsRecorded = {};
+    }
+    setView(m_view);
 }
 
 void run_planner::setView(const operator_view &view)
@@ -163,6 +177,10 @@
         return;
     for (std::size_t i = 0; i < m_view.catalogue->queues.size(); ++i)
         m_queueIndexes.emplace(m_view.catalogue->queues[i].name, i);
+    if (!m_options.teamShares)
+        return;
+    m_shares.setTeams(m_view.catalogue->teams);
+    m_shares.setQueues(m_view.catalogue->queues);
 }
 
 // Returns the queue of a job, or nullptr if it is not in the catalogue.
@@ -380,7 +398,7 @@
 {
     std::size_t count = m_failedOn.size() + m_suspects.size() + m_changed.size()
         + m_changedByCheckpoint.size() + m_checkpointed.size() + m_preemptionReservations.size()
-        + m_activeRuns.size();
+        + m_activeRuns.size() + m_preemption.entryCount();
     for (const auto &[step, advice] : m_advice)
         count += 1 + advice.tickets.size() + advice.asked.size() + advice.allowed.size();
     for (const auto &[id, worker] : m_pool.workers())
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -22,12 +22,15 @@
 #include "goldcrest/graph_job.h"
 #include "goldcrest/messages.h"
 #include "goldcrest/placement_advisor.h"
+#include "goldcrest/preemption_policy.h"
 #include "goldcrest/queue_catalogue.h"
 #include "goldcrest/run_placement.h"
 #include "goldcrest/run_time_model.h"
+#include "goldcrest/team_shares.h"
 #include "goldcrest/tracked_job.h"
 #include "goldcrest/worker_pool.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -92,6 +95,10 @@
     duration lastResortMaxAge = 2s;
     // Finished jobs are kept this long, so that callers can query their state.
     duration retention = 150s;
+    // Whether scarce work is ordered by the shares of the teams.
+    bool teamShares = false;
+    // Whether stops of running work are limited.
+    bool preemptionLimits = false;
 };
 
 // A version of a job's progress record that must be stored.
@@ -208,6 +215,10 @@
     const worker_pool &workers() const { return m_pool; }
     std::size_t jobCount() const { return m_jobs.size(); }
     std::size_t unfinishedJobs() const { return m_unfinished.size(); }
+    const team_shares &shares() const { return m_shares; }
+    const preemption_policy &preemption() const { return m_preemption; }
+    // Returns the number of runs that were stopped, by reason.
+    const std::map<std::string, std::uint64_t> &stopsByReason() const { return m_stopsByReason; }
     // Returns the number of entries that are kept for jobs and their tasks beside the jobs
     // themselves. It does not grow with the number of jobs that have ended.
     std::size_t entriesBesideJobs() const;
@@ -323,6 +334,24 @@
                                                 time_point now) const;
     double latenessCost(const tracked_job &job, duration rest, time_point now) const;
     time_point targetOf(const tracked_job &job) const;
+    static time_point valuableUntil(const tracked_job &job, time_point target);
+
+    // Hooks of the policies (run_planner_policies.cc). They do nothing while these are turned off.
+    void beginPolicies(time_point now);
+    void recordPolicyNotes(time_point now);
+    void noteArrival(const tracked_job &job);
+    void noteStart(const unit &started, time_point now);
+    void rankByShares(std::vector<unit> &units, const std::string &service, time_point now);
+    share_request shareRequestOf(const unit &next, time_point now) const;
+    double stopCost(const tracked_job &job, const step_spec &step, const placed_run &run,
+                    time_point now) const;
+    std::optional<eviction> findLimitedEviction(const unit &next,
+                                                const std::vector<worker_capacity> &capacities,
+                                                const placement_request &request,
+                                                const std::optional<placement> &found,
+                                                time_point now);
+    void noteStops(const std::vector<std::size_t> &units, std::vector<worker_capacity> &capacities,
+                   const unit &beneficiary, time_point now);
     job_lateness latenessOf(const tracked_job &job, time_point end) const;
     duration expectedTimeOf(const tracked_job &job, const step_spec &step) const;
     void observeRunTime(const task_key &key, std::int32_t run, time_point now);
@@ -353,8 +382,7 @@
     std::optional<eviction> findEviction(const unit &next,
                                          const std::vector<worker_capacity> &capacities,
                                          const placement_request &request,
-                                         const std::optional<placement> &found,
-                                         time_point now) const;
+                                         const std::optional<placement> &found, time_point now);
     void startUnit(const unit &next, std::vector<worker_capacity> &capacities,
                    const placement &where, time_point now);
     unit_outcome startOrReserve(const unit &next, std::vector<worker_capacity> &capacities,
@@ -416,6 +444,11 @@
     // By service: how many of the steps after those that a pass tries in rank order were tried by
     // turns.
     std::map<std::string, std::size_t> m_stepsTriedByTurns;
+    team_shares m_shares;
+    preemption_policy m_preemption;
+    std::map<std::string, std::uint64_t> m_stopsByReason;
+    std::array<std::uint64_t, stopRefusals> m_refusalsRecorded{};
+    time_point m_refusalsRecordedAt{};
 };
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -142,8 +142,10 @@
                                                   const std::vector<worker_capacity> &capacities,
                                                   const placement_request &request,
                                                   const std::optional<placement> &found,
-                                                  time_point now) const
+                                                  time_point now)
 {
+    if (m_options.preemptionLimits && !next.isGuaranteed)
+        return findLimitedEviction(next, capacities, request, found, now);
     eviction_rule rule;
     rule.belowPriority = next.policy->priority;
     if (!next.isGuaranteed) {
@@ -168,6 +170,7 @@
 void run_planner::startUnit(const unit &next, std::vector<worker_capacity> &capacities,
                             const placement &where, time_point now)
 {
+    noteStart(next, now);
     const step_spec &step = next.job->specOf(next.step);
     std::vector<run_assignment> runs;
     for (std::size_t i = 0; i < next.indexes.size(); ++i) {
@@ -224,6 +227,7 @@
             run.endsAt = now + m_options.stopTime;
         }
     }
+    noteStops(units, capacities, beneficiary, now);
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -43,12 +43,14 @@
     m_unitTasks.clear();
     findTrials(now);
     m_guaranteed = guaranteedJobs();
+    beginPolicies(now);
     std::map<std::string, std::vector<unit>> byService;
     std::vector<unit> waiting = collectUnits(now);
     for (unit &next : waiting)
         byService[next.policy->service].push_back(std::move(next));
     for (auto &[service, units] : byService)
         planService(units, service, now);
+    recordPolicyNotes(now);
 }
 
 // Ends the runs on workers that have not reported since their lease ended. Before that, a worker
@@ -131,14 +133,17 @@
 
 job_lateness run_planner::latenessOf(const tracked_job &job, time_point end) const
 {
-    // Callers have a use for a job that takes up to this many times as long as its target.
-    constexpr int lateFactor = 3;
     const time_point target = targetOf(job);
     if (end <= target)
         return job_lateness::OnTime;
-    return end <= job.acceptedAt() + (target - job.acceptedAt()) * lateFactor
-        ? job_lateness::Late
-        : job_lateness::TooLate;
+    return end <= valuableUntil(job, target) ? job_lateness::Late : job_lateness::TooLate;
+}
+
+// Returns until when callers have a use for a job.
+time_point run_planner::valuableUntil(const tracked_job &job, time_point target)
+{
+    constexpr int lateFactor = 3; // they have one for up to this many times the target
+    return job.acceptedAt() + (target - job.acceptedAt()) * lateFactor;
 }
 
 duration run_planner::expectedTimeOf(const tracked_job &job, const step_spec &step) const
@@ -243,6 +248,7 @@
 {
     std::vector<worker_capacity> capacities;
     std::map<std::size_t, double> losses;
+    use_sample sample;
     for (auto &[id, worker] : m_pool.workers()) {
         if (worker.service != service || !isUsable(worker, now))
             continue;
@@ -264,12 +270,16 @@
             run.priority = policyOf(job).priority;
             run.isGuaranteed = m_guaranteed.count(key.job) > 0;
             run.mayStop = !step.longRunning;
+            run.isSpared = m_options.preemptionLimits && m_preemption.isSpared(key.job, now);
             if (losses.count(run.unit) == 0)
-                losses[run.unit] = latenessCost(job, expectedTimeOf(job, step), now);
+                losses[run.unit] = stopCost(job, step, run, now);
             losses[run.unit] += lostWork(task, step, now);
             capacity.free -= run.demand;
             capacity.runs.push_back(run);
+            if (m_options.teamShares)
+                sample.addRun(job.spec().team, run.demand, task.runEstimate);
         }
+        sample.addWorker(worker.capacity);
         if (const std::optional<resources> untracked = untrackedDemandOn(worker))
             capacity.free -= *untracked;
         else
@@ -280,6 +290,8 @@
         for (placed_run &run : capacity.runs)
             run.lossOnStop = losses[run.unit];
     }
+    if (m_options.teamShares)
+        m_shares.update(service, sample, now);
     return capacities;
 }
 
@@ -292,6 +304,7 @@
     constexpr std::size_t unitsByTurns = 32;
     service_pass pass;
     pass.capacities = makeCapacities(service, now);
+    rankByShares(units, service, now);
     std::size_t unitsLeft = unitsByRank;
     std::size_t tried = 0;
     for (; tried < units.size() && unitsLeft > 0; ++tried)
--- a/goldcrest/run_planner_unit.h
+++ b/goldcrest/run_planner_unit.h
@@ -27,6 +27,7 @@
     duration estimate = 0ms;
     // Whether capacity may be reserved, or other runs stopped, for it if it can't start now.
     bool mayReserve = true;
+    share_rank share; // among the steps of the same priority
 };
 
 // NotPlaced: can't start now, and nothing is reserved for it.
