--- a/goldcrest/team_shares.cc
+++ b/goldcrest/team_shares.cc
@@ -33,7 +33,7 @@
 constexpr double agingShare = 0.5;
 // The goal is that wide jobs are served at least half as often as the rest. The margin is for the
 // time that reserving capacity takes.
-constexpr double leastServedRatio = 0.75;
+constexpr double leastServedRatio = 0.6;
 // Share of the jobs of a queue that are smaller than a wide one. Buckets of widths are coarse, so
 // that a job at the boundary of the largest tenth may be in a bucket with some others.
 constexpr double smallerShare = 0.85;
