Test preemption limits under load and measure both policies

Cause: the limits need tests that name the load pattern, and the effect of both policies on the value of the jobs has to be known. A run that saves checkpoints is spared for four checkpoints after a stop, others for their run time. The aging rule takes two jobs of each kind as served, so that it doesn't start in a new planner.

--- a/goldcrest/preemption_policy.cc
+++ b/goldcrest/preemption_policy.cc
@@ -161,8 +161,8 @@
     pause_sums &sums = m_pauses[indexOf(stop.priority)];
     ++sums.open;
     sums.openSince += millisecondsOf(now);
-    const duration once
-        = m_stopTime + expectedPause(stop.priority, now) + limited(stop.estimate, longestSparing);
+    const duration once = m_stopTime + expectedPause(stop.priority, now)
+        + limited(stop.undisturbed, longestSparing);
     history.sparedUntil = now + std::min(longestSparing, once * (1 << (history.stops - 1)));
     m_anySparedUntil = std::max(m_anySparedUntil, history.sparedUntil);
     history.forgetAt = history.sparedUntil + memoryOfStops;
--- a/goldcrest/preemption_policy.h
+++ b/goldcrest/preemption_policy.h
@@ -52,7 +52,7 @@
 {
     std::int32_t priority = 0; // of the stopped job
     std::size_t runs = 1; // that are stopped
-    duration estimate = 0ms; // run time of one of them
+    duration undisturbed = 0ms; // for which the job should run before it is stopped again
     bool isForGuarantee = false;
 };
 
--- a/goldcrest/run_planner_policies.cc
+++ b/goldcrest/run_planner_policies.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+// A run that saves checkpoints is left alone for this many of them after a stop: then another stop
+// loses a small part of what was done since.
+constexpr int checkpointsUndisturbed = 4;
+
 // Refused stops are logged together at this interval.
 constexpr duration refusalLogInterval = 1s;
 
@@ -213,7 +217,11 @@
         const task_key &first = m_unitTasks[number];
         const tracked_job &job = m_jobs.at(first.job);
         stop.priority = policyOf(job).priority;
-        stop.estimate = expectedTimeOf(job, job.specOf({first.occurrence, first.step}));
+        const step_spec &step = job.specOf({first.occurrence, first.step});
+        const duration estimate = expectedTimeOf(job, step);
+        stop.undisturbed = step.checkpointing
+            ? std::min(estimate, m_options.checkpointInterval * checkpointsUndisturbed)
+            : estimate;
         stop.isForGuarantee = beneficiary.isGuaranteed;
         m_preemption.noteStop(first.job, stop, now);
     }
--- a/goldcrest/team_shares.cc
+++ b/goldcrest/team_shares.cc
@@ -34,6 +34,9 @@
 // The goal is that wide jobs are served at least half as often as the rest. The margin is for the
 // time that reserving capacity takes.
 constexpr double leastServedRatio = 0.6;
+// Jobs of each kind that are taken as served before the first one arrived. Without them, two wide
+// jobs that wait in a new planner would count as never served.
+constexpr double servedBefore = 2;
 // Share of the jobs of a queue that are smaller than a wide one. Buckets of widths are coarse, so
 // that a job at the boundary of the largest tenth may be in a bucket with some others.
 constexpr double smallerShare = 0.85;
@@ -139,8 +142,8 @@
 bool team_shares::isBehind(const queue_counts &queue)
 {
     const auto servedShare = [&queue](std::size_t kind) {
-        return queue.arrived[kind] > 0 ? std::min(1.0, queue.served[kind] / queue.arrived[kind])
-                                       : 1.0;
+        return std::min(1.0,
+                        (queue.served[kind] + servedBefore) / (queue.arrived[kind] + servedBefore));
     };
     return servedShare(1) < leastServedRatio * servedShare(0);
 }
--- /dev/null
+++ b/testing/graph_policy_benchmark.cc
@@ -0,0 +1,144 @@
+// Measures team shares and preemption limits of the planner of graph jobs, in virtual time. Usage:
+//
+//   graph_policy_benchmark contended [workers]
+//   graph_policy_benchmark cost [workers...]
+//
+// The first shows the value of the jobs, the stops and the lost work, the second the processor time
+// of a pass, each with the settings on and off.
+//
+// It is a program of its own since policy_benchmark and capacity_benchmark measure the planner of
+// gangs, whose catalogue has types of the same names.
+
+#include "testing/contended_load_support.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+using namespace goldcrest;
+
+namespace {
+
+constexpr std::uint32_t seeds = 10;
+
+run_planner_options optionsOf(bool teamShares, bool preemptionLimits)
+{
+    run_planner_options options;
+    options.stopTime = 200ms;
+    options.checkpointInterval = 500ms;
+    options.teamShares = teamShares;
+    options.preemptionLimits = preemptionLimits;
+    return options;
+}
+
+void showContended(const char *name, std::size_t workers, const run_planner_options &options)
+{
+    contended_report sum;
+    double onTime[3] = {0, 0, 0};
+    double worst = 0;
+    double stops = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        planner_cell cell(options);
+        runContendedLoad(cell, {workers, 60s, seed});
+        const contended_report one = contendedReportOf(cell);
+        sum.value += one.value / one.possibleValue / seeds;
+        stops += static_cast<double>(one.stops) / seeds;
+        sum.mostStopsOfAJob = std::max(sum.mostStopsOfAJob, one.mostStopsOfAJob);
+        sum.wastedCoreSeconds += one.wastedCoreSeconds / seeds;
+        sum.wideServed += one.wideServed / seeds;
+        worst += one.worstTeam / seeds;
+        for (std::size_t i = 0; i < 3; ++i)
+            onTime[i] += static_cast<double>(one.onTime[i]) / one.jobs[i] / seeds;
+    }
+    fmt::print(
+        "| {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.0f} | {} | {:.0f} | {:.3f} | {:.2f} |\n",
+        name, sum.value, onTime[0], onTime[1], onTime[2], stops, sum.mostStopsOfAJob,
+        sum.wastedCoreSeconds, worst, sum.wideServed);
+    std::fflush(stdout);
+}
+
+void compareContended(std::size_t workers)
+{
+    fmt::print(
+        "| {} workers, means of {} seeds | value | on time 0 | 1 | 2 | stops | of a job | "
+        "wasted core-s | worst team | wide/rest |\n|---|---|---|---|---|---|---|---|---|---|\n",
+        workers, seeds);
+    showContended("both off", workers, optionsOf(false, false));
+    showContended("teamShares", workers, optionsOf(true, false));
+    showContended("preemptionLimits", workers, optionsOf(false, true));
+    showContended("both on", workers, optionsOf(true, true));
+}
+
+// Fills a cell with the running tasks of the design size, has more steps wait than can start, and
+// returns the milliseconds of a pass.
+double passMilliseconds(int workers, const run_planner_options &options)
+{
+    constexpr int tasksPerWorker = 12; // 60,000 on 4,900 workers
+    constexpr int tasksPerJob = 8;
+    constexpr int teams = 150;
+    planner_cell cell(options);
+    for (int i = 0; i < teams; ++i)
+        cell.addTeam("t" + std::to_string(i), i % 3 == 0 ? 8 : 0);
+    cell.addWorkers(static_cast<std::size_t>(workers), {tasksPerWorker * 1000, 65'536, 8});
+    step_spec step;
+    step.count = tasksPerJob;
+    step.perTask = {1000, 1024, 0};
+    step.estimated = 10min;
+    const int running = workers * tasksPerWorker / tasksPerJob;
+    for (int i = 0; i < running; ++i)
+        cell.submit("run" + std::to_string(i), 2, "t" + std::to_string(i % teams), step, 10min);
+    // A pass starts a bounded number of tasks.
+    for (int i = 0; i < 500 && cell.startedTasks() < running * tasksPerJob; ++i)
+        cell.run(planner_cell::tick);
+    const int waiting = std::min(running, 2000);
+    for (int i = 0; i < waiting; ++i) {
+        step_spec urgent = step;
+        urgent.count = 1 + i % 4;
+        urgent.estimated = duration(1000 + i % 1000);
+        cell.submit("wait" + std::to_string(i), i % 3, "t" + std::to_string(i % teams), urgent, 2s);
+    }
+    cell.run(planner_cell::tick);
+    const double before = cell.passSeconds();
+    constexpr int passes = 5;
+    cell.run(planner_cell::tick * passes);
+    return (cell.passSeconds() - before) * 1000 / passes;
+}
+
+void compareCost(const std::vector<int> &sizes)
+{
+    fmt::print("| ms a pass, workers | both off | teamShares | preemptionLimits | both on |\n"
+               "|---|---|---|---|---|\n");
+    for (const int workers : sizes) {
+        fmt::print("| {} |", workers);
+        for (const auto &[teamShares, preemptionLimits] :
+             {std::pair(false, false), {true, false}, {false, true}, {true, true}}) {
+            fmt::print(" {:.2f} |",
+                       passMilliseconds(workers, optionsOf(teamShares, preemptionLimits)));
+            std::fflush(stdout);
+        }
+        fmt::print("\n");
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string kind = argc > 1 ? argv[1] : "";
+    std::vector<int> sizes;
+    for (int i = 2; i < argc; ++i)
+        sizes.push_back(std::atoi(argv[i]));
+    if (kind == "contended") {
+        compareContended(sizes.empty() ? 32 : static_cast<std::size_t>(sizes.front()));
+    } else if (kind == "cost") {
+        compareCost(sizes.empty() ? std::vector<int>{30, 300, 1000, 4900} : sizes);
+    } else {
+        fmt::print("usage: graph_policy_benchmark contended [workers] | cost [workers...]\n");
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
--- a/testing/planner_cell_support.cc
+++ b/testing/planner_cell_support.cc
@@ -18,6 +18,27 @@
 
 } // namespace
 
+double valueOf(const cell_job_outcome &outcome)
+{
+    struct class_value
+    {
+        const char *queue;
+        double full;
+        double reduced; // share of it
+    };
+    constexpr class_value values[] = {{"q0", 4, 0.8}, {"q1", 3, 0.9}, {"q2", 1, 0.3}};
+    constexpr int lateFactor = 3;
+    if (!outcome.isDone())
+        return 0;
+    const duration taken = *outcome.doneAt - outcome.submittedAt;
+    for (const class_value &value : values) {
+        if (outcome.queue != value.queue || taken > outcome.target * lateFactor)
+            continue;
+        return taken <= outcome.target ? value.full : value.full * value.reduced;
+    }
+    return 0;
+}
+
 planner_cell::planner_cell(const run_planner_options &options)
     : m_options(options)
     , m_catalogue(std::make_shared<queue_catalogue>())
@@ -77,7 +98,10 @@
     cell_job_outcome outcome;
     outcome.queue = job.spec.queue;
     outcome.team = team;
+    outcome.tasks = step.count;
     outcome.submittedAt = m_now;
+    outcome.target
+        = scaled(runTime, job.spec.policy.slackFactor) + job.spec.policy.completionTarget;
     m_outcomes[id] = outcome;
     m_planner->addJob(job.spec, std::nullopt, m_wall, m_now);
 }
@@ -196,11 +220,10 @@
     if (!orders)
         return;
     worker.ordersSeen = orders->sequence;
-    worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(),
-                                      [&](const ended_task &ended) {
-                                          return ended.number <= orders->endsStored;
-                                      }),
-                       worker.ended.end());
+    worker.ended.erase(
+        std::remove_if(worker.ended.begin(), worker.ended.end(),
+                       [&](const ended_task &ended) { return ended.number <= orders->endsStored; }),
+        worker.ended.end());
     for (const run_id &stopped : orders->stops) {
         for (cell_run &run : worker.runs) {
             if (run.id == stopped && !run.stopsAt)
@@ -226,6 +249,7 @@
     if (!order.saved.empty())
         run.skipped = duration(std::stoll(order.saved));
     worker.runs.push_back(run);
+    ++m_started;
     cell_job_outcome &outcome = m_outcomes[run.job];
     if (!outcome.startedAt)
         outcome.startedAt = m_now;
--- a/testing/planner_cell_support.h
+++ b/testing/planner_cell_support.h
@@ -24,13 +24,19 @@
 {
     std::string queue;
     std::string team;
+    std::int32_t tasks = 0;
     time_point submittedAt{};
+    duration target = 0ms; // from the submission, by the true run time
     std::optional<time_point> startedAt; // of the first run
     std::optional<time_point> doneAt;
     std::int32_t stops = 0; // runs that were stopped
     bool isDone() const { return doneAt.has_value(); }
 };
 
+// Returns what a job was worth to its caller: 4, 3 or 1 by priority until its target, a part of it
+// until three times its target, and nothing later.
+double valueOf(const cell_job_outcome &outcome);
+
 class planner_cell
 {
 public:
@@ -62,6 +68,8 @@
     const cell_job_outcome &outcomeOf(const std::string &id) const { return m_outcomes.at(id); }
     const std::map<std::string, cell_job_outcome> &outcomes() const { return m_outcomes; }
 
+    // Returns the number of runs that were started.
+    std::int32_t startedTasks() const { return m_started; }
     // Returns the number of runs that were stopped.
     std::int32_t stops() const { return m_stops; }
     // Returns the work that was lost to stops, in core-seconds without accelerators.
@@ -118,6 +126,7 @@
     std::vector<cell_worker> m_workers;
     std::map<std::string, cell_job_outcome> m_outcomes;
     std::map<std::string, std::int32_t> m_decisions;
+    std::int32_t m_started = 0;
     std::int32_t m_stops = 0;
     double m_wasted = 0;
     double m_passSeconds = 0;
--- a/testing/team_shares_test.cc
+++ b/testing/team_shares_test.cc
@@ -90,9 +90,10 @@
 {
     shares.setTeams({teamOf("a"), teamOf("b"), teamOf("c"), teamOf("d")});
     // Four teams: the fair share is 4 accelerators.
-    checkClasses({2, 0, 0, 0},
-                 classesOf({{"a", 13}, {"b", 3}}, {requestOf("a", 8), requestOf("b", 1),
-                                                   requestOf("c", 1), requestOf("d", 1)}));
+    checkClasses(
+        {2, 0, 0, 0},
+        classesOf({{"a", 13}, {"b", 3}},
+                  {requestOf("a", 8), requestOf("b", 1), requestOf("c", 1), requestOf("d", 1)}));
 }
 
 // Guards the order by target between teams with similar use.
@@ -195,78 +196,76 @@
 
 // ---- load patterns -------------------------------------------------------------------------
 
-TEST_GROUP(team_shares_load)
-{
+TEST_GROUP(team_shares_load){
     // Returns how long the jobs of a team waited for their start on average; those that never
     // started until the end of the test count until then.
-    static double meanWaitOf(const planner_cell &cell, const std::string &prefix)
-    {
-        double sum = 0;
-        int count = 0;
-        for (const auto &[id, outcome] : cell.outcomes()) {
-            if (id.rfind(prefix, 0) != 0)
-                continue;
-            const time_point startedAt = outcome.startedAt.value_or(cell.now());
-            sum += static_cast<double>((startedAt - outcome.submittedAt).count()) / 1000;
-            ++count;
-        }
-        return count > 0 ? sum / count : 0;
-    }
+    static double meanWaitOf(const planner_cell &cell, const std::string &prefix){double sum = 0;
+int count = 0;
+for (const auto &[id, outcome] : cell.outcomes()) {
+    if (id.rfind(prefix, 0) != 0)
+        continue;
+    const time_point startedAt = outcome.startedAt.value_or(cell.now());
+    sum += static_cast<double>((startedAt - outcome.submittedAt).count()) / 1000;
+    ++count;
+}
+return count > 0 ? sum / count : 0;
+}
 
-    static double doneShareOf(const planner_cell &cell, const std::string &prefix)
-    {
-        int count = 0;
-        int done = 0;
-        for (const auto &[id, outcome] : cell.outcomes()) {
-            if (id.rfind(prefix, 0) != 0)
-                continue;
-            ++count;
-            done += outcome.isDone() ? 1 : 0;
-        }
-        return count > 0 ? static_cast<double>(done) / count : 0;
+static double doneShareOf(const planner_cell &cell, const std::string &prefix)
+{
+    int count = 0;
+    int done = 0;
+    for (const auto &[id, outcome] : cell.outcomes()) {
+        if (id.rfind(prefix, 0) != 0)
+            continue;
+        ++count;
+        done += outcome.isDone() ? 1 : 0;
     }
+    return count > 0 ? static_cast<double>(done) / count : 0;
+}
 
-    // A large team hands in 200 jobs at once; afterwards three small ones hand in a job each
-    // second.
-    static void burstOfALargeTeam(planner_cell &cell, bool replacesPlanner = false)
-    {
-        for (const char *team : {"large", "s1", "s2", "s3"})
-            cell.addTeam(team, 0);
-        cell.addWorkers(4, bigWorker);
-        cell.policyOf(1).completionTarget = 60s; // so that all can be on time
-        for (int i = 0; i < 200; ++i)
-            cell.submit("large" + std::to_string(i), 1, "large", stepOf(1, 1, 3s), 3s);
-        for (int second = 0; second < 12; ++second) {
-            if (replacesPlanner && second == 6)
-                cell.replacePlanner();
-            for (const char *team : {"s1", "s2", "s3"})
-                cell.submit("small" + std::string(team) + std::to_string(second), 1, team,
-                            stepOf(1, 1, 3s), 3s);
-            cell.run(1s);
-        }
+// A large team hands in 200 jobs at once; afterwards three small ones hand in a job each
+// second.
+static void burstOfALargeTeam(planner_cell &cell, bool replacesPlanner = false)
+{
+    for (const char *team : {"large", "s1", "s2", "s3"})
+        cell.addTeam(team, 0);
+    cell.addWorkers(4, bigWorker);
+    cell.policyOf(1).completionTarget = 60s; // so that all can be on time
+    for (int i = 0; i < 200; ++i)
+        cell.submit("large" + std::to_string(i), 1, "large", stepOf(1, 1, 3s), 3s);
+    for (int second = 0; second < 12; ++second) {
+        if (replacesPlanner && second == 6)
+            cell.replacePlanner();
+        for (const char *team : {"s1", "s2", "s3"})
+            cell.submit("small" + std::string(team) + std::to_string(second), 1, team,
+                        stepOf(1, 1, 3s), 3s);
+        cell.run(1s);
     }
+}
 
-    // One job in ten is a gang that needs nearly the whole cell. The small jobs use half of it.
-    // Their targets come so early that a gang is late before it would be the first in order.
-    static void wideGangsUnderSmallJobs(planner_cell &cell)
-    {
-        cell.addTeam("t1", 0);
-        cell.addTeam("t2", 0);
-        cell.addWorkers(4, bigWorker);
-        cell.policyOf(1).slackFactor = 1.5;
-        for (int i = 0; i < 80 * 10; ++i) {
-            const std::string team = i % 2 == 0 ? "t1" : "t2";
-            if (i % 10 == 9) {
-                step_spec gang = stepOf(4, 6, 2200ms);
-                gang.gang = true;
-                cell.submit("wide" + std::to_string(i), 1, team, gang, 2200ms);
-            } else {
-                cell.submit("small" + std::to_string(i), 1, team, stepOf(1, 4, 500ms), 500ms);
-            }
-            cell.run(100ms);
+// One job in ten is a gang that needs nearly the whole cell. The small jobs use half of it.
+// Their targets come so early that a gang is late before it would be the first in order.
+static void wideGangsUnderSmallJobs(planner_cell &cell)
+{
+    cell.addTeam("t1", 0);
+    cell.addTeam("t2", 0);
+    cell.addWorkers(4, bigWorker);
+    cell.policyOf(1).slackFactor = 1.5;
+    for (int i = 0; i < 80 * 10; ++i) {
+        const std::string team = i % 2 == 0 ? "t1" : "t2";
+        if (i % 10 == 9) {
+            step_spec gang = stepOf(4, 6, 2200ms);
+            gang.gang = true;
+            cell.submit("wide" + std::to_string(i), 1, team, gang, 2200ms);
+        } else {
+            cell.submit("small" + std::to_string(i), 1, team, stepOf(1, 4, 500ms), 500ms);
         }
+        cell.run(100ms);
     }
-};
+}
+}
+;
 
 TEST(team_shares_load, burstOfALargeTeamDoesNotHoldBackOthers)
 {
