--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -246,7 +246,7 @@
                 [this](const worker_report_message &report) {
                     return finder && finder->send(report);
                 })
-        , planner(loop, store, plannerOptions(),
+        , planner(loop, store, plannerOptions(model.m_options.hasPolicies),
                   [&model] { return model.m_loop.now().time_since_epoch().count(); })
     {
         const auto listening
@@ -294,13 +294,15 @@
         return options;
     }
 
-    planner_service_options plannerOptions() const
+    planner_service_options plannerOptions(bool hasPolicies) const
     {
         planner_service_options options;
         options.worker = name;
         options.address = addressOf(index);
         options.seed = index + 1;
         options.planner.stopTime = 200ms;
+        options.planner.teamShares = hasPolicies;
+        options.planner.preemptionLimits = hasPolicies;
         options.probe = probe.get();
         return options;
     }
@@ -427,7 +429,8 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(m_random()));
     job.id = id;
-    job.team = "t";
+    // With policies, half of the jobs are of a team that is not in the catalogue.
+    job.team = m_options.hasPolicies && std::hash<std::string>()(job.id) % 2 == 0 ? "u" : "t";
     const std::int64_t priority = between(0, 2);
     job.queue = "q" + std::to_string(priority);
     job.policy = m_catalogue->queues[static_cast<std::size_t>(priority)].policy;
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -69,6 +69,8 @@
     bool losesStopAnswers = false; // stops are carried out, and some answers to them are lost
     // The hosts take as long as a stop to end the members of a gang after another member.
     bool endsGangsSlowly = false;
+    // The planner orders work by team shares and limits stops.
+    bool hasPolicies = false;
     // Another writer sends announcements of servers that do not exist to the sidecars.
     bool hasForeignAnnouncements = false;
     // Departure notices of an earlier incarnation of a backend server reach its sidecar late. They
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -266,6 +266,20 @@
     LONGS_EQUAL(0, failing);
 }
 
+// Guards against promises that team shares or preemption limits would break under faults, such as
+// a job that never ends because its start is always refused.
+TEST(graph_model, policiesBreakNoPromise)
+{
+    graph_model_options options;
+    options.hasPolicies = true;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", seedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
+
 // Guards against the same (TWICE, LIMIT) on hosts that also hide stopping runs and change capacity.
 TEST(graph_model, reorderedCallsWithHiddenRunsBreakNoPromise)
 {
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -224,6 +224,26 @@
     CHECK(sidecar.value.bounds.gangTimeout == planner_bounds{}.gangTimeout);
 }
 
+// Guards deployments with settings of their own: the policies are off unless the file asks for
+// them, and a reload that changes only them is noticed.
+TEST(settings, policiesAreOffByDefaultAndOnInTheTemplate)
+{
+    const run_planner_options usual = optionsFor(planner_bounds{});
+    CHECK(!usual.teamShares && !usual.preemptionLimits);
+    const std::string text = filled("deploy/sidecar.json", nodeValues());
+    const run_planner_options deployed
+        = optionsFor(platform::parseSidecarSettings(text).value.bounds);
+    CHECK(deployed.teamShares && deployed.preemptionLimits);
+    const auto changed = platform::parseSidecarSettings(
+        replaced(text, "\"teamShares\": true", "\"teamShares\": false"));
+    CHECK(changed.errors.empty());
+    CHECK(!optionsFor(changed.value.bounds).teamShares);
+    CHECK(!(changed.value.bounds == platform::parseSidecarSettings(text).value.bounds));
+    const auto wrong = platform::parseSidecarSettings(
+        replaced(text, "\"preemptionLimits\": true", "\"preemptionLimits\": 1"));
+    STRCMP_EQUAL("preemptionLimits", wrong.errors.at(0).field.c_str());
+}
+
 // Guards deployments that nobody here has seen: the planner's times follow the bounds that the
 // platform states, fractions included.
 TEST(settings, plannerFollowsTheBoundsOfTheDeployment)
