--- a/testing/team_shares_test.cc
+++ b/testing/team_shares_test.cc
@@ -147,6 +147,7 @@
     shares.setQueues({queue});
     std::vector<std::string> names;
     constexpr int count = 500;
+    names.reserve(count);
     for (int i = 0; i < count; ++i)
         names.push_back("unknown" + std::to_string(i));
     std::vector<share_request> requests;
