Test that a sidecar applies changed policies, and steady the cost figures

Cause: a reload of teamShares and preemptionLimits was tested in the planner only, and the mean of a few passes varied with other load on the machine. Change: the process test of changed settings changes both; the cost benchmark shows the least of twelve passes.

--- a/testing/graph_policy_benchmark.cc
+++ b/testing/graph_policy_benchmark.cc
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -74,7 +75,7 @@
 }
 
 // Fills a cell with the running tasks of the design size, has more steps wait than can start, and
-// returns the milliseconds of a pass.
+// returns the milliseconds of a pass: the least of some, since other programs disturb.
 double passMilliseconds(int workers, const run_planner_options &options)
 {
     constexpr int tasksPerWorker = 12; // 60,000 on 4,900 workers
@@ -102,10 +103,14 @@
         cell.submit("wait" + std::to_string(i), i % 3, "t" + std::to_string(i % teams), urgent, 2s);
     }
     cell.run(planner_cell::tick);
-    const double before = cell.passSeconds();
-    constexpr int passes = 5;
-    cell.run(planner_cell::tick * passes);
-    return (cell.passSeconds() - before) * 1000 / passes;
+    double least = std::numeric_limits<double>::max();
+    constexpr int passes = 12;
+    for (int i = 0; i < passes; ++i) {
+        const double before = cell.passSeconds();
+        cell.run(planner_cell::tick);
+        least = std::min(least, cell.passSeconds() - before);
+    }
+    return least * 1000;
 }
 
 void compareCost(const std::vector<int> &sizes)
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -482,6 +482,11 @@
     CHECK(hasLogged("sidecar", "event=\"sidecar started\""));
     writeFile(path, sidecarSettings("svc", 700));
     CHECK(hasLogged("sidecar", "event=\"bounds changed\" name=side-1 stop_time_ms=700"));
+    std::string withPolicies = sidecarSettings("svc", 700);
+    withPolicies.insert(withPolicies.find('{') + 1,
+                        "\"teamShares\": true, \"preemptionLimits\": true, ");
+    writeFile(path, withPolicies);
+    CHECK(hasLogged("sidecar", "stop_time_ms=700 team_shares=1 preemption_limits=1"));
     writeFile(path, sidecarSettings("other", 700));
     CHECK(hasLogged("sidecar", "event=\"changed settings need a restart\""));
     writeFile(path, "{");
