Do not report teams over their share once nothing waits

Cause: a service without waiting work is not planned, so teams_over_share kept its last value. Change: a service that was not planned for 5 s counts as one without such teams.

--- a/goldcrest/team_shares.cc
+++ b/goldcrest/team_shares.cc
@@ -46,6 +46,10 @@
 constexpr double countedArrivals = 400;
 constexpr double bucketsPerDoubling = 4;
 
+// Without work that waits, a service is not planned and its state is not updated. The planner plans
+// more often than this otherwise.
+constexpr duration lastingState = 5s;
+
 constexpr std::size_t maxServices = 64; // more are only possible with queues that were removed
 constexpr std::size_t maxNotes = 64;
 constexpr duration noteInterval = 5s; // of notes about the same team or service
@@ -428,10 +432,12 @@
 
 // ---- queries -------------------------------------------------------------------------------
 
-std::size_t team_shares::teamsOverShare() const
+std::size_t team_shares::teamsOverShare(time_point now) const
 {
     std::size_t count = 0;
     for (const auto &[name, service] : m_services) {
+        if (now - service.updatedAt > lastingState)
+            continue;
         for (const auto &[team, use] : service.teams)
             count += use.isOver ? 1 : 0;
     }
--- a/goldcrest/team_shares.h
+++ b/goldcrest/team_shares.h
@@ -114,8 +114,9 @@
     std::vector<share_rank> rank(std::string_view service,
                                  const std::vector<share_request> &requests, time_point now);
 
-    // Returns the number of teams that were far over their share in the last pass.
-    std::size_t teamsOverShare() const;
+    // Returns the number of teams that are far over their share. A service for which nothing was
+    // planned lately counts as one without such teams.
+    std::size_t teamsOverShare(time_point now) const;
 
     // Returns the decayed use of a team as a share of the service; 0 if it is not known.
     double decayedShare(const std::string &service, const std::string &team) const;
--- a/testing/team_shares_test.cc
+++ b/testing/team_shares_test.cc
@@ -94,6 +94,8 @@
         {2, 0, 0, 0},
         classesOf({{"a", 13}, {"b", 3}},
                   {requestOf("a", 8), requestOf("b", 1), requestOf("c", 1), requestOf("d", 1)}));
+    LONGS_EQUAL(1, shares.teamsOverShare(now));
+    LONGS_EQUAL(0, shares.teamsOverShare(now + 10s)); // nothing has waited since
 }
 
 // Guards the order by target between teams with similar use.
