--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -140,7 +140,7 @@
     admitted_request admitted;
     admitted.queue = queue;
     admitted.jobId = std::string(path.substr(queue->prefix.size()));
-    const team_entry *team = findTeamOfKey(catalogue, key);
+    const queue_team *team = findTeamOfKey(catalogue, key);
     if (!team && !queue->isPublic)
         return makeFailure(code::Unauthorized, "unknown API key");
     if (team)
--- a/goldcrest/planner_bounds.cc
+++ b/goldcrest/planner_bounds.cc
@@ -37,6 +37,8 @@
     options.workerSpeeds = bounds.workerSpeeds;
     options.urgentRoom = bounds.urgentRoom;
     options.interference = bounds.interference;
+    options.teamShares = bounds.teamShares;
+    options.preemptionLimits = bounds.preemptionLimits;
     return options;
 }
 
--- a/goldcrest/planner_bounds.h
+++ b/goldcrest/planner_bounds.h
@@ -28,6 +28,8 @@
     bool workerSpeeds = false; // whether the planner estimates how fast the workers are
     bool urgentRoom = false; // leaves room for the urgent jobs that are expected
     bool interference = false; // keeps tasks apart that slow each other
+    bool teamShares = false; // order scarce work by the teams' shares (team_shares.h)
+    bool preemptionLimits = false; // limit stops of running work (preemption_policy.h)
 
     friend bool operator==(const planner_bounds &a, const planner_bounds &b)
     {
@@ -35,7 +37,8 @@
             return std::tie(bounds.stopTime, bounds.gangTimeout, bounds.longestLease,
                             bounds.checkpointInterval, bounds.reclaimTime, bounds.changeTime,
                             bounds.stateTime, bounds.remoteFactor, bounds.workerSpeeds,
-                            bounds.urgentRoom, bounds.interference);
+                            bounds.urgentRoom, bounds.interference, bounds.teamShares,
+                            bounds.preemptionLimits);
         };
         return fields(a) == fields(b);
     }
--- a/goldcrest/queue_catalogue.cc
+++ b/goldcrest/queue_catalogue.cc
@@ -36,13 +36,13 @@
     return findByName(catalogue.queues, name);
 }
 
-const team_entry *findTeamOfKey(const queue_catalogue &catalogue, std::string_view key)
+const queue_team *findTeamOfKey(const queue_catalogue &catalogue, std::string_view key)
 {
     const auto found = catalogue.teamOfKey.find(std::string(key));
     return found == catalogue.teamOfKey.end() ? nullptr : &catalogue.teams[found->second];
 }
 
-const team_entry *findTeam(const queue_catalogue &catalogue, std::string_view name)
+const queue_team *findTeam(const queue_catalogue &catalogue, std::string_view name)
 {
     return findByName(catalogue.teams, name);
 }
--- a/goldcrest/queue_catalogue.h
+++ b/goldcrest/queue_catalogue.h
@@ -4,7 +4,7 @@
 // independent of the format in which a deployment stores them.
 //
 //   const queue_entry *queue = findQueue(*catalogue, host, path);
-//   const team_entry *team = findTeamOfKey(*catalogue, key);
+//   const queue_team *team = findTeamOfKey(*catalogue, key);
 
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
@@ -46,11 +46,13 @@
     bool isStandby = false; // a pool of machines that are powered off
 };
 
-struct team_entry
+struct queue_team
 {
     std::string name;
     std::vector<std::string> keys;
     std::int64_t guaranteedAccelerators = 0; // reserved for its jobs of priority 0
+    // Share of the capacity above the guarantees, relative to those of the other teams.
+    double weight = 1;
 };
 
 struct queue_catalogue
@@ -59,7 +61,7 @@
     std::int64_t version = 0; // number chosen by the operators, in any order
     std::vector<queue_entry> queues;
     std::vector<service_entry> services;
-    std::vector<team_entry> teams;
+    std::vector<queue_team> teams;
     std::map<std::string, std::size_t> teamOfKey; // index in teams
 };
 
@@ -92,9 +94,9 @@
 const queue_entry *findQueueByName(const queue_catalogue &catalogue, std::string_view name);
 
 // Returns the team that a key belongs to, or nullptr.
-const team_entry *findTeamOfKey(const queue_catalogue &catalogue, std::string_view key);
+const queue_team *findTeamOfKey(const queue_catalogue &catalogue, std::string_view key);
 // Returns the team of this name, or nullptr.
-const team_entry *findTeam(const queue_catalogue &catalogue, std::string_view name);
+const queue_team *findTeam(const queue_catalogue &catalogue, std::string_view name);
 
 // Fills teamOfKey from the teams. A key that two teams list belongs to the first.
 void indexKeys(queue_catalogue &catalogue);
--- a/goldcrest/run_placement.h
+++ b/goldcrest/run_placement.h
@@ -41,6 +41,7 @@
     std::int32_t priority = 0;
     bool isGuaranteed = false;
     bool mayStop = true;
+    bool isSpared = false; // was stopped recently
     double lossOnStop = 0; // cost of stopping the whole unit, in core-seconds
 };
 
@@ -123,6 +124,7 @@
     std::int32_t belowPriority = 0; // units with a priority number above this
     bool alsoUnguaranteed = false; // also all units that run outside a guarantee
     bool anyUnit = false; // also units within guarantees; last resort
+    bool alsoSpared = true; // also units that were stopped recently
     double maxLoss = 0; // total cost limit in core-seconds
     // Runs that are expected to end within this time are not stopped, because stopping them takes
     // almost as long.
--- a/goldcrest/run_planner_placing.cc
+++ b/goldcrest/run_planner_placing.cc
@@ -223,8 +223,10 @@
                                                   const std::vector<worker_capacity> &capacities,
                                                   const placement_request &request,
                                                   const std::optional<placement> &found,
-                                                  time_point now) const
+                                                  time_point now)
 {
+    if (m_options.preemptionLimits && !next.isGuaranteed)
+        return findLimitedEviction(next, capacities, request, found, now);
     eviction_rule rule;
     rule.belowPriority = next.policy->priority;
     if (!next.isGuaranteed) {
@@ -253,6 +255,7 @@
 void run_planner::startUnit(const unit &next, std::vector<worker_capacity> &capacities,
                             const placement &where, time_point now)
 {
+    noteStart(next, now);
     const step_spec &step = next.job->specOf(next.step);
     const double speed = slowestSpeed(capacities, where);
     const bool isNear = timeAtUsualSpeed(capacities, where) <= next.estimate;
@@ -312,6 +315,7 @@
             run.endsAt = now + m_options.stopTime;
         }
     }
+    noteStops(units, capacities, beneficiary, now);
 }
 
 } // namespace goldcrest
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -45,6 +45,7 @@
     m_unitTasks.clear();
     findTrials(now);
     m_guaranteed = guaranteedJobs();
+    beginPolicies(now);
     std::map<std::string, std::vector<unit>> byService;
     std::vector<unit> waiting = collectUnits(now);
     for (unit &next : waiting)
@@ -52,6 +53,7 @@
     for (auto &[service, units] : byService)
         planService(units, service, now);
     logUrgentRoom(now);
+    recordPolicyNotes(now);
 }
 
 // Ends the runs on workers that have not reported since their lease ended. Before that, a worker
@@ -101,7 +103,7 @@
     }
     std::set<std::string> guaranteed;
     for (auto &[name, jobs] : byTeam) {
-        const team_entry *team = m_view.catalogue ? findTeam(*m_view.catalogue, name) : nullptr;
+        const queue_team *team = m_view.catalogue ? findTeam(*m_view.catalogue, name) : nullptr;
         std::int64_t left = team ? team->guaranteedAccelerators : 0;
         std::sort(jobs.begin(), jobs.end(), [](const tracked_job *a, const tracked_job *b) {
             return std::make_pair(a->acceptedAt(), a->id())
@@ -134,14 +136,17 @@
 
 job_lateness run_planner::latenessOf(const tracked_job &job, time_point end) const
 {
-    // Callers have a use for a job that takes up to this many times as long as its target.
-    constexpr int lateFactor = 3;
     const time_point target = targetOf(job);
     if (end <= target)
         return job_lateness::OnTime;
-    return end <= job.acceptedAt() + (target - job.acceptedAt()) * lateFactor
-        ? job_lateness::Late
-        : job_lateness::TooLate;
+    return end <= valuableUntil(job, target) ? job_lateness::Late : job_lateness::TooLate;
+}
+
+// Returns until when callers have a use for a job.
+time_point run_planner::valuableUntil(const tracked_job &job, time_point target)
+{
+    constexpr int lateFactor = 3; // they have one for up to this many times the target
+    return job.acceptedAt() + (target - job.acceptedAt()) * lateFactor;
 }
 
 duration run_planner::expectedTimeOf(const tracked_job &job, const step_spec &step) const
@@ -250,6 +255,7 @@
     // The members of a gang that have done their share wait for the others, so all runs of a unit
     // end with the last of them.
     std::map<std::size_t, time_point> ends;
+    use_sample sample;
     for (auto &[id, worker] : m_pool.workers()) {
         if (worker.service != service || !isUsable(worker, now))
             continue;
@@ -272,15 +278,19 @@
             run.priority = policyOf(job).priority;
             run.isGuaranteed = m_guaranteed.count(key.job) > 0;
             run.mayStop = !step.longRunning;
+            run.isSpared = m_options.preemptionLimits && m_preemption.isSpared(key.job, now);
             if (losses.count(run.unit) == 0)
-                losses[run.unit] = latenessCost(job, expectedTimeOf(job, step), now);
+                losses[run.unit] = stopCost(job, step, run, now);
             losses[run.unit] += lostWork(task, step, now);
             time_point &end = ends[run.unit];
             end = std::max(end, run.endsAt);
             capacity.free -= run.demand;
             capacity.images |= imageBitsOf(job, step).own;
             capacity.runs.push_back(run);
+            if (m_options.teamShares)
+                sample.addRun(job.spec().team, run.demand, task.runEstimate);
         }
+        sample.addWorker(worker.capacity);
         if (const std::optional<resources> untracked = untrackedDemandOn(worker))
             capacity.free -= *untracked;
         else
@@ -293,6 +303,8 @@
             run.endsAt = ends[run.unit];
         }
     }
+    if (m_options.teamShares)
+        m_shares.update(service, sample, now);
     return capacities;
 }
 
@@ -307,6 +319,7 @@
     pass.capacities = makeCapacities(service, now);
     holdClearedCapacity(pass.capacities, now);
     prepareUrgentRoom(service, pass.capacities, now);
+    rankByShares(units, service, now);
     std::size_t unitsLeft = unitsByRank;
     std::size_t tried = 0;
     for (; tried < units.size() && unitsLeft > 0; ++tried)
