Add admission control to the planner and the fronts

Cause: callers that compete for insufficient capacity submit jobs that start long after they are of use, and such jobs hold up others (section 3.2 of docs/design/hard-load.md). Change: admission_forecast computes from the planner's state how long a new job of each queue waits at least; the planner sends it to fronts that asked for it. admission_policy decides at the front, and admission_fences keeps earlier submissions of a refused job from taking effect. A submission now also requires that its job has no fence.

--- /dev/null
+++ b/goldcrest/admission_policy.cc
@@ -0,0 +1,216 @@
+#include "goldcrest/admission_policy.h"
+
+#include "goldcrest/admission_forecast.h"
+#include "goldcrest/run_placement.h"
+
+#include <algorithm>
+
+namespace goldcrest {
+
+namespace {
+
+// Returns a number that differs between job ids, and is the same in each process (FNV-1a).
+std::uint64_t hashOf(std::string_view id)
+{
+    std::uint64_t hash = 0xcbf29ce484222325;
+    for (const char c : id)
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+    return hash ^ (hash >> 32);
+}
+
+// Returns a time multiplied by a factor, at most longestTime.
+duration boundedProduct(duration time, double factor)
+{
+    const double product = static_cast<double>(time.count()) * factor;
+    return product < static_cast<double>(longestTime.count()) ? scaled(time, factor) : longestTime;
+}
+
+bool hasNoTimeOfUse(const graph_job &job)
+{
+    return job.schedule.occurrences > 0
+        || std::any_of(job.steps.begin(), job.steps.end(),
+                       [](const step_spec &step) { return step.longRunning; });
+}
+
+// Returns the most accelerators that a job uses at a time, as the planner counts them.
+std::int64_t acceleratorsOf(const graph_job &job)
+{
+    std::int64_t need = 0;
+    for (const step_spec &step : job.steps)
+        need = std::max(need, step.perTask.accelerators * step.count);
+    return need;
+}
+
+// Returns the work of a job: demand times declared run time, in milliseconds.
+resources workOf(const graph_job &job)
+{
+    resources work;
+    for (const step_spec &step : job.steps)
+        work += demandOf(step) * (step.count * std::min<duration>(step.estimated, 1h).count());
+    return work;
+}
+
+// Returns the wait because of the team's work in the queue's priority.
+duration teamDelay(const queue_outlook &queue, std::string_view team)
+{
+    for (const team_outlook &one : queue.teams) {
+        if (one.team == team)
+            return one.delay;
+    }
+    return 0ms;
+}
+
+} // namespace
+
+admission_policy::admission_policy(const admission_policy_options &options)
+    : m_options(options)
+{ }
+
+void admission_policy::setPlanner(epoch number)
+{
+    m_epoch = number;
+    m_outlook.reset();
+    m_accepted.clear();
+}
+
+bool admission_policy::onOutlook(const admission_outlook_message &outlook, time_point now)
+{
+    const bool isCurrent = m_epoch != 0 && outlook.plannerEpoch == m_epoch
+        && (!m_outlook || outlook.sequence > m_outlook->sequence);
+    if (!isCurrent)
+        return false;
+    m_outlook = outlook;
+    m_receivedAt = now;
+    m_accepted.clear();
+    return true;
+}
+
+std::optional<duration> admission_policy::outlookAge(time_point now) const
+{
+    return m_outlook ? std::optional<duration>(now - m_receivedAt) : std::nullopt;
+}
+
+const queue_outlook *admission_policy::findQueue(std::string_view name) const
+{
+    const auto found
+        = std::find_if(m_outlook->queues.begin(), m_outlook->queues.end(),
+                       [&](const queue_outlook &queue) { return queue.queue == name; });
+    return found == m_outlook->queues.end() ? nullptr : &*found;
+}
+
+const service_outlook *admission_policy::findService(std::string_view name) const
+{
+    const auto found
+        = std::find_if(m_outlook->services.begin(), m_outlook->services.end(),
+                       [&](const service_outlook &service) { return service.service == name; });
+    return found == m_outlook->services.end() ? nullptr : &*found;
+}
+
+// Returns whether a job is within its team's guarantee, or may be: the planner admits jobs to a
+// guarantee in the order of their acceptance, and others may end before this one is placed.
+bool admission_policy::isWithinGuarantee(const graph_job &job, const team_entry *team) const
+{
+    if (job.policy.priority != 0)
+        return false;
+    std::int64_t left = team ? team->guaranteedAccelerators : 0;
+    for (const guarantee_outlook &one : m_outlook->guarantees) {
+        if (team && one.team == team->name)
+            left -= one.used;
+    }
+    return left > 0 || acceleratorsOf(job) == 0;
+}
+
+// Returns whether a first step of the job, or a task of it, fits into capacity that is free. The
+// planner may start it there before work that waits for more.
+bool admission_policy::mayStartNow(const graph_job &job, const service_outlook &service) const
+{
+    return std::any_of(job.steps.begin(), job.steps.end(), [&](const step_spec &step) {
+        const resources demand = demandOf(step);
+        if (!step.after.empty() || !service.freeOnWorker.covers(demand))
+            return false;
+        if (!step.gang)
+            return true;
+        const resources &free = step.sameRack ? service.freeInRack : service.freeInAll;
+        return free.covers(demand * step.count);
+    });
+}
+
+// Returns how long a refused caller should wait: until the work that is in the way is done, and up
+// to half as long again, depending on the id.
+std::chrono::seconds admission_policy::pauseFor(std::string_view id, duration excess) const
+{
+    const auto whole = std::chrono::ceil<std::chrono::seconds>(excess);
+    const std::chrono::seconds base
+        = std::clamp(whole, m_options.shortestPause, m_options.longestPause * 2 / 3);
+    const auto choices = static_cast<std::uint64_t>(base.count() / 2 + 1);
+    return std::min(m_options.longestPause,
+                    base + std::chrono::seconds(hashOf(id) % (choices + 1)));
+}
+
+// Returns the time for the work that this front has accepted since the outlook and that goes first:
+// that of higher priority, and that of the same team.
+duration admission_policy::acceptedAhead(const graph_job &job) const
+{
+    duration ahead = 0ms;
+    for (const auto &[kind, work] : m_accepted) {
+        const auto &[service, priority, team] = kind;
+        const bool goesFirst = priority < job.policy.priority
+            || (priority == job.policy.priority && team == job.team);
+        if (service == job.policy.service && goesFirst)
+            ahead += work;
+    }
+    return ahead;
+}
+
+admission_decision admission_policy::decide(const graph_job &job, const team_entry *team,
+                                            time_point now) const
+{
+    admission_decision decision;
+    const auto accepted = [&decision](std::string_view reason) {
+        decision.reason = reason;
+        return decision;
+    };
+    if (!m_outlook)
+        return accepted("no outlook");
+    decision.outlookAge = now - m_receivedAt;
+    decision.sequence = m_outlook->sequence;
+    if (decision.outlookAge > m_options.longestAge)
+        return accepted("outlook too old");
+    if (hasNoTimeOfUse(job))
+        return accepted("no time of use");
+    if (isWithinGuarantee(job, team))
+        return accepted("within the guarantee");
+    const queue_outlook *queue = findQueue(job.queue);
+    const service_outlook *service = queue ? findService(queue->service) : nullptr;
+    if (!service || queue->service != job.policy.service)
+        return accepted("no wait in this queue");
+    if (mayStartNow(job, *service))
+        return accepted("free capacity");
+    decision.ownWork = acceptedAhead(job);
+    const duration ofTeam = teamDelay(*queue, job.team);
+    decision.expectedWait = queue->delay + ofTeam + decision.ownWork;
+    // The longer of the two estimates leaves more time.
+    const double factor = std::max(1.0, static_cast<double>(queue->runTimePercent) / 100);
+    const duration path = boundedProduct(criticalPathTime(job), factor);
+    const duration target
+        = boundedProduct(path, job.policy.slackFactor) + job.policy.completionTarget;
+    decision.usefulWait
+        = std::max<duration>(0ms, boundedProduct(target, m_options.lateFactor) - path);
+    const duration certainWait = scaled(decision.expectedWait, 1 / m_options.margin);
+    if (certainWait <= decision.usefulWait)
+        return accepted("may start in time");
+    decision.isRefused = true;
+    decision.reason = "can't start in time";
+    decision.retryAfter = pauseFor(job.id, certainWait - decision.usefulWait);
+    return decision;
+}
+
+void admission_policy::noteAccepted(const graph_job &job)
+{
+    const service_outlook *service = m_outlook ? findService(job.policy.service) : nullptr;
+    if (service)
+        m_accepted[{job.policy.service, job.policy.priority, job.team}]
+            += timeForWork(workOf(job), service->capacity);
+}
+
+} // namespace goldcrest
--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -1,18 +1,63 @@
 #include "goldcrest/graph_front.h"
 
+#include "goldcrest/admission_fences.h"
 #include "goldcrest/log_fields.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace goldcrest {
 
 namespace {
 
+// A submission may find that its job was refused before, remove that fence, and find another one.
+constexpr int maxStoreTries = 3;
+
+// Retry-After of a job that was refused because of an earlier refusal.
+constexpr std::chrono::seconds shortestRefusalPause{3};
+
+// Most lines about refusals in 10 s.
+constexpr std::int32_t refusalLines = 100;
+
+// The planner is asked for outlooks if none has arrived for this long; it sends one each second.
+constexpr duration outlookSilence = 1500ms;
+
+// Number of jobs that this front remembers to have passed to the store. A caller gives up after 4
+// tries, within some 10 s.
+constexpr std::size_t maxPassedJobs = 4096;
+
+// The ids of the last jobs that were added.
+class recent_ids
+{
+public:
+    bool contains(const std::string &id) const { return m_ids.count(id) > 0; }
+    void insert(const std::string &id)
+    {
+        if (!m_ids.insert(id).second)
+            return;
+        m_order.push_back(id);
+        if (m_order.size() > maxPassedJobs) {
+            m_ids.erase(m_order.front());
+            m_order.pop_front();
+        }
+    }
+    void erase(const std::string &id)
+    {
+        if (m_ids.erase(id) > 0)
+            m_order.erase(std::find(m_order.begin(), m_order.end(), id));
+    }
+
+private:
+    std::set<std::string> m_ids;
+    std::deque<std::string> m_order; // oldest first
+};
+
 // Translates the error of a store write to the one that callers get.
 failure writeFailure(const failure &why)
 {
@@ -22,6 +67,14 @@
     return why;
 }
 
+// Returns the entry of a key that kept a transaction from being applied, or nullptr.
+const store_entry *findEntry(const commit_reply &reply, std::string_view key)
+{
+    const auto found = std::find_if(reply.current.begin(), reply.current.end(),
+                                    [&](const store_entry &entry) { return entry.key == key; });
+    return found == reply.current.end() ? nullptr : &*found;
+}
+
 failure unreachable(const failure &why)
 {
     return makeFailure(code::PlannerUnreachable,
@@ -32,9 +85,11 @@
 
 struct graph_front::state : std::enable_shared_from_this<graph_front::state>
 {
-    state(event_loop &eventLoop, platform_store &platformStore)
+    state(event_loop &eventLoop, platform_store &platformStore, const graph_front_options &chosen)
         : loop(eventLoop)
         , store(platformStore)
+        , options(chosen)
+        , fences(eventLoop, platformStore, chosen.name)
     { }
 
     struct pending_query
@@ -43,6 +98,47 @@
         timer_handle timeout;
     };
 
+    // A submission that is being handled.
+    struct submission
+    {
+        graph_job job;
+        graph_intake_message stored; // the job as it is stored
+        time_point arrivedAt{};
+        time_point end{}; // of the store calls for it
+        revision configuration = 0;
+        duration configurationAge = 0ms;
+        admission_decision decision;
+        int tries = 0; // writes of the job that were not applied
+        bool requiredFence = false; // the last write required a fence to be present
+        bool hasSeenFence = false;
+        std::function<void(const submit_outcome &)> callback;
+
+        void log(log_line line) const
+        {
+            line.job({job.team, job.id})
+                .field("queue", job.queue)
+                .field("configuration", configuration)
+                .field("configuration_age_ms", configurationAge.count())
+                .write();
+        }
+    };
+    using submission_ptr = std::shared_ptr<submission>;
+
+    // Returns the options of the next store write for a submission.
+    call_options boundOf(const submission &next) const
+    {
+        return {call_priority::Normal, std::max<duration>(1ms, next.end - loop.now())};
+    }
+    void storeJob(const submission_ptr &next, const std::optional<store_entry> &fence);
+    void onStoreAnswer(const submission_ptr &next, const result<commit_reply> &outcome);
+    static void accept(const submission_ptr &next, const commit_reply &reply, bool isRepeated);
+    static void giveUp(const submission_ptr &next);
+    void refuse(const submission_ptr &next);
+    void onNoLease(const submission_ptr &next, const failure &error);
+    void onRefusalAnswer(const submission_ptr &next, const fence_lease &lease,
+                         const result<commit_reply> &outcome);
+    void logRefusal(const submission &refused, store_revision at) const;
+
     // Returns the time by which a read for a caller with `timeLeft` must be answered.
     time_point readEnd(duration timeLeft) const
     {
@@ -73,6 +169,9 @@
     platform_store &store;
     graph_front_options options;
     std::function<bool(const message &)> send;
+    admission_policy policy;
+    admission_fences fences;
+    recent_ids passedToStore;
     operator_view view;
     bool isDraining = false;
     std::optional<time_point> plannerAnsweredAt; // a query
@@ -83,9 +182,8 @@
 graph_front::graph_front(event_loop &loop, platform_store &store,
                          const graph_front_options &options,
                          std::function<bool(const message &)> send)
-    : m_state(std::make_shared<state>(loop, store))
+    : m_state(std::make_shared<state>(loop, store, options))
 {
-    m_state->options = options;
     m_state->send = std::move(send);
 }
 
@@ -149,45 +247,219 @@
 }
 
 void graph_front::submit(const graph_job &job, duration timeLeft,
-                         std::function<void(result<done>)> callback)
+                         std::function<void(const submit_outcome &)> callback)
 {
     state &self = *m_state;
     const std::size_t largest = largestProgressBytes(job);
     if (largest > self.options.maxRecordBytes)
-        return callback(makeFailure(code::StoreValueTooLarge,
-                                    fmt::format("the record of the job may need {} bytes, the "
-                                                "limit is {}; submit fewer tasks in one job",
-                                                largest, self.options.maxRecordBytes),
-                                    "steps"));
-    const std::string key = graphJobKey(job.id);
-    graph_intake_message stored{job.id, encodeGraphJob(job)};
+        return callback({makeFailure(code::StoreValueTooLarge,
+                                     fmt::format("the record of the job may need {} bytes, the "
+                                                 "limit is {}; submit fewer tasks in one job",
+                                                 largest, self.options.maxRecordBytes),
+                                     "steps")});
+    const auto next = std::make_shared<state::submission>();
+    next->job = job;
+    next->stored = {job.id, encodeGraphJob(job)};
+    next->arrivedAt = self.loop.now();
+    next->end = next->arrivedAt + self.writeOptions(call_priority::Normal, timeLeft).deadline;
+    next->configuration = self.view.catalogue ? self.view.catalogue->at : 0;
+    next->configurationAge = self.loop.now() - self.view.confirmedAt;
+    next->callback = std::move(callback);
+    if (self.options.admission && !self.passedToStore.contains(job.id)) {
+        const team_entry *team
+            = self.view.catalogue ? findTeam(*self.view.catalogue, job.team) : nullptr;
+        next->decision = self.policy.decide(job, team, self.loop.now());
+    }
+    if (next->decision.isRefused)
+        return self.refuse(next);
+    self.storeJob(next, {});
+}
+
+// Stores a job.
+// @param fence of an earlier refusal, which the submission follows and removes
+void graph_front::state::storeJob(const submission_ptr &next,
+                                  const std::optional<store_entry> &fence)
+{
+    passedToStore.insert(next->job.id);
+    const std::string key = graphJobKey(next->job.id);
+    const std::string fenceKey = graphFenceKey(next->job.id);
     store_transaction creation;
-    creation.requireAbsent(key).put(key, stored.accepted);
-    const auto logSubmission = [key = job_key{job.team, job.id}, queue = job.queue,
-                                configuration = self.view.catalogue ? self.view.catalogue->at : 0,
-                                age = self.loop.now() - self.view.confirmedAt](log_line line) {
-        line.job(key)
-            .field("queue", queue)
-            .field("configuration", configuration)
-            .field("configuration_age_ms", age.count())
+    creation.requireAbsent(key).put(key, next->stored.accepted);
+    if (fence)
+        creation.requireModRevision(fenceKey, fence->modRevision).remove(fenceKey);
+    else
+        creation.requireAbsent(fenceKey);
+    next->requiredFence = fence.has_value();
+    store.commit(std::move(creation), boundOf(*next),
+                 [self = shared_from_this(), next](const result<commit_reply> &outcome) {
+                     self->onStoreAnswer(next, outcome);
+                 });
+}
+
+void graph_front::state::onStoreAnswer(const submission_ptr &next,
+                                       const result<commit_reply> &outcome)
+{
+    if (const failure *error = failureOf(outcome)) {
+        next->log(log_line(log_level::Warning, "job not stored").error(*error));
+        return next->callback({writeFailure(*error), {}});
+    }
+    const commit_reply &reply = valueOf(outcome);
+    fences.noteRevision(reply.at);
+    if (reply.applied) {
+        notifyPlanner(next->stored);
+        policy.noteAccepted(next->job);
+        return accept(next, reply, false);
+    }
+    // A job that was stored earlier may have ended and been deleted since.
+    if (findEntry(reply, graphJobKey(next->job.id)))
+        return accept(next, reply, true);
+    const store_entry *fence = findEntry(reply, graphFenceKey(next->job.id));
+    if (++next->tries >= maxStoreTries || (!fence && !next->requiredFence))
+        return giveUp(next);
+    if (!fence)
+        return storeJob(next, {}); // the fence has expired
+    next->hasSeenFence = true;
+    if (fences.wasWrittenBefore(fence->modRevision, next->arrivedAt))
+        return storeJob(next, *fence);
+    refuse(next);
+}
+
+void graph_front::state::accept(const submission_ptr &next, const commit_reply &reply,
+                                bool isRepeated)
+{
+    next->log(log_line(log_level::Info, "job accepted")
+                  .atRevision(reply.at)
+                  .field("repeated", isRepeated ? 1 : 0));
+    next->callback({done{}, {}});
+}
+
+// The store has kept none of the writes, but can't be relied on not to hold the job.
+void graph_front::state::giveUp(const submission_ptr &next)
+{
+    const failure error
+        = makeFailure(code::OutcomeUnknown, "the store did not say why it kept no write");
+    next->log(log_line(log_level::Warning, "job not stored").error(error));
+    next->callback({error, {}});
+}
+
+// ---- refusals ------------------------------------------------------------------------------
+
+// Refuses a job, unless it is stored already. The fence keeps earlier submissions of it, which the
+// store may still carry out, from taking effect.
+void graph_front::state::refuse(const submission_ptr &next)
+{
+    fences.withLease(
+        boundOf(*next), [weak = weak_from_this(), next](const result<fence_lease> &lease) {
+            const std::shared_ptr<state> self = weak.lock();
+            if (!self)
+                return;
+            if (const failure *error = failureOf(lease))
+                return self->onNoLease(next, *error);
+            const std::string key = graphJobKey(next->job.id);
+            store_transaction refusal;
+            refusal.requireAbsent(key).put(graphFenceKey(next->job.id), self->fences.nextToken(),
+                                           valueOf(lease).id);
+            self->store.commit(
+                std::move(refusal), self->boundOf(*next),
+                [self, next, lease = valueOf(lease)](const result<commit_reply> &outcome) {
+                    self->onRefusalAnswer(next, lease, outcome);
+                });
+        });
+}
+
+// Nothing was written. Without a fence nothing may be refused, so that the job is stored as if
+// there were no admission control, unless a fence prevents that.
+void graph_front::state::onNoLease(const submission_ptr &next, const failure &error)
+{
+    log_line(log_level::Warning, "no lease for a refusal").error(error).limit("lease").write();
+    if (!next->hasSeenFence)
+        return storeJob(next, {});
+    next->callback({makeFailure(code::StoreUnavailable,
+                                "the job was refused before, and the store does not answer: "
+                                    + error.reason)});
+}
+
+void graph_front::state::onRefusalAnswer(const submission_ptr &next, const fence_lease &lease,
+                                         const result<commit_reply> &outcome)
+{
+    if (const failure *error = failureOf(outcome)) {
+        if (error->number == code::LeaseLost) {
+            fences.forgetLease(lease.id);
+            return onNoLease(next, *error);
+        }
+        next->log(log_line(log_level::Warning, "refusal not stored").error(*error));
+        return next->callback({writeFailure(*error), {}});
+    }
+    const commit_reply &reply = valueOf(outcome);
+    fences.noteRevision(reply.at);
+    if (!reply.applied) {
+        if (findEntry(reply, graphJobKey(next->job.id)))
+            return accept(next, reply, true);
+        return giveUp(next);
+    }
+    if (!fences.isSafe(lease))
+        return next->callback({makeFailure(
+            code::OutcomeUnknown, "the refusal took too long to hold off earlier submissions")});
+    // A later try must not count as one of a job that may be stored.
+    passedToStore.erase(next->job.id);
+    logRefusal(*next, reply.at);
+    if (options.onRefused)
+        options.onRefused(next->job.policy.priority);
+    next->callback({makeFailure(code::NoTimelyCapacity,
+                                "the job would start too late to be of use; it was not stored"),
+                    std::max(next->decision.retryAfter, shortestRefusalPause)});
+}
+
+void graph_front::state::logRefusal(const submission &refused, store_revision at) const
+{
+    const admission_decision &decision = refused.decision;
+    log_line(log_level::Info, "job refused")
+        .job({refused.job.team, refused.job.id})
+        .atRevision(at)
+        .field("queue", refused.job.queue)
+        .field("why", decision.isRefused ? decision.reason : "refused before")
+        .field("expected_wait_ms", decision.expectedWait.count())
+        .field("useful_wait_ms", decision.usefulWait.count())
+        .field("own_work_ms", decision.ownWork.count())
+        .field("outlook", decision.sequence)
+        .field("outlook_age_ms", decision.outlookAge.count())
+        .field("retry_after_s", decision.retryAfter.count())
+        .limit("refused", refusalLines)
+        .write();
+}
+
+void graph_front::setAdmission(bool isOn)
+{
+    m_state->options.admission = isOn;
+}
+
+void graph_front::onPlanner(epoch number)
+{
+    m_state->policy.setPlanner(number);
+}
+
+void graph_front::onOutlook(const admission_outlook_message &outlook)
+{
+    if (!m_state->policy.onOutlook(outlook, m_state->loop.now())) {
+        log_line(log_level::Info, "admission outlook ignored")
+            .atEpoch(outlook.plannerEpoch)
+            .field("sequence", outlook.sequence)
+            .limit("outlook")
             .write();
-    };
-    self.store.commit(std::move(creation), self.writeOptions(call_priority::Normal, timeLeft),
-                      [self = m_state, logSubmission, stored = std::move(stored),
-                       callback = std::move(callback)](const result<commit_reply> &outcome) {
-                          if (const failure *error = failureOf(outcome)) {
-                              logSubmission(
-                                  log_line(log_level::Warning, "job not stored").error(*error));
-                              return callback(writeFailure(*error));
-                          }
-                          // A job that was stored earlier may have ended and been deleted since.
-                          if (valueOf(outcome).applied)
-                              self->notifyPlanner(stored);
-                          logSubmission(log_line(log_level::Info, "job accepted")
-                                            .atRevision(valueOf(outcome).at)
-                                            .field("repeated", valueOf(outcome).applied ? 0 : 1));
-                          callback(done{});
-                      });
+        return;
+    }
+    m_state->fences.noteRevision(outlook.storeRevision);
+}
+
+bool graph_front::needsOutlook() const
+{
+    const std::optional<duration> age = outlookAge();
+    return m_state->options.admission && (!age || *age > outlookSilence);
+}
+
+std::optional<duration> graph_front::outlookAge() const
+{
+    return m_state->policy.outlookAge(m_state->loop.now());
 }
 
 // The planner also watches the store, but may receive no watch events for seconds.
--- a/goldcrest/graph_front.h
+++ b/goldcrest/graph_front.h
@@ -8,20 +8,27 @@
 //   auto admitted = front.admit(host, path, key);
 //   front.submit(job, [](result<done> outcome) { ... });
 //
+// With admission control, a job that would certainly start too late to be of use is refused
+// (admission_policy.h). A fence in the store (admission_fences.h) then keeps earlier submissions of
+// the same job from taking effect, and a job that is stored already is not refused.
+//
 // A submission succeeds once the job is stored. Only the failures that submit() names as such mean
 // that the job will never run. Status queries go to the planner first, and to the store if no
 // planner answers. The planner is also notified of stored jobs; if the notification is lost, it
 // finds the job in the store.
 
+#include "goldcrest/admission_policy.h"
 #include "goldcrest/event_loop.h"
 #include "goldcrest/graph_job.h"
 #include "goldcrest/messages.h"
 #include "goldcrest/platform_store.h"
 #include "goldcrest/queue_catalogue.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -58,6 +65,18 @@
     // Timeout of a query to the planner, which normally answers within milliseconds. After it, the
     // store is read instead.
     duration queryTimeout = 250ms;
+    std::string name = "front"; // of this process, unique among the fronts
+    bool admission = false; // refuse jobs that would certainly start too late
+    // Called with the priority of each job that was refused so; may be empty.
+    std::function<void(std::int32_t priority)> onRefused;
+};
+
+struct submit_outcome
+{
+    result<done> stored;
+    // Set only if this front has refused the job, with NoTimelyCapacity. No error of the store
+    // means that.
+    std::optional<std::chrono::seconds> retryAfter = std::nullopt;
 };
 
 // The target of a caller's request, as admit() resolved it.
@@ -85,6 +104,22 @@
     // Sets graph_front_options::keyFreshness, for changed settings.
     void setKeyFreshness(duration keyFreshness);
 
+    // Sets graph_front_options::admission, for changed settings.
+    void setAdmission(bool isOn);
+
+    // The link to the planner of this epoch has opened; 0: it has closed.
+    void onPlanner(epoch number);
+
+    // Handles the planner's outlook.
+    void onOutlook(const admission_outlook_message &outlook);
+
+    // Returns whether the planner should be asked for outlooks: admission control is on, and none
+    // has arrived lately.
+    bool needsOutlook() const;
+
+    // Returns the age of the current planner's last outlook, or nothing if there is none.
+    std::optional<duration> outlookAge() const;
+
     // Handles the planner's reply to a query.
     void onReply(const graph_reply_message &reply);
 
@@ -97,10 +132,11 @@
     // Stores a job. If a job with this id is already stored, it is left unchanged and the call
     // succeeds. Errors: StoreUnavailable, StoreOverBudget: the job was not stored.
     // StoreValueTooLarge: the job's record would grow larger than the store accepts; the job was
-    // not stored. OutcomeUnknown, and any other: the job may have been stored.
+    // not stored. NoTimelyCapacity: it is not stored, and no earlier submission of it will be.
+    // OutcomeUnknown, and any other: the job may have been stored.
     // @param timeLeft how long the caller still waits, here and below
     void submit(const graph_job &job, duration timeLeft,
-                std::function<void(result<done>)> callback);
+                std::function<void(const submit_outcome &)> callback);
 
     // Gives the state of a job.
     // Errors: UnknownRequest, PlannerUnreachable if neither planner nor store answers.
--- a/goldcrest/graph_job.cc
+++ b/goldcrest/graph_job.cc
@@ -196,6 +196,11 @@
     return std::string(graphIntakePrefix) + "cancel/" + std::string(id);
 }
 
+std::string graphFenceKey(std::string_view id)
+{
+    return "gc/fence/" + std::string(id);
+}
+
 std::string graphProgressKey(std::string_view id)
 {
     return std::string(graphProgressPrefix) + std::string(id);
--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -192,5 +192,7 @@
 std::string graphJobKey(std::string_view id);
 std::string graphCancelKey(std::string_view id);
 std::string graphProgressKey(std::string_view id);
+// Fence of a job that was refused (admission_fences.h).
+std::string graphFenceKey(std::string_view id);
 
 } // namespace goldcrest
--- a/goldcrest/message_fields.h
+++ b/goldcrest/message_fields.h
@@ -680,4 +680,61 @@
     }
 };
 
+template<>
+struct field_list<service_outlook>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields("service", value.service)("capacity", value.capacity)(
+            "freeOnWorker", value.freeOnWorker)("freeInRack", value.freeInRack)("freeInAll",
+                                                                                value.freeInAll);
+    }
+};
+
+template<>
+struct field_list<team_outlook>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields("team", value.team)("delay", value.delay);
+    }
+};
+
+template<>
+struct field_list<queue_outlook>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields("queue", value.queue)("service", value.service)("delay", value.delay)("teams",
+                                                                                     value.teams)
+            .count("runTimePercent", value.runTimePercent);
+    }
+};
+
+template<>
+struct field_list<guarantee_outlook>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields("team", value.team).count("used", value.used);
+    }
+};
+
+template<>
+struct field_list<admission_outlook_message>
+{
+    template<typename Archive, typename Struct>
+    static void visit(Archive &fields, Struct &value)
+    {
+        fields.count("plannerEpoch", value.plannerEpoch)
+            .count("sequence", value.sequence)
+            .count("storeRevision", value.storeRevision)("services", value.services)(
+                "queues", value.queues)("guarantees", value.guarantees);
+    }
+};
+
 } // namespace goldcrest::positional
--- a/goldcrest/messages.h
+++ b/goldcrest/messages.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -522,6 +523,62 @@
     epoch plannerEpoch = 0;
 };
 
+// Free capacity and run times of one service, for the fronts' admission control.
+struct service_outlook
+{
+    std::string service;
+    resources capacity; // sum of the workers that take work
+    resources freeOnWorker; // largest of any worker, each resource by itself
+    resources freeInRack; // largest sum of any rack, each resource by itself
+    resources freeInAll;
+};
+
+// Least wait of a new job because of the work of its own team in its queue's priority.
+struct team_outlook
+{
+    std::string team;
+    duration delay = 0ms;
+};
+
+// Least wait of a new job of one queue before it starts. Queues without a wait are left out.
+struct queue_outlook
+{
+    std::string queue;
+    std::string service;
+    // Because of runs that can't be stopped for it, and of waiting work of higher priority.
+    duration delay = 0ms;
+    // Because of waiting work of the same priority that can still be on time, by team. Teams with
+    // less are left out if there are many.
+    std::vector<team_outlook> teams;
+    std::int64_t runTimePercent = 100; // expected run time as a percentage of the declared one
+};
+
+// Accelerators of a team's guarantee that its jobs use or wait for.
+struct guarantee_outlook
+{
+    std::string team;
+    std::int64_t used = 0;
+};
+
+// Planner to entry: how long new jobs wait at least. Sent only on links on which the entry has
+// asked for it with a graph_query_message for the queue admissionOutlookQueue, because a process
+// that does not know this message closes the link on which it arrives.
+struct admission_outlook_message
+{
+    epoch plannerEpoch = 0;
+    std::int64_t sequence = 0; // grows within an epoch
+    // Last revision of the store at which this planner wrote. What was written at it or before had
+    // been written when this message was sent.
+    std::int64_t storeRevision = 0;
+    std::vector<service_outlook> services;
+    std::vector<queue_outlook> queues;
+    std::vector<guarantee_outlook> guarantees;
+};
+
+// A planner that does not know admission_outlook_message answers a query for this queue like one
+// for any queue without jobs. Queues of the configuration have other names.
+constexpr std::string_view admissionOutlookQueue = "#admission-outlook";
+
 // The position in the variant is the kind number on the wire, so new messages must be appended.
 using message = std::variant<
     hello_message, hold_message, hold_reply_message, start_message, task_started_message,
@@ -532,6 +589,6 @@
     explain_job_message, explain_reply_message, job_update_message, config_push_message,
     config_ack_message, outage_query_message, outage_reply_message, cell_status_request_message,
     cell_status_message, worker_report_message, worker_orders_message, graph_query_message,
-    graph_reply_message, graph_intake_message, takeover_message>;
+    graph_reply_message, graph_intake_message, takeover_message, admission_outlook_message>;
 
 } // namespace goldcrest
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -61,6 +61,9 @@
     // Sidecars.
     RunDecisions,
     AnnouncementsRefused,
+    // Fronts.
+    AdmissionRefused,
+    AdmissionOutlookAge,
     // Agents.
     AgentParts,
     AgentMessagesFenced,
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -185,6 +185,11 @@
         m_state->planner->setOptions(options);
 }
 
+void planner_service::setAdmission(bool isOn)
+{
+    m_state->options.admission = isOn;
+}
+
 void planner_service::resign(std::function<void()> then)
 {
     state &self = *m_state;
@@ -247,6 +252,10 @@
     writers.clear();
     agents.clear();
     knownAgents.clear();
+    outlookLinks.clear();
+    lastOutlook = {};
+    outlookSentAt = {};
+    lastWrittenAt = 0;
     // Agents and entries search for the successor once their links close.
     for (const std::shared_ptr<peer_link> &link : std::exchange(links, {}))
         link->close();
--- a/goldcrest/planner_service.h
+++ b/goldcrest/planner_service.h
@@ -49,6 +49,7 @@
     // Shows whether the machines of silent workers run. Without it, tasks on a machine that was
     // suspended may start elsewhere before their lease there has ended.
     host_probe *probe = nullptr;
+    bool admission = false; // send admission outlooks to the entries that ask for them
     // Called with the kind of each decision, for metrics; may be empty.
     std::function<void(std::string_view event)> onDecision;
     // Called when this process becomes the planner and when it steps down.
@@ -96,6 +97,9 @@
     // too.
     void setPlannerOptions(const run_planner_options &options);
 
+    // Sets planner_service_options::admission, for changed settings.
+    void setAdmission(bool isOn);
+
     // Serves a link of an agent or an entry. The link is closed when this process steps down, or at
     // once if it is not the planner.
     void accept(std::shared_ptr<peer_link> link);
--- /dev/null
+++ b/goldcrest/planner_service_admission.cc
@@ -0,0 +1,59 @@
+#include "goldcrest/planner_service.h"
+
+#include "goldcrest/planner_service_state.h"
+
+#include "goldcrest/admission_forecast.h"
+#include "goldcrest/log_fields.h"
+#include "goldcrest/message_codec.h"
+
+#include <utility>
+
+namespace goldcrest {
+
+namespace {
+
+// Least time between two outlooks.
+constexpr duration outlookInterval = 500ms;
+// An outlook that does not change is repeated after this, since fronts use none that is older than
+// 2 s.
+constexpr duration outlookRepeat = 1s;
+
+// Returns whether two outlooks say the same of all queues.
+bool haveSameForecast(admission_outlook_message a, const admission_outlook_message &b)
+{
+    a.sequence = b.sequence;
+    a.storeRevision = b.storeRevision;
+    return encodeMessage(a) == encodeMessage(b);
+}
+
+} // namespace
+
+// Tells the entries that asked for it how long new jobs wait.
+void planner_service::state::sendOutlook()
+{
+    const time_point now = loop.now();
+    const duration age = now - outlookSentAt;
+    const bool isDue = options.admission && isActive && !outlookLinks.empty()
+        && (lastOutlook.sequence == 0 || age >= outlookInterval) && role->isLeaseValid(now);
+    if (!isDue)
+        return;
+    admission_outlook_message outlook = forecastAdmission(planner->admissionState(now));
+    outlook.plannerEpoch = role->currentEpoch();
+    if (lastOutlook.sequence > 0 && age < outlookRepeat && haveSameForecast(outlook, lastOutlook))
+        return;
+    outlook.sequence = lastOutlook.sequence + 1;
+    outlook.storeRevision = lastWrittenAt;
+    for (const std::shared_ptr<peer_link> &link : outlookLinks)
+        link->send(outlook);
+    log_line(log_level::Info, "admission outlook")
+        .atEpoch(outlook.plannerEpoch)
+        .field("sequence", outlook.sequence)
+        .field("waiting_queues", static_cast<std::int64_t>(outlook.queues.size()))
+        .field("fronts", static_cast<std::int64_t>(outlookLinks.size()))
+        .limit("outlook")
+        .write();
+    lastOutlook = std::move(outlook);
+    outlookSentAt = now;
+}
+
+} // namespace goldcrest
--- a/goldcrest/planner_service_links.cc
+++ b/goldcrest/planner_service_links.cc
@@ -45,6 +45,7 @@
         }
     }
     links.erase(closed);
+    outlookLinks.erase(closed);
     for (const worker_id &worker : lost)
         probeAfterClose(worker);
 }
@@ -96,6 +97,8 @@
         return;
     graph_reply_message reply;
     reply.query = query.query;
+    if (query.job.empty() && query.queue == admissionOutlookQueue)
+        outlookLinks.insert(link);
     if (query.job.empty()) {
         reply.isKnown = true;
         reply.waiting = planner->waitingIn(query.queue);
--- a/goldcrest/planner_service_records.cc
+++ b/goldcrest/planner_service_records.cc
@@ -53,6 +53,7 @@
     writeDecisions();
     commit();
     sendOrders();
+    sendOutlook();
     const time_point endedAt = loop.now();
     nextPassAt = endedAt + scaled(endedAt - begunAt, pausePerPass);
 }
@@ -189,6 +190,7 @@
 {
     for (const stored_change &change : changes)
         revisions[graphProgressKey(change.job)] = at;
+    lastWrittenAt = std::max(lastWrittenAt, at);
     planner->onStored(changes);
     singleCommits -= std::min(singleCommits, changes.size());
     commit();
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -86,6 +86,7 @@
     void loadAddresses();
     void storeAddresses();
     void writeDecisions();
+    void sendOutlook();
     void onLinkClosed(const std::shared_ptr<peer_link> &closed);
     void onMessage(const numbered_link &from, const message &received);
     void onReport(const numbered_link &from, const worker_report_message &report);
@@ -153,6 +154,11 @@
     std::uint64_t linkCount = 0;
     std::map<worker_id, numbered_link> agents;
     std::map<worker_id, known_agent> knownAgents; // also those whose link has closed
+    // Links on which outlooks were asked for.
+    std::set<std::shared_ptr<peer_link>> outlookLinks;
+    admission_outlook_message lastOutlook;
+    time_point outlookSentAt{};
+    store_revision lastWrittenAt = 0; // revision of the last write of this term
     worker_id lastTakeoverAgent; // the agent that was last asked for a takeover
     time_point takeoverRequestedAt{};
 };
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -18,6 +18,7 @@
 // reported its end, does not list it after having carried out the order, has restarted, or has left
 // after listing it; or the lease has certainly ended.
 
+#include "goldcrest/admission_forecast.h"
 #include "goldcrest/clock.h"
 #include "goldcrest/graph_job.h"
 #include "goldcrest/messages.h"
@@ -196,6 +197,9 @@
     // Returns the number of jobs of a queue that have not started any task.
     std::int64_t waitingIn(const std::string &queue) const;
 
+    // Returns what delays new jobs, for the admission control.
+    admission_state admissionState(time_point now) const;
+
     // Returns finished jobs whose retention time has passed, at most `maxCount`.
     std::vector<std::string> expiredJobs(unix_ms wall, std::size_t maxCount) const;
 
@@ -292,6 +296,11 @@
     bool hasCapacityForItsRuns(const pool_worker &worker) const;
     void stopOpenStarts(pool_worker &worker);
 
+    // Input of the admission forecast.
+    void addForecastWorkers(admission_state &state, time_point now) const;
+    void addForecastWaiting(admission_state &state, time_point now) const;
+    void addForecastQueues(admission_state &state) const;
+
     // Planning.
     void endRunsWithExpiredLeases(unix_ms wall, time_point now);
     void stopStalledRuns(time_point now);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -188,6 +188,11 @@
     return &occurrence->steps[static_cast<std::size_t>(step.step)];
 }
 
+const tracked_step *tracked_job::find(const step_ref &step) const
+{
+    return const_cast<tracked_job *>(this)->find(step);
+}
+
 const step_spec &tracked_job::specOf(const step_ref &step) const
 {
     return m_spec.steps[static_cast<std::size_t>(step.step)];
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -151,6 +151,7 @@
     std::vector<step_ref> readySteps() const;
 
     tracked_step *find(const step_ref &step);
+    const tracked_step *find(const step_ref &step) const;
     const step_spec &specOf(const step_ref &step) const;
     tracked_task *find(const task_key &task);
     const tracked_task *find(const task_key &task) const;
--- a/testing/outside_decoders_support.cc
+++ b/testing/outside_decoders_support.cc
@@ -208,9 +208,13 @@
     report.unresolved.push_back({"5c0e.0.0.2", 1});
     worker_orders_message orders;
     orders.starts.push_back({{"5c0e.0.0.0", 1}, "payload", "saved", "ticket"});
+    admission_outlook_message outlook;
+    outlook.services.push_back({"s", {64'000, 1024, 8}, {}, {}, {}});
+    outlook.queues.push_back({"q", "s", 20s, {{"t", 30s}}, 150});
+    outlook.guarantees.push_back({"t", 16});
     decoders.push_back(
         {"messages",
-         {encodeMessage(report), encodeMessage(orders),
+         {encodeMessage(report), encodeMessage(orders), encodeMessage(outlook),
           encodeMessage(graph_intake_message{"a", "b"}),
           encodeMessage(graph_query_message{1, "a", "q"}), encodeMessage(takeover_message{7})},
          [](const std::string &input) { decodeMessage(input); }});
