--- a/goldcrest/admission_forecast.cc
+++ b/goldcrest/admission_forecast.cc
@@ -23,16 +23,17 @@
 // Work of one kind: the sum of demand times run time, and the run time of its tasks.
 struct work_sum
 {
-    resources amount; // in milliseconds
+    resource_work amount;
     double time = 0; // of all tasks, ms
     double squares = 0; // sum of the squares of the tasks' run times
 
     void add(const resources &demand, std::int64_t count, duration each)
     {
-        const duration::rep length = std::clamp<duration>(each, 0ms, longestRun).count();
-        amount += demand * (count * length);
-        time += static_cast<double>(count) * static_cast<double>(length);
-        squares += static_cast<double>(count) * static_cast<double>(length * length);
+        const auto length
+            = static_cast<double>(std::clamp<duration>(each, 0ms, longestRun).count());
+        amount.add(demand, count, each);
+        time += static_cast<double>(count) * length;
+        squares += static_cast<double>(count) * length * length;
     }
     void add(const work_sum &other)
     {
@@ -160,8 +161,9 @@
     duration ofSmaller = 0ms;
     for (std::size_t i = 0; i < alone.size(); ++i) {
         const auto atLeastAsMuch = static_cast<duration::rep>(alone.size() - i);
-        const duration delay = roundedDown(ofSmaller + alone[i].first * atLeastAsMuch);
-        ofSmaller += alone[i].first;
+        const duration delay = roundedDown(
+            std::min<duration>(longestTime, ofSmaller + alone[i].first * atLeastAsMuch));
+        ofSmaller = std::min<duration>(longestTime, ofSmaller + alone[i].first);
         if (delay > 0ms)
             delays.push_back({alone[i].second, delay});
     }
@@ -193,11 +195,33 @@
 
 } // namespace
 
-duration timeForWork(const resources &work, const resources &pool)
+void resource_work::add(const resources &demand, std::int64_t count, duration each)
 {
-    const auto timeFor = [](std::int64_t amount, std::int64_t available) {
+    const double time = static_cast<double>(count)
+        * static_cast<double>(std::clamp<duration>(each, 0ms, longestRun).count());
+    cores += static_cast<double>(demand.cores) * time;
+    memory += static_cast<double>(demand.memory) * time;
+    accelerators += static_cast<double>(demand.accelerators) * time;
+}
+
+resource_work &resource_work::operator+=(const resource_work &other)
+{
+    cores += other.cores;
+    memory += other.memory;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+duration timeForWork(const resource_work &work, const resources &pool)
+{
+    const auto timeFor = [](double amount, std::int64_t available) {
         // Without any of a resource, work that needs it can't run, and holds up nothing.
-        return amount <= 0 || available <= 0 ? 0ms : duration(amount / available);
+        if (amount <= 0 || available <= 0)
+            return duration(0);
+        const double time = amount / static_cast<double>(available);
+        return time < static_cast<double>(duration(longestTime).count())
+            ? duration(static_cast<duration::rep>(time))
+            : duration(longestTime);
     };
     return std::max({timeFor(work.cores, pool.cores), timeFor(work.memory, pool.memory),
                      timeFor(work.accelerators, pool.accelerators)});
--- a/goldcrest/admission_forecast.h
+++ b/goldcrest/admission_forecast.h
@@ -73,9 +73,21 @@
     std::map<std::string, std::int64_t> usedGuarantees;
 };
 
-// Returns how long a pool needs for work, in the resource that it has least of.
-// @param work demand times run time, in milliseconds
-duration timeForWork(const resources &work, const resources &pool);
+// A sum of demands times run times, in milliseconds. The largest inputs would overflow integers.
+struct resource_work
+{
+    double cores = 0;
+    double memory = 0;
+    double accelerators = 0;
+
+    // Adds tasks. Run times beyond an hour are cut off.
+    void add(const resources &demand, std::int64_t count, duration each);
+    resource_work &operator+=(const resource_work &other);
+};
+
+// Returns how long a pool needs for work, in the resource that it has least of; at most
+// longestTime.
+duration timeForWork(const resource_work &work, const resources &pool);
 
 // Returns the outlook of a state. Its epoch and numbers are left at 0.
 // The cost is linear in the size of the state, times the number of priorities of a service.
--- a/goldcrest/admission_policy.cc
+++ b/goldcrest/admission_policy.cc
@@ -18,11 +18,12 @@
     return hash ^ (hash >> 32);
 }
 
-// Returns a time multiplied by a factor, at most longestTime.
-duration boundedProduct(duration time, double factor)
+// Returns a time in milliseconds within what is accepted from outside.
+duration boundedTime(double time)
 {
-    const double product = static_cast<double>(time.count()) * factor;
-    return product < static_cast<double>(longestTime.count()) ? scaled(time, factor) : longestTime;
+    const auto longest = static_cast<double>(duration(longestTime).count());
+    return time < longest ? duration(static_cast<duration::rep>(std::max(0.0, time)))
+                          : duration(longestTime);
 }
 
 bool hasNoTimeOfUse(const graph_job &job)
@@ -41,12 +42,12 @@
     return need;
 }
 
-// Returns the work of a job: demand times declared run time, in milliseconds.
-resources workOf(const graph_job &job)
+// Returns the work of a job by its declared run times.
+resource_work workOf(const graph_job &job)
 {
-    resources work;
+    resource_work work;
     for (const step_spec &step : job.steps)
-        work += demandOf(step) * (step.count * std::min<duration>(step.estimated, 1h).count());
+        work.add(demandOf(step), step.count, step.estimated);
     return work;
 }
 
@@ -157,7 +158,7 @@
         const bool goesFirst = priority < job.policy.priority
             || (priority == job.policy.priority && team == job.team);
         if (service == job.policy.service && goesFirst)
-            ahead += work;
+            ahead = std::min<duration>(longestTime, ahead + work);
     }
     return ahead;
 }
@@ -191,11 +192,10 @@
     decision.expectedWait = queue->delay + ofTeam + decision.ownWork;
     // The longer of the two estimates leaves more time.
     const double factor = std::max(1.0, static_cast<double>(queue->runTimePercent) / 100);
-    const duration path = boundedProduct(criticalPathTime(job), factor);
-    const duration target
-        = boundedProduct(path, job.policy.slackFactor) + job.policy.completionTarget;
-    decision.usefulWait
-        = std::max<duration>(0ms, boundedProduct(target, m_options.lateFactor) - path);
+    const double path = static_cast<double>(criticalPathTime(job).count()) * factor;
+    const double target
+        = path * job.policy.slackFactor + static_cast<double>(job.policy.completionTarget.count());
+    decision.usefulWait = boundedTime(target * m_options.lateFactor - path);
     const duration certainWait = scaled(decision.expectedWait, 1 / m_options.margin);
     if (certainWait <= decision.usefulWait)
         return accepted("may start in time");
@@ -208,9 +208,10 @@
 void admission_policy::noteAccepted(const graph_job &job)
 {
     const service_outlook *service = m_outlook ? findService(job.policy.service) : nullptr;
-    if (service)
-        m_accepted[{job.policy.service, job.policy.priority, job.team}]
-            += timeForWork(workOf(job), service->capacity);
+    if (!service)
+        return;
+    duration &time = m_accepted[{job.policy.service, job.policy.priority, job.team}];
+    time = std::min<duration>(longestTime, time + timeForWork(workOf(job), service->capacity));
 }
 
 } // namespace goldcrest
