Test refusals at the front, and check them in the soak

Cause: a refusal must hold although the store may carry out an earlier submission of the job later, or the caller's first try is read late. The soak runs with admission control. Its judge also reports a start after a refusal (code 208) that follows all submissions of the job, whatever became of their answers; until now it reported starts only if each answer was a refusal. The soak itself has not been run with this commit yet.

--- a/testing/planner_service_test.cc
+++ b/testing/planner_service_test.cc
@@ -752,3 +752,40 @@
     checkState("b", graph_job_state::Cancelled);
     CHECK(!service->planner()->stateOf("a").has_value());
 }
+
+// Guards links to processes of an earlier version, which close on a message that they do not know:
+// outlooks are sent only on links on which they were asked for, and only while the setting is on.
+// They come often enough for the fronts, and not more often than each 0.5 s.
+TEST(planner_service, outlooksAreSentOnRequestOnly)
+{
+    elect();
+    service->setView(viewWithOneQueue());
+    const auto asking = std::make_shared<recording_link>();
+    const auto other = std::make_shared<recording_link>();
+    service->accept(asking);
+    service->accept(other);
+    const auto outlooksOn = [](const recording_link &link) {
+        return std::count_if(link.sent.begin(), link.sent.end(), [](const message &sent) {
+            return std::holds_alternative<admission_outlook_message>(sent);
+        });
+    };
+    graph_query_message request;
+    request.queue = admissionOutlookQueue;
+    asking->receive(request);
+    LONGS_EQUAL(1, asking->sent.size()); // the answer that any planner gives
+    LONGS_EQUAL(0, std::get<graph_reply_message>(asking->sent[0]).waiting);
+    loop.advance(3s);
+    LONGS_EQUAL(0, outlooksOn(*asking));
+    service->setAdmission(true);
+    loop.advance(10s);
+    CHECK(outlooksOn(*asking) >= 9);
+    CHECK(outlooksOn(*asking) <= 21);
+    LONGS_EQUAL(0, outlooksOn(*other));
+    const auto &last = std::get<admission_outlook_message>(asking->sent.back());
+    LONGS_EQUAL(service->currentEpoch(), last.plannerEpoch);
+    CHECK(last.sequence >= 9);
+    asking->drop();
+    const auto before = outlooksOn(*asking);
+    loop.advance(3s);
+    LONGS_EQUAL(before, outlooksOn(*asking));
+}
--- a/testing/platform_process_soak_test.cc
+++ b/testing/platform_process_soak_test.cc
@@ -165,6 +165,23 @@
     expect({"ORDER", "UNASKED", "UNASKED", "REFUSED"});
 }
 
+// A refusal by the admission control holds for the submissions before it, also for those without an
+// answer. A later submission may start, and so may one beside another refusal.
+TEST(soak_judge, findsAStartAfterARefusalThatCoversEarlierSubmissions)
+{
+    job->attempts = 2; // the first one got no answer
+    judge.onSubmitAnswered(*job, 429, begin, 206);
+    judge.onEnd(judge.onStart(orderOf(1), begin), "stopped", begin + 1ms);
+    expect({});
+    judge.onSubmitAnswered(*job, 429, begin + 2ms, 208);
+    expect({"REFUSED"});
+    judge.onEnd(judge.onStart(orderOf(2), begin + 3ms), "stopped", begin + 4ms);
+    expect({"REFUSED", "REFUSED"});
+    ++job->attempts;
+    judge.onStart(orderOf(3), begin + 5ms);
+    expect({"REFUSED", "REFUSED"});
+}
+
 TEST(soak_judge, findsAStartAfterACancel)
 {
     judge.onCancelAnswered(*job, 200, begin);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1045,6 +1045,41 @@
     STRCMP_EQUAL("urgent.0.0.0", last.starts[0].run.task.c_str());
 }
 
+// Load pattern: a burst of a large queue fills the cell for longer than its jobs are of use, while
+// an urgent guaranteed job runs. The forecast sees the waiting burst, the guarantee in use and no
+// delay for work of higher priority.
+TEST(run_planner, forecastNamesTheQueuesThatABurstDelays)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    CHECK(forecastAdmission(planner.admissionState(now)).queues.empty());
+    addJob("urgent", 0, makeStep(4, 1));
+    for (int i = 0; i < 40; ++i)
+        addJob("burst" + std::to_string(i), 1, makeStep(8, 1), "large");
+    planAndStore();
+    const admission_outlook_message outlook = forecastAdmission(planner.admissionState(now));
+    LONGS_EQUAL(1, outlook.guarantees.size());
+    LONGS_EQUAL(4, outlook.guarantees[0].used);
+    LONGS_EQUAL(2, outlook.queues.size());
+    STRCMP_EQUAL("q1", outlook.queues[0].queue.c_str());
+    STRCMP_EQUAL("large", outlook.queues[0].teams.at(0).team.c_str());
+    // 316 tasks of 5 s wait for 8 accelerators; the last of them run when a new job starts.
+    LONGS_EQUAL(192'500, outlook.queues[0].teams[0].delay.count());
+    STRCMP_EQUAL("q2", outlook.queues[1].queue.c_str());
+    CHECK(outlook.queues[1].delay >= 192'500ms);
+    LONGS_EQUAL(0, outlook.services.at(0).freeOnWorker.accelerators);
+}
+
+// Guards against refusals because of work that new jobs pass: steps that only some workers may run.
+TEST(run_planner, forecastLeavesOutRestrictedSteps)
+{
+    planner.onReport(reportOf("w1"), wall, now);
+    step_spec step = makeStep(800, 1);
+    step.requiredLabel = "none";
+    addJob("a", 0, step);
+    planAndStore();
+    CHECK(forecastAdmission(planner.admissionState(now)).queues.empty());
+}
+
 // Guards RECLAIM: a gang within the guarantee starts on the free workers that were chosen for it,
 // though it would be faster on one rack. It waited there for estimates that moved on, while its
 // reservation kept the free workers from everybody (day deadly-task on the enlarged tawe-loft, seed
--- a/testing/soak_judge_support.cc
+++ b/testing/soak_judge_support.cc
@@ -1,5 +1,7 @@
 #include "testing/soak_judge_support.h"
 
+#include "goldcrest/outcome.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -64,14 +66,16 @@
         [](const auto &one) { return one.second.failedRuns.size() >= soakMaxAttempts; });
 }
 
-void soak_judge::onSubmitAnswered(soak_job &job, int status, time_point now)
+void soak_judge::onSubmitAnswered(soak_job &job, int status, time_point now, int code)
 {
     if (isSuccess(status) && !job.acceptedAt)
         job.acceptedAt = now;
     // The outcome is unknown after 502, 504 or no response.
     if (status >= 400 && status != 502 && status != 504)
         ++job.refusals;
-    if (job.hasStarted && job.refusals == job.attempts)
+    if (code == static_cast<int>(goldcrest::code::NoTimelyCapacity))
+        job.attemptsBeforeRefusal = job.attempts;
+    if (job.hasStarted && isRefused(job))
         m_report("REFUSED", fmt::format("{} was refused and has started", job.id), job.id);
 }
 
@@ -91,7 +95,7 @@
     if (status != 200)
         return;
     job.shown = state;
-    if (job.attempts == job.refusals)
+    if (isRefused(job))
         m_report("MIXED", fmt::format("refused job {} is shown as {}", job.id, state), job.id);
     for (std::size_t step = 0; state == "completed" && step < job.steps.size(); ++step) {
         if (!isStepDone(job, step))
@@ -120,7 +124,7 @@
 
 void soak_judge::checkRequest(const soak_job &job, const soak_start &order, time_point now)
 {
-    if (job.refusals == job.attempts)
+    if (isRefused(job))
         m_report("REFUSED", order.task + " starts, its job was refused", order.task);
     const std::string unit = soakUnitName(order.task, find(order.task).second->isGang);
     if (order.spec != job.payload
--- a/testing/soak_judge_support.h
+++ b/testing/soak_judge_support.h
@@ -45,6 +45,9 @@
     std::vector<soak_step> steps;
     int attempts = 0; // submissions sent
     int refusals = 0; // submissions whose answer says that the job was not accepted
+    // Submissions that were sent before the last refusal of the admission control. It also promises
+    // that none of them runs, whatever became of their answers.
+    int attemptsBeforeRefusal = 0;
     int cancels = 0; // sent
     std::optional<time_point> acceptedAt;
     std::optional<time_point> cancelledAt; // acknowledgement
@@ -91,12 +94,18 @@
 
     soak_job &addJob(const soak_job &job) { return m_jobs[job.id] = job; }
     std::map<std::string, soak_job> &jobs() { return m_jobs; }
+    // Returns whether all submissions of a job were refused, or precede such a refusal.
+    static bool isRefused(const soak_job &job)
+    {
+        return job.refusals == job.attempts || job.attemptsBeforeRefusal == job.attempts;
+    }
     std::size_t starts() const { return m_runs.size(); }
     // Returns the job and the step of a task, or nulls if no caller sent it.
     std::pair<soak_job *, const soak_step *> find(const std::string &task);
 
     // @param status 0 if the caller got no response
-    void onSubmitAnswered(soak_job &job, int status, time_point now);
+    // @param code of the error in the answer; 0: none
+    void onSubmitAnswered(soak_job &job, int status, time_point now, int code = 0);
     void onCancelAnswered(soak_job &job, int status, time_point now);
     // @param isInTouch of the front, from the question to the answer
     void onShown(soak_job &job, int status, const std::string &state, bool isInTouch,
--- a/testing/soak_scene_support.cc
+++ b/testing/soak_scene_support.cc
@@ -340,6 +340,7 @@
             : std::vector{"backendAddress", "controlListen", "linkListen", "metricsListen"};
         for (const char *setting : listening)
             settings[setting] = addressOf(port++);
+        settings["admission"] = true;
         if (!isFront)
             settings.update(json::parse(R"({"service": "svc", "stopTimeMs": 200,
                 "gangTimeoutMs": 3000, "longestLeaseMs": 10000, "checkpointIntervalS": 1})"));
@@ -486,16 +487,18 @@
     {
         ++job.attempts;
         const soak_node &front = anyFront();
-        call("POST", front, job, [this, &job, &front](int status, const std::string &) {
+        call("POST", front, job, [this, &job, &front](int status, const std::string &body) {
             note("caller: {} is answered {} by {}", job.id, status, front.name);
-            onSubmitAnswered(job, status);
+            const json answer = json::parse(body, nullptr, false);
+            const int code = answer.is_object() ? answer.value("code", 0) : 0;
+            onSubmitAnswered(job, status, code);
         });
     }
 
-    void onSubmitAnswered(soak_job &job, int status)
+    void onSubmitAnswered(soak_job &job, int status, int code)
     {
         const bool isFirst = !job.acceptedAt;
-        m_judge.onSubmitAnswered(job, status, now());
+        m_judge.onSubmitAnswered(job, status, now(), code);
         soak_random &random = m_callerChoices;
         const bool isUnknown = status == 0 || status == 502 || status == 504;
         if (isUnknown && !job.acceptedAt && job.attempts < submitAttempts)
