Test outlooks between a real sidecar and a real front

Cause: only unit tests covered the request for outlooks and the reload. Change: a process test with the setting off, on at the front, and on at both.

--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -491,6 +491,64 @@
     LONGS_EQUAL(0, processes.waitForExit("sidecar").value_or(-1));
 }
 
+// Guards against an outlook that never reaches the fronts: a front asks again until the planner's
+// setting is on, and both apply a changed setting without a signal. The link between them stays
+// open throughout.
+TEST(platform_process, outlooksReachTheFrontOnceTheSettingIsOn)
+{
+    asio_event_loop loop;
+    losable_store store(loop, port + 3);
+    const int others = findFreePorts(4);
+    const auto other
+        = [others](int offset) { return "127.0.0.1:" + std::to_string(others + offset); };
+    const auto sidecarWith = [&](const std::string &fields) {
+        return R"({"name": "side-1", "failureDomain": "north", "controlListen": ")" + other(0)
+            + R"(", "linkListen": ")" + other(1) + R"(", "metricsListen": ")" + other(2)
+            + R"(", "storeAddress": ")" + addressOf(3) + R"(", "backendAddress": ")" + other(3)
+            + R"(", "service": "svc")" + fields + "}";
+    };
+    const auto logs = [&](const std::string &name, const std::string &text) {
+        return loop.runUntil(
+            [&] { return readFile(processes.outputPath(name)).find(text) != std::string::npos; },
+            conditionLimit);
+    };
+    auto reader = makeCurlClient(loop);
+    std::string metrics;
+    const auto hasOutlook = [&] {
+        std::optional<bool> found;
+        http_request request;
+        request.url = "http://" + addressOf(2) + "/metrics";
+        request.timeout = 5s;
+        reader->send(std::move(request), [&](const result<http_response> &outcome) {
+            metrics = failureOf(outcome) ? std::string() : valueOf(outcome).body;
+            found = metrics.find("goldcrest_admission_outlook_age_seconds") != std::string::npos
+                && metrics.find("goldcrest_admission_outlook_age_seconds -1") == std::string::npos;
+        });
+        loop.runUntil([&] { return found.has_value(); }, conditionLimit);
+        return found.value_or(false);
+    };
+    writeFile(directory + "/sidecar.json", sidecarWith(""));
+    processes.start("sidecar",
+                    {binary("goldcrest-sidecar"), "--settings", directory + "/sidecar.json"});
+    startFront(frontSettings());
+    CHECK(logs("front", "event=\"planner connected\""));
+    std::string changed = frontSettings();
+    changed.replace(changed.size() - 1, 1, R"(, "admission": true})");
+    writeFile(directory + "/front.json", changed);
+    CHECK(logs("front", "event=\"admission changed\" name=front-1 admission=1"));
+    loop.runUntil([] { return false; }, 1500ms); // the front asks at least once
+    CHECK(!hasOutlook());
+    writeFile(directory + "/sidecar.json", sidecarWith(R"(, "admission": true)"));
+    CHECK(logs("sidecar", "event=\"admission outlook\""));
+    const time_point limit = loop.now() + conditionLimit;
+    while (!hasOutlook() && loop.now() < limit)
+        loop.runUntil([] { return false; }, 50ms);
+    CHECK(hasOutlook());
+    STRCMP_CONTAINS("goldcrest_admission_outlook_age_seconds", metrics.c_str());
+    CHECK(readFile(processes.outputPath("front")).find("planner disconnected")
+          == std::string::npos);
+}
+
 // Guards against a sidecar that needs the store to accept announcements or to shut down cleanly,
 // against one that takes the announcement of another writer for that of its backend server, and
 // against one that ends or stops listening after an announcement that can't be used.
