Run the model of a cell with admission control and bursts

Cause: refusals were tested with scripted faults only. Change: an option of graph_model with bursts, admission control and callers that try again. It reports a refused job that is stored, and an accepted job that is refused.

--- a/testing/graph_model_support.cc
+++ b/testing/graph_model_support.cc
@@ -246,7 +246,7 @@
                 [this](const worker_report_message &report) {
                     return finder && finder->send(report);
                 })
-        , planner(loop, store, plannerOptions(),
+        , planner(loop, store, plannerOptions(model.m_options.hasAdmission),
                   [&model] { return model.m_loop.now().time_since_epoch().count(); })
     {
         const auto listening
@@ -294,9 +294,10 @@
         return options;
     }
 
-    planner_service_options plannerOptions() const
+    planner_service_options plannerOptions(bool hasAdmission) const
     {
         planner_service_options options;
+        options.admission = hasAdmission;
         options.worker = name;
         options.address = addressOf(index);
         options.seed = index + 1;
@@ -325,27 +326,45 @@
         : plain(model.m_store, model.m_loop)
         , store(plain, model.m_loop, sidecar::storeOptions(100 + number))
         , network(model.m_network.of("f" + std::to_string(number) + ":7000"))
-        , core(model.m_loop, store, {},
+        , core(model.m_loop, store, optionsOf(model, number),
                [this](const message &value) { return finder && finder->send(value); })
     {
         planner_finder_callbacks callbacks;
-        callbacks.onOpen = [](epoch) {};
-        callbacks.onClose = [] {};
+        callbacks.onOpen = [this](epoch elected) { core.onPlanner(elected); };
+        callbacks.onClose = [this] { core.onPlanner(0); };
         callbacks.onMessage = [this](const message &received) {
             if (const auto *reply = std::get_if<graph_reply_message>(&received))
                 core.onReply(*reply);
+            else if (const auto *outlook = std::get_if<admission_outlook_message>(&received))
+                core.onOutlook(*outlook);
         };
+        if (model.m_options.hasAdmission)
+            requests = model.m_loop.every(1s, [this] {
+                graph_query_message request;
+                request.queue = admissionOutlookQueue;
+                if (core.needsOutlook())
+                    finder->send(request);
+            });
         planner_finder_options options;
         options.seed = 100 + number;
         finder = std::make_unique<planner_finder>(model.m_loop, store, *network, "main",
                                                   std::move(callbacks), options);
     }
 
+    static graph_front_options optionsOf(const graph_model &model, std::size_t number)
+    {
+        graph_front_options options;
+        options.name = "f" + std::to_string(number);
+        options.admission = model.m_options.hasAdmission;
+        return options;
+    }
+
     fake_store plain;
     store_client store;
     std::unique_ptr<peer_network> network;
     std::unique_ptr<planner_finder> finder;
     graph_front core;
+    timer_handle requests;
 };
 
 // ---- model ---------------------------------------------------------------------------------
@@ -454,12 +473,47 @@
     if (m_options.crashingShare > 0)
         addCrashingTask(job);
     ++m_report.jobs;
+    submit(job.id);
+}
+
+void graph_model::submit(const std::string &id)
+{
     front &chosen = *m_fronts[static_cast<std::size_t>(between(0, frontCount - 1))];
+    ++m_attempts[id];
+    m_refused.erase(id);
     chosen.core.setView(view());
-    chosen.core.submit(job, callerTimeout, [this, id = job.id](const submit_outcome &outcome) {
-        if (!failureOf(outcome.stored))
-            m_accepted.insert(id);
-    });
+    chosen.core.submit(m_jobs.at(id), callerTimeout,
+                       [this, id](const submit_outcome &outcome) { onSubmitted(id, outcome); });
+}
+
+// Callers submit a job up to 4 times, one after another.
+void graph_model::onSubmitted(const std::string &id, const submit_outcome &outcome)
+{
+    const failure *error = failureOf(outcome.stored);
+    if (!error)
+        m_accepted.insert(id);
+    if (!m_options.hasAdmission || !error)
+        return;
+    if (outcome.retryAfter) {
+        ++m_report.refused;
+        m_refused.insert(id);
+        if (m_accepted.count(id) > 0)
+            m_report.violations.push_back("an accepted job was refused: " + id);
+    }
+    const duration pause = outcome.retryAfter ? duration(*outcome.retryAfter) : 200ms;
+    constexpr int maxAttempts = 4;
+    if (m_attempts[id] < maxAttempts && m_hostRandom() % 2 == 0)
+        m_timers.after(pause, [this, id] { submit(id); });
+}
+
+// A job whose last submission was refused is not stored, whatever became of the earlier ones.
+void graph_model::checkRefusals()
+{
+    for (const std::string &id : m_refused) {
+        if (!m_store.range(graphJobKey(id), {}).empty()
+            || !m_store.range(graphProgressKey(id), {}).empty())
+            m_report.violations.push_back("a refused job is stored: " + id);
+    }
 }
 
 void graph_model::cancelJob()
@@ -783,6 +837,10 @@
     while (m_loop.now() < end) {
         if (randomFraction() < 0.03)
             submitJob();
+        // A burst every 12 s.
+        const auto second = (m_loop.now().time_since_epoch().count() / 1000) % 12;
+        if (m_options.hasAdmission && second < 3)
+            submitJob();
         if (randomFraction() < 0.004)
             cancelJob();
         if (m_options.hasFaults && randomFraction() < 0.02)
@@ -807,6 +865,7 @@
             suspendAfterKill();
         m_loop.advance(step);
         recordElections();
+        checkRefusals();
     }
     healAll();
     const time_point limit = m_loop.now() + m_options.settleLimit;
@@ -816,6 +875,7 @@
         recordElections();
     }
     m_loop.advance(2s);
+    checkRefusals();
     for (const std::string &id : m_accepted) {
         const graph_job_state state = m_seen[id];
         m_report.completed += state == graph_job_state::Completed ? 1 : 0;
--- a/testing/graph_model_support.h
+++ b/testing/graph_model_support.h
@@ -85,6 +85,9 @@
     // The same machines, but their sidecar is killed a second before the suspension, and they
     // refuse connections meanwhile as a machine without the process does.
     bool hasSuspensionsAfterKills = false;
+    // Admission control is on, jobs come in bursts that the hosts can't serve in time, and callers
+    // submit refused jobs, and those without an answer, again.
+    bool hasAdmission = false;
     duration length = 60s; // of the phase with faults
     duration settleLimit = 90s; // of the phase without faults, in which all jobs must end
 };
@@ -100,6 +103,7 @@
     std::uint64_t elections = 0;
     duration longestTakeover = 0ms; // from a planner's failure to its successor's recovery
     std::uint64_t storeWrites = 0;
+    std::uint64_t refused = 0; // submissions, by admission control
 };
 
 class graph_model
@@ -118,6 +122,9 @@
     void startSidecar(std::size_t index);
     void stopSidecar(std::size_t index);
     void submitJob();
+    void submit(const std::string &id);
+    void onSubmitted(const std::string &id, const submit_outcome &outcome);
+    void checkRefusals();
     void cancelJob();
     void injectFault();
     void loseHistory();
@@ -156,6 +163,8 @@
     std::map<std::string, graph_job> m_jobs;
     std::set<std::string> m_accepted;
     std::set<std::string> m_cancelled;
+    std::set<std::string> m_refused; // jobs whose last submission was refused by admission control
+    std::map<std::string, int> m_attempts; // submissions, by job
     std::set<std::size_t> m_suspended; // machines that are or were suspended lately, by index
     std::set<std::string> m_crashing; // jobs with a crashing task
     std::map<std::string, graph_job_state> m_seen;
--- a/testing/graph_model_test.cc
+++ b/testing/graph_model_test.cc
@@ -22,6 +22,7 @@
     = {88, 139, 460, 549, 553, 894, 925, 948, 978, 2033, 2419};
 constexpr std::uint64_t seedsInCi = 60;
 constexpr std::uint64_t faultFreeSeedsInCi = 10;
+constexpr std::uint64_t admissionSeedsInCi = 2; // of many jobs, 12 s each
 
 std::uint64_t numberFrom(const char *name, std::uint64_t otherwise)
 {
@@ -43,6 +44,7 @@
         total.cancelled += report.cancelled;
         total.starts += report.starts;
         total.elections += report.elections;
+        total.refused += report.refused;
         total.longestTakeover = std::max(total.longestTakeover, report.longestTakeover);
         if (report.violations.empty())
             continue;
@@ -53,7 +55,7 @@
     std::cout << count << " seeds: " << total.jobs << " jobs, " << total.completed << " completed, "
               << total.failed << " failed, " << total.cancelled << " cancelled, " << total.starts
               << " starts, " << total.elections << " elections, longest takeover "
-              << total.longestTakeover.count() << " ms\n";
+              << total.longestTakeover.count() << " ms, " << total.refused << " refusals\n";
     return failing;
 }
 
@@ -126,6 +128,22 @@
     LONGS_EQUAL(0, failing);
 }
 
+// Load pattern: bursts of jobs that the hosts can't serve in time, at several fronts, whose callers
+// try again. Guards REFUSED: a job is stored although its last submission was refused, among lost
+// answers, failures of processes and changes of the planner.
+TEST(graph_model, refusedJobsAreNotStored)
+{
+    graph_model_options options;
+    options.hasAdmission = true;
+    options.settleLimit = 900s;
+    const std::uint64_t first = numberFrom("GOLDCREST_MODEL_FIRST", 1);
+    const std::uint64_t count = numberFrom("GOLDCREST_MODEL_SEEDS", admissionSeedsInCi);
+    std::uint64_t failing = countFailing(options, first, count);
+    options.hasFaults = false;
+    failing += countFailing(options, first, count);
+    LONGS_EQUAL(0, failing);
+}
+
 // Guards against starts on a backend server whose capacity has shrunk (LIMIT).
 TEST(graph_model, shrinkingCapacityIsNotExceeded)
 {
