--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -68,6 +68,9 @@
     AnnouncementsRefused,
     WorkerMachines,
     SpeedObservations,
+    // Fronts.
+    AdmissionRefused,
+    AdmissionOutlookAge,
     // Agents.
     AgentParts,
     AgentMessagesFenced,
--- a/goldcrest/run_planner_interference.cc
+++ b/goldcrest/run_planner_interference.cc
@@ -152,8 +152,10 @@
             || imagesBeside(m_pool.at(task->record.worker), before.key) != before.neighbours)
             continue;
         progress = std::max(progress, percent);
+        // Without its machine's speed, so that slow machines are not taken for bad neighbours.
+        const double speed = speedOf(m_pool.at(task->record.worker));
         samples.push_back({task->record.worker,
-                           static_cast<double>(percent) / static_cast<double>(time.count()),
+                           static_cast<double>(percent) / static_cast<double>(time.count()) / speed,
                            before.neighbours});
     }
     if (progress < leastPercent)
