Charge connections and requests of HTTP servers to a memory budget

Change: memory_budget counts connections, headers, bodies and the records that RESTinio keeps for each chunk, before RESTinio parses the bytes, and until the request is answered. A new connection above the limit takes the place of a stalled or idle one. Refused clients linger on 64 connections at most. Each server has a budget of 64 MiB unless it gets a shared one.

--- a/goldcrest/ctl_table.cc
+++ b/goldcrest/ctl_table.cc
@@ -351,6 +351,7 @@
     case code::TeamLimit:
     case code::TooManyRequests:
     case code::TooManyConnections:
+    case code::MemoryLimit:
         return "The request was not run. Repeat it when the load has dropped.";
     case code::PlannerUnreachable:
         return "The cell currently has no planner. `goldcrestctl status` shows the cells.";
--- a/goldcrest/entry_client.cc
+++ b/goldcrest/entry_client.cc
@@ -23,6 +23,7 @@
     switch (reply.error().number) {
     case code::Draining:
     case code::TooManyConnections:
+    case code::MemoryLimit:
     case code::PlannerUnreachable:
     case code::StoreUnavailable:
     case code::StoreOverBudget:
--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -12,6 +12,7 @@
 #include <cctype>
 #include <charconv>
 #include <climits>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -29,6 +30,22 @@
 // Reading the next request while one is open also detects that the client closed the connection.
 constexpr std::size_t maxPipelinedRequests = 2;
 
+// Connections that are refused stay open for lingerTimeout at most up to this number, and only
+// while they send less than maxLingerBytes.
+constexpr std::size_t maxLingering = 64;
+constexpr std::size_t maxLingerBytes = 2 * 1024 * 1024;
+constexpr duration budgetCheckInterval = 250ms;
+
+// Memory that the parts of a request take. The body is in a buffer that doubles as it grows, and is
+// copied for the handler. RESTinio keeps a record of 16 bytes for each chunk, in a vector that
+// doubles too, and two strings for each header field, which are copied as well.
+constexpr std::size_t bodyByteCost = 3;
+constexpr std::size_t chunkCost = 32;
+constexpr std::size_t headerByteCost = 2;
+constexpr std::size_t fieldCost = 160;
+// The objects of RESTinio and this file, with the read buffer of 4 KiB.
+constexpr std::size_t connectionCost = 8 * 1024;
+
 class http_socket;
 struct server_state;
 
@@ -41,8 +58,26 @@
     request_inspector(const request_inspector &) = delete;
     request_inspector &operator=(const request_inspector &) = delete;
 
-    // Parses received bytes. Returns an error if they exceed a limit or are malformed.
-    std::optional<failure> read(std::string_view bytes, const http_limits &limits);
+    // Parses received bytes up to the end of a request, and removes what it has parsed. Returns an
+    // error if they exceed a limit or are malformed.
+    std::optional<failure> read(std::string_view &bytes, const http_limits &limits);
+
+    // Returns whether a request has ended since the last call.
+    bool takeComplete()
+    {
+        if (!std::exchange(m_complete, false))
+            return false;
+        m_headerEnded = false;
+        m_headerBytes = 0;
+        return true;
+    }
+
+    // Returns the memory that the request takes once RESTinio has parsed it.
+    std::size_t memoryCost() const
+    {
+        return m_bodyBytes * bodyByteCost + m_chunks * chunkCost
+            + (m_headerBytes + m_trailerBytes) * headerByteCost + m_fields * fieldCost;
+    }
 
     // Returns whether a part of a request was received, but not all of it.
     bool isWithinRequest() const { return m_headerBytes > 0; }
@@ -54,23 +89,28 @@
     http_parser m_parser{};
     std::size_t m_headerBytes = 0;
     std::size_t m_bodyBytes = 0;
+    std::size_t m_trailerBytes = 0; // fields after the last chunk
+    std::size_t m_chunks = 0;
+    std::size_t m_fields = 0;
     bool m_headerEnded = false;
     bool m_complete = false;
 };
 
 // State of one connection, by which the limits are enforced. Counted per peer and in the server
 // until release().
-struct connection_state
+struct connection_state final : budget_client
 {
-    connection_state(std::weak_ptr<server_state> owner, http_socket *stream,
+    connection_state(const std::shared_ptr<server_state> &owner, http_socket *stream,
                      const net::ip::tcp::endpoint &remoteEndpoint);
-    ~connection_state();
+    ~connection_state() override;
     connection_state(const connection_state &) = delete;
     connection_state &operator=(const connection_state &) = delete;
 
     // Marks the connection as closed and removes it from the server's counts.
     void release();
 
+    void drop(refusal_cause cause) override;
+
     std::weak_ptr<server_state> server;
     http_socket *socket; // null once the connection is closed
     net::ip::tcp::endpoint remote;
@@ -81,6 +121,9 @@
     bool refused = false; // closed by the server because of an error
     bool closed = false;
     std::size_t openRequests = 0;
+    budget_entry entry;
+    std::size_t charged = 0; // for the request that is being received
+    std::deque<budget_charge> received; // requests that RESTinio has not passed on yet
 };
 
 // State of one server, which its connections and responders share.
@@ -88,20 +131,41 @@
 {
     http_limits limits;
     http_handler handler;
+    asio_event_loop *loop = nullptr;
+    std::shared_ptr<memory_budget> budget;
+    memory_budget::pool_id pool = 0;
     std::map<net::ip::tcp::endpoint, std::weak_ptr<connection_state>> connections;
     std::map<net::ip::address, std::size_t> connectionsPerPeer;
     std::size_t openRequests = 0;
     bool accepting = true;
+    std::string lastRefusal; // of a client of this server, for the log
+
+    // Records a refusal for the log, and counts its cause unless the budget has.
+    void countRefusal(refusal_cause cause, const net::ip::tcp::endpoint &remote,
+                      const std::optional<failure> &error)
+    {
+        if (error)
+            budget->count(cause);
+        lastRefusal = fmt::format("{}: {}", remote.address().to_string(),
+                                  error ? error->reason : std::string(nameOf(cause)));
+    }
+
+    // Closes a connection that can be spared if a limit on connections is reached. Returns whether
+    // another one is admitted.
+    bool makeRoom(const net::ip::address &peer);
+
+    // Drops overdue requests, and writes what was refused to the log.
+    void checkBudget();
 };
 
-connection_state::connection_state(std::weak_ptr<server_state> owner, http_socket *stream,
+connection_state::connection_state(const std::shared_ptr<server_state> &owner, http_socket *stream,
                                    const net::ip::tcp::endpoint &remoteEndpoint)
-    : server(std::move(owner))
+    : server(owner)
     , socket(stream)
     , remote(remoteEndpoint)
+    , entry(owner->budget, owner->pool, *this, owner->loop->now())
 {
-    if (const auto lockedServer = server.lock())
-        ++lockedServer->connectionsPerPeer[remote.address()];
+    ++owner->connectionsPerPeer[remote.address()];
 }
 
 connection_state::~connection_state()
@@ -115,6 +179,8 @@
         return;
     closed = true;
     socket = nullptr;
+    entry.leave();
+    received.clear();
     const auto lockedServer = server.lock();
     if (!lockedServer)
         return;
@@ -124,6 +190,40 @@
         lockedServer->connectionsPerPeer.erase(found);
 }
 
+bool server_state::makeRoom(const net::ip::address &peer)
+{
+    const auto found = connectionsPerPeer.find(peer);
+    const std::size_t ofPeer = found == connectionsPerPeer.end() ? 0 : found->second;
+    const time_point now = loop->now();
+    if (ofPeer >= limits.maxConnectionsPerPeer) {
+        return budget->dropConnection(pool, now, [&peer](const budget_client &client) {
+            return static_cast<const connection_state &>(client).remote.address() == peer;
+        });
+    }
+    return connections.size() < limits.maxConnections
+        || budget->dropConnection(pool, now, [](const budget_client &) { return true; });
+}
+
+void server_state::checkBudget()
+{
+    const time_point now = loop->now();
+    budget->dropOverdue(pool, now, limits.requestTimes);
+    const auto counts = budget->takeSummary(now);
+    if (!counts)
+        return;
+    log_line line(log_level::Warning, "clients refused");
+    for (std::size_t i = 0; i < refusalCauses; ++i) {
+        if ((*counts)[i] > 0)
+            line.field(nameOf(static_cast<refusal_cause>(i)),
+                       static_cast<std::int64_t>((*counts)[i]));
+    }
+    if (!lastRefusal.empty())
+        line.field("last", std::exchange(lastRefusal, {}));
+    line.field("used_bytes", static_cast<std::int64_t>(budget->used()))
+        .field("limit_bytes", static_cast<std::int64_t>(budget->limit()))
+        .write();
+}
+
 request_inspector::request_inspector()
 {
     http_parser_init(&m_parser, HTTP_REQUEST);
@@ -146,6 +246,21 @@
             static_cast<request_inspector *>(parser->data)->m_bodyBytes += size;
             return 0;
         };
+        initial.on_chunk_header = [](http_parser *parser) {
+            ++static_cast<request_inspector *>(parser->data)->m_chunks;
+            return 0;
+        };
+        initial.on_header_field = [](http_parser *parser, const char *, std::size_t size) {
+            auto &inspector = *static_cast<request_inspector *>(parser->data);
+            ++inspector.m_fields;
+            inspector.m_trailerBytes += inspector.m_headerEnded ? size : 0;
+            return 0;
+        };
+        initial.on_header_value = [](http_parser *parser, const char *, std::size_t size) {
+            auto &inspector = *static_cast<request_inspector *>(parser->data);
+            inspector.m_trailerBytes += inspector.m_headerEnded ? size : 0;
+            return 0;
+        };
         initial.on_message_complete = [](http_parser *parser) {
             static_cast<request_inspector *>(parser->data)->m_complete = true;
             http_parser_pause(parser, 1);
@@ -158,7 +273,7 @@
 
 std::optional<failure> request_inspector::checkLimits(const http_limits &limits) const
 {
-    if (m_headerBytes > limits.maxHeaderBytes)
+    if (m_headerBytes + m_trailerBytes > limits.maxHeaderBytes)
         return makeFailure(
             code::InvalidValue,
             fmt::format("the header is larger than the limit of {} bytes", limits.maxHeaderBytes),
@@ -175,9 +290,15 @@
     return std::nullopt;
 }
 
-std::optional<failure> request_inspector::read(std::string_view bytes, const http_limits &limits)
+std::optional<failure> request_inspector::read(std::string_view &bytes, const http_limits &limits)
 {
-    while (!bytes.empty()) {
+    if (!m_headerEnded && m_headerBytes == 0) {
+        m_bodyBytes = 0;
+        m_trailerBytes = 0;
+        m_chunks = 0;
+        m_fields = 0;
+    }
+    while (!bytes.empty() && !m_complete) {
         const bool withinHeader = !m_headerEnded;
         const std::size_t size
             = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
@@ -194,16 +315,12 @@
                               "body");
         if (error == HPE_PAUSED)
             http_parser_pause(&m_parser, 0);
-        if (m_complete) {
-            m_complete = false;
-            m_headerEnded = false;
-            m_headerBytes = 0;
-            m_bodyBytes = 0;
-        }
         bytes.remove_prefix(size);
         // Protocol upgrades are not supported. RESTinio responds to the request and closes.
-        if (m_parser.upgrade != 0)
-            break;
+        if (m_parser.upgrade != 0) {
+            bytes = {};
+            m_complete = m_headerEnded;
+        }
     }
     return std::nullopt;
 }
@@ -222,17 +339,30 @@
     void shutdown() noexcept override { servers.clear(); }
 
     std::map<unsigned short, std::weak_ptr<server_state>> servers; // by local port
+    std::size_t lingering = 0; // connections of refused clients
 };
 
-// Closes the connection of a refused client after it stopped sending or lingerTimeout has passed.
-// Closing with unread data would reset the connection, and the client would lose the error
-// response.
+server_registry &registryOf(net::ip::tcp::socket &socket)
+{
+    auto &context = net::query(socket.get_executor(), net::execution::context);
+    return net::use_service<server_registry>(context);
+}
+
+// Closes the connection of a refused client after it stopped sending, has sent maxLingerBytes, or
+// lingerTimeout has passed. Closing with unread data would reset the connection, and the client
+// would lose the error response.
 struct lingering_close : std::enable_shared_from_this<lingering_close>
 {
     explicit lingering_close(net::ip::tcp::socket &&refusedSocket)
         : socket(std::move(refusedSocket))
         , timer(socket.get_executor(), lingerTimeout)
-    { }
+        , registry(registryOf(socket))
+    {
+        ++registry.lingering;
+    }
+    ~lingering_close() { --registry.lingering; }
+    lingering_close(const lingering_close &) = delete;
+    lingering_close &operator=(const lingering_close &) = delete;
 
     void start()
     {
@@ -247,8 +377,9 @@
     {
         socket.async_read_some(
             net::buffer(buffer),
-            [self = shared_from_this()](const net::error_code &error, std::size_t) {
-                if (error)
+            [self = shared_from_this()](const net::error_code &error, std::size_t size) {
+                self->bytes += size;
+                if (error || self->bytes >= maxLingerBytes)
                     self->timer.cancel();
                 else
                     self->read();
@@ -257,6 +388,8 @@
 
     net::ip::tcp::socket socket;
     net::steady_timer timer;
+    server_registry &registry;
+    std::size_t bytes = 0;
     std::array<char, 4096> buffer{};
 };
 
@@ -317,7 +450,8 @@
             net::ip::tcp::socket::close();
             return;
         }
-        const bool lingers = state->refused && !state->peerClosed;
+        const bool lingers
+            = state->refused && !state->peerClosed && registryOf(*this).lingering < maxLingering;
         state->release();
         net::error_code ignored;
         if (!lingers) {
@@ -334,8 +468,6 @@
         if (!m_state || m_state->refused)
             return;
         m_state->refused = true;
-        const std::string peer = m_state->remote.address().to_string();
-        log_line(log_level::Warning, "request refused").error(error).peer(peer).limit(peer).write();
         // The client would take the error for the response to its open request.
         if (m_state->openRequests > 0)
             return;
@@ -345,6 +477,23 @@
         write_some(net::buffer(formatRefusal(error)), ignored);
     }
 
+    // As refuse(), and counts the cause.
+    void refuse(const failure &error, refusal_cause cause)
+    {
+        if (!m_state || m_state->refused)
+            return;
+        if (const auto server = m_state->server.lock())
+            server->countRefusal(cause, m_state->remote, error);
+        refuse(error);
+    }
+
+    // Ends the pending read, so that RESTinio closes the connection.
+    void endReading()
+    {
+        net::error_code ignored;
+        net::ip::tcp::socket::shutdown(net::socket_base::shutdown_receive, ignored);
+    }
+
     // Shuts the connection down in both directions. RESTinio then reads its end and closes it.
     void abort()
     {
@@ -366,9 +515,7 @@
         const auto server = state->server.lock();
         if (!error && server && state->socket && !state->refused) {
             const net::mutable_buffer received(buffers);
-            const std::string_view bytes(static_cast<const char *>(received.data()), size);
-            if (const auto refusal = state->inspector.read(bytes, server->limits))
-                state->socket->refuse(*refusal);
+            inspect(*server, *state, {static_cast<const char *>(received.data()), size});
         }
         if (!error && state->refused) {
             // Makes RESTinio close the connection as if the client had closed it.
@@ -380,6 +527,34 @@
         state->parsing = false;
     }
 
+    // Charges received bytes to the budget before RESTinio parses them. Refuses the connection if
+    // they exceed a limit or there is no memory left.
+    static void inspect(server_state &server, connection_state &state, std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const std::size_t before = bytes.size();
+            if (const auto refusal = state.inspector.read(bytes, server.limits)) {
+                const bool isTooLarge = refusal->number == code::BodyTooLarge;
+                state.socket->refuse(*refusal,
+                                     isTooLarge ? refusal_cause::TooLarge : refusal_cause::Invalid);
+                return;
+            }
+            state.entry.progress(before - bytes.size(), server.loop->now());
+            const std::size_t cost = state.inspector.memoryCost();
+            if (cost > state.charged && !state.entry.charge(cost - state.charged)) {
+                state.socket->refuse(
+                    makeFailure(code::MemoryLimit, "no memory left for another request"),
+                    refusal_cause::NoMemory);
+                return;
+            }
+            state.charged = cost;
+            if (state.inspector.takeComplete()) {
+                state.received.push_back(state.entry.completeRequest(server.loop->now()));
+                state.charged = 0;
+            }
+        }
+    }
+
     // Finds the server of the connection and counts the connection. Refuses it if there are too
     // many.
     void attach()
@@ -389,26 +564,23 @@
         const auto local = local_endpoint(error);
         if (error)
             return;
-        auto &context = net::query(get_executor(), net::execution::context);
-        auto &servers = net::use_service<server_registry>(context).servers;
+        const auto &servers = registryOf(*this).servers;
         const auto found = servers.find(local.port());
         const auto server = found == servers.end() ? nullptr : found->second.lock();
         if (!server)
             return;
-        const auto peers = server->connectionsPerPeer.find(remote.address());
-        const std::size_t peerConnections
-            = peers == server->connectionsPerPeer.end() ? 0 : peers->second;
-        const bool limitReached = server->connections.size() >= server->limits.maxConnections
-            || peerConnections >= server->limits.maxConnectionsPerPeer;
+        const bool isAdmitted = server->makeRoom(remote.address());
         m_state = std::make_shared<connection_state>(server, this, remote);
         m_state->isLocal
             = isFromSameMachine(remote.address().to_string(), local.address().to_string());
+        if (m_state->isLocal && server->limits.prefersLocalClients)
+            m_state->entry.protect();
         server->connections[remote] = m_state;
-        if (!limitReached)
+        if (isAdmitted && m_state->entry.chargeConnection(connectionCost))
             return;
-        refuse(makeFailure(code::TooManyConnections, "too many open connections"));
-        // Ends the pending read, so that RESTinio closes the connection.
-        net::ip::tcp::socket::shutdown(net::socket_base::shutdown_receive, error);
+        refuse(makeFailure(code::TooManyConnections, "too many open connections"),
+               refusal_cause::Connections);
+        endReading();
     }
 
     // Sends the error response that RESTinio leaves out when it closes a connection by itself: the
@@ -420,7 +592,8 @@
         // RESTinio rejects some requests that the inspector accepts, such as by the number of
         // fields.
         if (m_state->parsing) {
-            refuse(makeFailure(code::InvalidValue, "the request is not valid HTTP/1.1"));
+            refuse(makeFailure(code::InvalidValue, "the request is not valid HTTP/1.1"),
+                   refusal_cause::Invalid);
             return;
         }
         if (!m_state->inspector.isWithinRequest())
@@ -428,14 +601,33 @@
         const auto server = m_state->server.lock();
         if (!server)
             return;
-        refuse(makeFailure(
-            code::HeaderTimeout,
-            fmt::format("no complete request within {} ms", server->limits.headerTimeout.count())));
+        refuse(makeFailure(code::HeaderTimeout,
+                           fmt::format("no complete request within {} ms",
+                                       server->limits.headerTimeout.count())),
+               refusal_cause::Stalled);
     }
 
     std::shared_ptr<connection_state> m_state;
 };
 
+void connection_state::drop(refusal_cause cause)
+{
+    http_socket *const stream = socket;
+    const auto lockedServer = server.lock();
+    if (stream == nullptr || !lockedServer || refused)
+        return;
+    if (!inspector.isWithinRequest()) {
+        refused = true; // an idle client would take an error for the response to its next request
+        lockedServer->countRefusal(cause, remote, std::nullopt);
+    } else if (cause == refusal_cause::Stalled) {
+        stream->refuse(makeFailure(code::HeaderTimeout, "the request made too little progress"));
+    } else {
+        stream->refuse(makeFailure(code::MemoryLimit, "dropped in favour of other requests"));
+    }
+    stream->endReading();
+    release();
+}
+
 struct server_traits : restinio::default_single_thread_traits_t
 {
     using stream_socket_t = http_socket;
@@ -481,6 +673,10 @@
         , m_connection(std::move(connection))
         , m_request(std::move(request))
     {
+        if (m_connection && !m_connection->received.empty()) {
+            m_charge = std::move(m_connection->received.front());
+            m_connection->received.pop_front();
+        }
         if (const auto lockedServer = m_server.lock())
             ++lockedServer->openRequests;
         if (m_connection)
@@ -566,16 +762,22 @@
     void finish()
     {
         m_request = nullptr;
-        if (const auto lockedServer = m_server.lock())
+        m_charge.release();
+        const auto lockedServer = m_server.lock();
+        if (lockedServer)
             --lockedServer->openRequests;
-        if (m_connection)
-            --m_connection->openRequests;
+        if (!m_connection)
+            return;
+        --m_connection->openRequests;
+        if (lockedServer)
+            m_connection->entry.answered(lockedServer->loop->now());
     }
 
     std::weak_ptr<server_state> m_server;
     std::shared_ptr<connection_state> m_connection;
     restinio::request_handle_t m_request;
     std::unique_ptr<chunked_builder> m_chunks;
+    budget_charge m_charge; // of the request
 };
 
 std::string lowerCase(std::string text)
@@ -653,7 +855,7 @@
 class restinio_http_server final : public http_server
 {
 public:
-    restinio_http_server(net::io_context &context, const std::string &host, std::uint16_t port,
+    restinio_http_server(asio_event_loop &loop, const std::string &host, std::uint16_t port,
                          const http_limits &limits, http_handler handler);
     ~restinio_http_server() override;
     restinio_http_server(const restinio_http_server &) = delete;
@@ -669,17 +871,23 @@
     std::shared_ptr<server_state> m_state = std::make_shared<server_state>();
     std::string m_host;
     std::uint16_t m_port = 0;
+    timer_handle m_check;
     std::unique_ptr<restinio_server> m_server;
 };
 
-restinio_http_server::restinio_http_server(net::io_context &context, const std::string &host,
+restinio_http_server::restinio_http_server(asio_event_loop &loop, const std::string &host,
                                            std::uint16_t port, const http_limits &limits,
                                            http_handler handler)
-    : m_context(context)
+    : m_context(loop.context())
     , m_host(host)
 {
     m_state->limits = limits;
     m_state->handler = std::move(handler);
+    m_state->loop = &loop;
+    m_state->budget
+        = limits.budget ? limits.budget : std::make_shared<memory_budget>(limits.memoryBytes);
+    m_state->pool = m_state->budget->addPool(limits.reservedBytes);
+    m_check = loop.every(budgetCheckInterval, [state = m_state.get()] { state->checkBudget(); });
     const std::weak_ptr<server_state> weak = m_state;
     restinio::server_settings_t<server_traits> settings;
     settings.port(port)
@@ -700,6 +908,11 @@
         .socket_options_setter([](restinio::socket_options_t &options) {
             options.set_option(net::ip::tcp::no_delay(true));
         })
+        .acceptor_options_setter([&limits](restinio::acceptor_options_t &options) {
+            options.set_option(net::ip::tcp::acceptor::reuse_address(true));
+            // Accepted sockets inherit it.
+            options.set_option(net::socket_base::receive_buffer_size(limits.receiveBufferBytes));
+        })
         .acceptor_post_bind_hook(
             [this](net::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
         .request_handler([weak](const restinio::request_handle_t &request) {
@@ -709,10 +922,10 @@
             handleRequest(state, request);
             return restinio::request_accepted();
         });
-    m_server = std::make_unique<restinio_server>(restinio::external_io_context(context),
+    m_server = std::make_unique<restinio_server>(restinio::external_io_context(m_context),
                                                  std::move(settings));
     m_server->open_sync();
-    net::use_service<server_registry>(context).servers[m_port] = m_state;
+    net::use_service<server_registry>(m_context).servers[m_port] = m_state;
 }
 
 restinio_http_server::~restinio_http_server()
@@ -813,8 +1026,8 @@
     if (host.size() > 2 && host.front() == '[' && host.back() == ']')
         host = host.substr(1, host.size() - 2);
     try {
-        return std::unique_ptr<http_server>(std::make_unique<restinio_http_server>(
-            loop.context(), host, port, limits, std::move(handler)));
+        return std::unique_ptr<http_server>(
+            std::make_unique<restinio_http_server>(loop, host, port, limits, std::move(handler)));
     } catch (const std::exception &error) {
         return makeFailure(code::SettingsInvalid,
                            "can't listen on " + std::string(address) + ": " + error.what());
--- a/goldcrest/http_server.h
+++ b/goldcrest/http_server.h
@@ -9,6 +9,7 @@
 //   auto server = makeHttpServer(loop, "127.0.0.1:8080", http_limits{}, handler);
 
 #include "goldcrest/clock.h"
+#include "goldcrest/memory_budget.h"
 #include "goldcrest/outcome.h"
 
 #include <functional>
@@ -98,6 +99,21 @@
     std::size_t maxOpenRequests = 4096;
     duration headerTimeout = 5s; // from connecting, or from the last response, to a whole request
     duration writeTimeout = 10s; // of a response, or of a piece of a chunked one
+
+    // Of a request that has begun. Connections that wait for a request are not subject to them.
+    memory_budget::time_limits requestTimes;
+
+    // Memory for connections and requests in flight. A server without a budget has one of its own.
+    std::shared_ptr<memory_budget> budget;
+    std::size_t memoryBytes = 64 * 1024 * 1024; // of its own budget
+    std::size_t reservedBytes = 0; // of the budget, which other listeners can't use
+
+    // Size of the kernel's receive buffer of each connection, which Linux doubles. Bytes that the
+    // process has not read yet count towards the memory limit of its machine.
+    int receiveBufferBytes = 16 * 1024;
+
+    // Drops requests from the machine of the server only if there are no others to drop.
+    bool prefersLocalClients = false;
 };
 
 using http_handler
@@ -123,7 +139,9 @@
 
 // Starts a server on host:port. `handler` runs on the loop's thread. Destroying the server closes
 // its connections. Requests that exceed a limit get an error response: BodyTooLarge, HeaderTimeout,
-// TooManyConnections, TooManyRequests, or InvalidValue for a header that is malformed or too large.
+// TooManyConnections, TooManyRequests, MemoryLimit, or InvalidValue for a header that is malformed
+// or too large. In favour of a new connection, one is closed that is stalled or waits for its next
+// request.
 // Errors: SettingsInvalid if the address is not host:port or can't be bound.
 result<std::unique_ptr<http_server>> makeHttpServer(asio_event_loop &loop, std::string_view address,
                                                     const http_limits &limits,
--- a/goldcrest/outcome.h
+++ b/goldcrest/outcome.h
@@ -48,6 +48,7 @@
     TooManyConnections = 205,
     TooManyRequests = 206,
     HeaderTimeout = 207,
+    MemoryLimit = 208,
 
     // 300-399: the job was started.
     TaskFailed = 300,
