Bound the memory for clients of front and sidecar by memoryMb

Cause: the listeners of a process had no common bound, a response could have 64 MiB, and responses together were not bounded.

Metrics: client_memory_bytes, client_memory_limit_bytes, clients_refused_total.

In the process test, only the function that gives the settings has changed.

--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -29,7 +29,8 @@
 
 constexpr long maxConnectionsPerHost = 32;
 constexpr long maxIdleConnections = 64;
-constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
+// What libcurl allocates for a header field, besides its bytes.
+constexpr std::size_t headerFieldCost = 100;
 
 void initialiseCurlOnce()
 {
@@ -60,6 +61,13 @@
     bool alive = true;
 };
 
+// Bytes of all responses that a client holds. Used by the transfer thread and the loop's thread.
+struct held_bytes
+{
+    http_client_limits limits;
+    std::atomic<std::size_t> total{0};
+};
+
 // One request and its response. Used on the transfer thread only, from transfer_thread::start()
 // until the result is posted to the loop.
 struct exchange
@@ -74,6 +82,8 @@
     std::function<void(result<http_response>)> onResponse; // set by send()
     std::function<void(std::string_view)> onData; // set by stream()
     std::function<void(result<done>)> onEnd; // set by stream()
+    std::shared_ptr<held_bytes> held; // of the client
+    std::size_t heldBytes = 0; // of this response
     std::size_t bodySent = 0;
     time_point startedAt{};
     bool isTooLarge = false;
@@ -82,7 +92,20 @@
     exchange() = default;
     exchange(const exchange &) = delete;
     exchange &operator=(const exchange &) = delete;
-    ~exchange() { release(); }
+    ~exchange()
+    {
+        release();
+        held->total -= heldBytes;
+    }
+
+    // Counts received bytes. Returns false if they exceed a limit.
+    bool hold(std::size_t bytes)
+    {
+        heldBytes += bytes;
+        const std::size_t total = held->total += bytes;
+        isTooLarge = heldBytes > held->limits.maxResponseBytes || total > held->limits.maxHeldBytes;
+        return !isTooLarge;
+    }
 
     // Frees the objects of libcurl, which the transfer thread may do. The callbacks may own objects
     // of the loop's thread and are not destroyed here.
@@ -124,10 +147,8 @@
             });
         return bytes;
     }
-    if (running.response.body.size() + bytes > maxResponseBytes) {
-        running.isTooLarge = true;
+    if (!running.hold(bytes))
         return 0; // makes libcurl abort the transfer
-    }
     running.response.body.append(data, bytes);
     return bytes;
 }
@@ -143,6 +164,8 @@
         running.isHeadComplete = true;
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
+        if (!running.hold(line.size() + headerFieldCost))
+            return 0;
         running.response.headers.emplace_back(lowerCase(line.substr(0, colon)),
                                               std::string(trim(line.substr(colon + 1))));
     }
@@ -460,11 +483,13 @@
 class curl_client final : public http_client
 {
 public:
-    explicit curl_client(event_loop &loop)
+    curl_client(event_loop &loop, const http_client_limits &limits)
         : m_loop(loop)
         , m_transfers(std::make_shared<transfer_thread>())
         , m_live(std::make_shared<liveness>())
-    { }
+    {
+        m_held->limits = limits;
+    }
 
     // Results that are already posted to the loop see that `alive` is false and are ignored.
     ~curl_client() override { m_live->alive = false; }
@@ -498,20 +523,22 @@
         next->id = ++m_lastId;
         next->request = std::move(request);
         next->loop = &m_loop;
+        next->held = m_held;
         return next;
     }
 
     event_loop &m_loop;
     std::shared_ptr<transfer_thread> m_transfers;
     std::shared_ptr<liveness> m_live;
+    std::shared_ptr<held_bytes> m_held = std::make_shared<held_bytes>();
     std::uint64_t m_lastId = 0;
 };
 
 } // namespace
 
-std::unique_ptr<http_client> makeCurlClient(event_loop &loop)
+std::unique_ptr<http_client> makeCurlClient(event_loop &loop, const http_client_limits &limits)
 {
-    return std::make_unique<curl_client>(loop);
+    return std::make_unique<curl_client>(loop, limits);
 }
 
 } // namespace goldcrest
--- a/goldcrest/http_client.h
+++ b/goldcrest/http_client.h
@@ -11,6 +11,7 @@
 #include "goldcrest/event_loop.h"
 #include "goldcrest/outcome.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -65,9 +66,17 @@
         = 0;
 };
 
+// Limits on what a client holds of responses, headers included, until their callbacks have run.
+struct http_client_limits
+{
+    std::size_t maxResponseBytes = 64 * 1024 * 1024; // of one response
+    std::size_t maxHeldBytes = 256 * 1024 * 1024; // of all responses
+};
+
 // Returns a client that runs all transfers on one thread of its own and posts the results to
 // `loop`, which must outlive the client. After the client and its streams are destroyed, no
-// callback runs.
-std::unique_ptr<http_client> makeCurlClient(event_loop &loop);
+// callback runs. A response above a limit ends with StoreAmbiguous.
+std::unique_ptr<http_client> makeCurlClient(event_loop &loop,
+                                            const http_client_limits &limits = {});
 
 } // namespace goldcrest
--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -117,6 +117,12 @@
      "Links closed because of a limit, an invalid hello message or a malformed frame."},
     {metric::LinksIdleClosed, "links_idle_closed_total", counterKind, "", "all",
      "Links closed because no data arrived within the idle timeout."},
+    {metric::ClientMemory, "client_memory_bytes", gaugeKind, "", "all",
+     "Memory for connections and requests in flight, as charged to the budget."},
+    {metric::ClientMemoryLimit, "client_memory_limit_bytes", gaugeKind, "", "all",
+     "Budget for connections and requests in flight."},
+    {metric::ClientsRefused, "clients_refused_total", counterKind, "cause", "all",
+     "Clients that were refused or whose connection was closed in favour of others, by cause."},
 };
 
 constexpr std::string_view namePrefix = "goldcrest_";
@@ -141,7 +147,7 @@
         if (static_cast<std::size_t>(row.id) != index++)
             return false;
     }
-    return index == static_cast<std::size_t>(metric::LinksIdleClosed) + 1;
+    return index == static_cast<std::size_t>(metric::ClientsRefused) + 1;
 }
 static_assert(isTableInOrder(), "metricTable must have one row for each metric, in order");
 
@@ -319,6 +325,16 @@
     set(metric::LinksIdleClosed, static_cast<double>(traffic.idleClosed));
 }
 
+void metrics_registry::setClientMemory(const memory_budget &budget)
+{
+    set(metric::ClientMemory, static_cast<double>(budget.used()));
+    set(metric::ClientMemoryLimit, static_cast<double>(budget.limit()));
+    for (std::size_t i = 0; i < refusalCauses; ++i) {
+        set(metric::ClientsRefused, static_cast<double>(budget.refusals()[i]),
+            nameOf(static_cast<refusal_cause>(i)));
+    }
+}
+
 void metrics_registry::setStoreCalls(const store_client_counts &counts)
 {
     const auto set = [this](std::string_view result, std::uint64_t count) {
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -13,6 +13,7 @@
 // argument.
 
 #include "goldcrest/clock.h"
+#include "goldcrest/memory_budget.h"
 #include "goldcrest/store_client.h"
 #include "goldcrest/websocket_link.h"
 
@@ -76,6 +77,9 @@
     LinkSendsRefused,
     LinksRefused,
     LinksIdleClosed,
+    ClientMemory,
+    ClientMemoryLimit,
+    ClientsRefused,
 };
 
 class metrics_registry
@@ -102,6 +106,9 @@
     // Sets the metrics of the links between processes.
     void setLinkTraffic(const link_traffic &traffic, std::size_t openLinks);
 
+    // Sets the metrics of the memory for clients.
+    void setClientMemory(const memory_budget &budget);
+
     // Sets the numbers of calls to the store by result.
     void setStoreCalls(const store_client_counts &counts);
 
--- a/testing/client_limits_process_test.cc
+++ b/testing/client_limits_process_test.cc
@@ -49,7 +49,7 @@
 // The limits of these processes as a part of their settings files.
 std::string limitSettings()
 {
-    return {};
+    return R"(, "memoryMb": )" + std::to_string(memoryLimitMb);
 }
 
 // What one client sends: a head, and then the same piece a number of times. It stays connected.
