Charge messages that arrive on links to the memory budget

Cause: 60 clients whose link messages stop just before their end took 136 MB in a sidecar, and WebSocket++ buffers opening handshakes with a body of up to 32 MB for each connection.

Change: the message buffers of accepted connections are charged with their declared size before they are filled, also while a closed link is still read. Accepted connections that have not opened are charged and give way to new ones; open links are a part of the process's own need. Opening handshakes have no body.

New test: sidecarTakesHandshakesWithABody.

--- a/goldcrest/memory_budget.h
+++ b/goldcrest/memory_budget.h
@@ -173,8 +173,9 @@
     budget_entry(const budget_entry &) = delete;
     budget_entry &operator=(const budget_entry &) = delete;
 
-    // Charges what the connection itself takes, for its whole life.
+    // Charges what the connection itself takes, for its whole life or until releaseConnection().
     bool chargeConnection(std::size_t bytes);
+    void releaseConnection() { m_connection.release(); }
 
     // Charges bytes of the request that is being received. Returns false if there is no room;
     // nothing was charged then.
@@ -193,6 +194,9 @@
     // Protected requests are dropped only if there are no others.
     void protect() { m_isProtected = true; }
 
+    // Returns the bytes that are charged for the request that is being received.
+    std::size_t requestBytes() const { return m_request.bytes(); }
+
     // Removes the entry from the budget; it holds nothing afterwards.
     void leave();
 
--- a/goldcrest/websocket_link.cc
+++ b/goldcrest/websocket_link.cc
@@ -20,6 +20,144 @@
 
 namespace {
 
+// What an accepted link takes before its hello: the objects of WebSocket++ and its read buffer.
+constexpr std::size_t linkCost = 12 * 1024;
+// A message is decoded into strings of its own while its buffer exists.
+constexpr std::size_t payloadCost = 2;
+
+// Charges the message that arrives on an accepted connection to the budget. Exists as long as the
+// connection of the library, which may still read after its link has closed.
+class link_memory final : public budget_client
+{
+public:
+    // @param onDrop closes the connection
+    link_memory(const std::shared_ptr<memory_budget> &budget, memory_budget::pool_id pool,
+                asio_event_loop &loop, std::string ip, std::function<void(refusal_cause)> onDrop)
+        : m_entry(budget, pool, *this, loop.now())
+        , m_loop(loop)
+        , m_ip(std::move(ip))
+        , m_onDrop(std::move(onDrop))
+    { }
+
+    budget_entry &entry() { return m_entry; }
+
+    // Returns the IP address of the client.
+    const std::string &ip() const { return m_ip; }
+
+    void drop(refusal_cause cause) override
+    {
+        m_entry.leave();
+        if (const auto onDrop = std::exchange(m_onDrop, nullptr))
+            onDrop(cause);
+    }
+
+    // Whether the link has opened. Open links are not closed in favour of others.
+    bool isOpen = false;
+
+    // Messages that are sent are not charged; the send buffer has a limit of its own.
+    bool isSending = false;
+
+    // Called before bytes are added to the payload of the message.
+    void update(const std::string &payload)
+    {
+        m_entry.progress(payload.size() - std::min(payload.size(), m_received), m_loop.now());
+        m_received = payload.size();
+        const std::size_t cost = payload.capacity() * payloadCost;
+        const std::size_t charged = m_entry.requestBytes();
+        if (cost > charged && !m_entry.charge(cost - charged))
+            drop(refusal_cause::NoMemory);
+    }
+
+    // Called when the message is destroyed.
+    void end()
+    {
+        m_received = 0;
+        m_entry.completeRequest(m_loop.now()).release();
+        m_entry.answered(m_loop.now());
+    }
+
+private:
+    budget_entry m_entry;
+    asio_event_loop &m_loop;
+    std::string m_ip;
+    std::function<void(refusal_cause)> m_onDrop;
+    std::size_t m_received = 0; // bytes of the current message
+};
+
+// A message of WebSocket++. The library reserves the declared size of the first frame, and calls
+// get_raw_payload() before it adds received bytes.
+class charged_messages;
+
+class charged_message : public websocketpp::message_buffer::message<
+                            websocketpp::message_buffer::alloc::con_msg_manager>
+{
+public:
+    using base
+        = websocketpp::message_buffer::message<websocketpp::message_buffer::alloc::con_msg_manager>;
+    using ptr = std::shared_ptr<charged_message>;
+
+    // @param memory of an incoming message of an accepted link, else empty
+    charged_message(charged_messages &maker, std::weak_ptr<link_memory> memory,
+                    websocketpp::frame::opcode::value kind, std::size_t size)
+        : base(nullptr, kind, size)
+        , m_maker(maker)
+        , m_memory(std::move(memory))
+    {
+        get_raw_payload();
+    }
+    ~charged_message()
+    {
+        if (const auto memory = m_memory.lock())
+            memory->end();
+    }
+    charged_message(const charged_message &) = delete;
+    charged_message &operator=(const charged_message &) = delete;
+
+    std::string &get_raw_payload() // NOLINT: name required by WebSocket++
+    {
+        std::string &payload = base::get_raw_payload();
+        if (const auto memory = m_memory.lock())
+            memory->update(payload);
+        return payload;
+    }
+
+    // Returns the object that has created the message, which its connection owns.
+    charged_messages &maker() const { return m_maker; }
+
+private:
+    charged_messages &m_maker;
+    std::weak_ptr<link_memory> m_memory;
+};
+
+// Creates the messages of one connection.
+class charged_messages
+{
+public:
+    using ptr = std::shared_ptr<charged_messages>;
+    using message_ptr = charged_message::ptr; // NOLINT: name required by WebSocket++
+
+    // NOLINTBEGIN(readability-identifier-naming): names required by WebSocket++
+    message_ptr get_message()
+    {
+        return std::make_shared<charged_message>(*this, std::weak_ptr<link_memory>(),
+                                                 websocketpp::frame::opcode::binary, 0);
+    }
+    message_ptr get_message(websocketpp::frame::opcode::value kind, std::size_t size)
+    {
+        const bool isCharged
+            = m_memory && !m_memory->isSending && !websocketpp::frame::opcode::is_control(kind);
+        return std::make_shared<charged_message>(
+            *this, isCharged ? std::weak_ptr<link_memory>(m_memory) : std::weak_ptr<link_memory>(),
+            kind, size);
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    void setMemory(const std::shared_ptr<link_memory> &memory) { m_memory = memory; }
+
+private:
+    std::shared_ptr<link_memory> m_memory; // null on dialled links
+};
+
 // WebSocket++ configuration of both endpoints: no logs, no locks since all run on one thread, and
 // small read buffers.
 struct link_config : websocketpp::config::asio
@@ -29,8 +167,8 @@
     using concurrency_type = websocketpp::concurrency::none;
     using request_type = base::request_type;
     using response_type = base::response_type;
-    using message_type = base::message_type;
-    using con_msg_manager_type = base::con_msg_manager_type;
+    using message_type = charged_message;
+    using con_msg_manager_type = charged_messages;
     using endpoint_msg_manager_type = base::endpoint_msg_manager_type;
     using alog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::alevel>;
     using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
@@ -59,6 +197,8 @@
     // A planner has hundreds of links. The default of 16 KiB each would take half of its memory
     // budget.
     static const std::size_t connection_read_buffer_size = 2048;
+    // Opening handshakes have no body.
+    static const std::size_t max_http_body_size = 0;
     static const websocketpp::log::level elog_level = websocketpp::log::elevel::none;
     static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
     // NOLINTEND(readability-identifier-naming)
@@ -161,6 +301,10 @@
     link_context(asio_event_loop &eventLoop, websocket_options linkOptions)
         : loop(eventLoop)
         , options(std::move(linkOptions))
+        , budget(options.limits.budget
+                     ? options.limits.budget
+                     : std::make_shared<memory_budget>(options.limits.memoryBytes))
+        , pool(budget->addPool(options.limits.reservedBytes))
         , jitter(options.seed)
     { }
 
@@ -169,6 +313,8 @@
     std::shared_ptr<link_endpoints> endpoints = std::make_shared<link_endpoints>();
     link_filter filter;
     link_traffic traffic;
+    std::shared_ptr<memory_budget> budget;
+    memory_budget::pool_id pool = 0;
     std::minstd_rand jitter;
     std::unordered_map<websocket_link *, std::weak_ptr<websocket_link>> links;
     std::set<std::shared_ptr<websocket_link>> accepted;
@@ -240,8 +386,12 @@
     // Starts one attempt to connect a dialled link.
     void connect();
 
-    // Uses a TCP connection that the acceptor has accepted, before its opening handshake.
-    void adopt(const connection_ptr &con);
+    // Uses a TCP connection that the acceptor has accepted, before its opening handshake. Returns
+    // false if there is no memory left for another one.
+    bool adopt(const connection_ptr &con);
+
+    // Closes an accepted connection for the sake of the memory budget.
+    void endFor(const connection_ptr &con, refusal_cause cause);
 
     void setAddress(std::string address) { m_address = std::move(address); }
 
@@ -284,6 +434,7 @@
 
     std::weak_ptr<link_context> m_context;
     std::string m_address;
+    std::shared_ptr<link_memory> m_memory; // of an accepted link
     bool m_dialled;
     phase m_phase = phase::Idle;
     connection_ptr m_connection;
@@ -335,8 +486,12 @@
     // Reports a dropped frame as sent, since a sender can't notice that the network loses a frame.
     if (context->filter.blocksSending(m_address))
         return true;
+    if (m_memory)
+        m_memory->isSending = true;
     const auto error
         = m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+    if (m_memory)
+        m_memory->isSending = false;
     if (error) {
         ++context->traffic.sendsRefused;
         return false;
@@ -402,10 +557,47 @@
     context->endpoints->client.connect(con);
 }
 
-void websocket_link::adopt(const connection_ptr &con)
+bool websocket_link::adopt(const connection_ptr &con)
 {
+    const context_ptr context = m_context.lock();
+    const auto onDrop = [weakContext = m_context, weakLink = weak_from_this(),
+                         weakCon = std::weak_ptr<connection>(con)](refusal_cause cause) {
+        const context_ptr owner = weakContext.lock();
+        if (!owner)
+            return;
+        if (cause == refusal_cause::NoMemory)
+            owner->budget->count(cause);
+        // Later, since the library may be reading from the connection now.
+        owner->loop.post([weakLink, weakCon, cause] {
+            const connection_ptr dropped = weakCon.lock();
+            if (!dropped)
+                return;
+            if (const auto link = weakLink.lock())
+                link->endFor(dropped, cause);
+            else
+                dropped->terminate(
+                    websocketpp::error::make_error_code(websocketpp::error::general));
+        });
+    };
+    m_memory = std::make_shared<link_memory>(context->budget, context->pool, context->loop,
+                                             remoteIp(con), onDrop);
+    if (!m_memory->entry().chargeConnection(linkCost))
+        return false;
+    con->get_message(websocketpp::frame::opcode::binary, 0)->maker().setMemory(m_memory);
     m_phase = phase::Connecting;
     attach(con);
+    return true;
+}
+
+void websocket_link::endFor(const connection_ptr &con, refusal_cause cause)
+{
+    if (m_connection == con) {
+        if (const context_ptr context = m_context.lock())
+            ++context->traffic.linksRefused;
+        terminate(makeFailure(code::MemoryLimit, std::string(nameOf(cause))));
+        return;
+    }
+    con->terminate(websocketpp::error::make_error_code(websocketpp::error::general));
 }
 
 void websocket_link::attach(const connection_ptr &con)
@@ -562,6 +754,12 @@
     m_phase = phase::Open;
     m_openedAt = context->loop.now();
     const auto self = shared_from_this();
+    if (m_memory) {
+        // Open links are a part of what the process needs itself.
+        m_memory->entry().releaseConnection();
+        m_memory->entry().protect();
+        m_memory->isOpen = true;
+    }
     if (!m_dialled && context->onAccept) {
         const auto callback = context->onAccept;
         callback(self);
@@ -822,7 +1020,15 @@
 void websocketpp_network::handleAccepted(const context_ptr &context, const connection_ptr &con)
 {
     const std::string ip = remoteIp(con);
-    if (!admit(context, ip)) {
+    const auto mayDrop = [&ip](const budget_client &client) {
+        const auto &memory = static_cast<const link_memory &>(client);
+        return !memory.isOpen && memory.ip() == ip;
+    };
+    const bool isAdmitted = admit(context, ip)
+        || context->budget->dropConnection(context->pool, context->loop.now(), mayDrop);
+    const auto link = std::make_shared<websocket_link>(context, remoteAddress(con), false);
+    if (!isAdmitted || !link->adopt(con)) {
+        context->budget->count(refusal_cause::Connections);
         ++context->traffic.linksRefused;
         logLinkFault(log_level::Warning, "link refused", ip,
                      makeFailure(code::TooManyConnections, "too many accepted links"));
@@ -832,10 +1038,8 @@
     }
     const std::weak_ptr<link_context> weakContext = context;
     const auto slot = std::make_shared<connection_slot>(context, ip);
-    const auto link = std::make_shared<websocket_link>(context, remoteAddress(con), false);
     context->links.emplace(link.get(), link);
     context->accepted.insert(link);
-    link->adopt(con);
     const std::weak_ptr<websocket_link> weakLink = link;
     const std::weak_ptr<connection> weakCon = con;
     con->set_validate_handler([weakContext, weakLink, weakCon, slot](const connection_hdl &) {
@@ -892,6 +1096,7 @@
     const duration sinceLast = now - std::exchange(m_lastCheck, now);
     if (sinceLast >= maxCheckGap)
         return;
+    m_context->budget->dropOverdue(m_context->pool, now, {});
     std::vector<std::shared_ptr<websocket_link>> liveLinks;
     liveLinks.reserve(m_context->links.size());
     for (const auto &[raw, weak] : m_context->links) {
--- a/goldcrest/websocket_link.h
+++ b/goldcrest/websocket_link.h
@@ -14,6 +14,7 @@
 // network owns an accepted link until it closes. Destroying the network closes all links without
 // callbacks.
 
+#include "goldcrest/memory_budget.h"
 #include "goldcrest/message_codec.h"
 #include "goldcrest/peer_link.h"
 
@@ -46,6 +47,12 @@
     // each attempt.
     duration reconnectMin = 100ms;
     duration reconnectMax = 3s;
+
+    // Memory for accepted links that have not opened, and for messages that arrive on accepted
+    // links. A network without a budget has one of its own.
+    std::shared_ptr<memory_budget> budget;
+    std::size_t memoryBytes = 64 * 1024 * 1024; // of its own budget
+    std::size_t reservedBytes = 0; // of the budget, which other listeners can't use
 };
 
 // Direction of the frames that are dropped, from the view of this process.
--- a/testing/client_limits_process_test.cc
+++ b/testing/client_limits_process_test.cc
@@ -438,6 +438,18 @@
     checkMemoryAndDescriptors("sidecar");
 }
 
+// Guards against opening handshakes of links with a body, which WebSocket++ buffers up to 32 MB by
+// default.
+TEST(client_limits_process, sidecarTakesHandshakesWithABody)
+{
+    startSidecar();
+    connectCrowd(1, 80, justShort("/link"));
+    connectCrowd(1, 20, partOfHeader("/link"));
+    pumpCrowds();
+    checkSidecarAnswers();
+    checkMemoryAndDescriptors("sidecar");
+}
+
 // Guards against stalled clients that take all connections of an address, so that ordinary callers
 // get 503 until a timeout.
 TEST(client_limits_process, stalledConnectionsDoNotKeepCallersOut)
