Test the memory budget of HTTP servers and clients in-process

http_server_test: stalled bodies give way to other requests (503), the deadline of bodies does not apply to idle connections, and the records of one-byte chunks are charged. http_client_test: one response and all responses together are bounded, and their bytes are released. Clients of client_limits_process_test have small send buffers, so that what they sent has been read by the process when its memory is checked.

--- a/testing/client_limits_process_test.cc
+++ b/testing/client_limits_process_test.cc
@@ -164,6 +164,9 @@
     static int connectTo(int port)
     {
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        // What was sent has then been read by the process, but for a few KiB.
+        const int sendBuffer = 8192;
+        ::setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof sendBuffer);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -202,3 +202,34 @@
     server.closesAfterLastAnswer = true;
     expectFailure(code::StoreAmbiguous, post(server.port()));
 }
+
+// Guards against a server whose responses fill the memory of its clients, by their bodies or by
+// their headers.
+TEST(http_client, responseAboveTheLimitIsAFailure)
+{
+    http_client_limits limits;
+    limits.maxResponseBytes = 2000;
+    client = makeCurlClient(loop, limits);
+    scripted_server server(loop, next_connection::Refused);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    server.answers = {head + "1500\r\n\r\n" + std::string(1500, 'x'),
+                      head + "2500\r\n\r\n" + std::string(2500, 'x')};
+    server.closesAfterLastAnswer = true;
+    CHECK(!failureOf(post(server.port())));
+    expectFailure(code::StoreAmbiguous, post(server.port()));
+}
+
+// Guards against responses that are small enough each, but not together, and against bytes that
+// stay counted after their response was taken.
+TEST(http_client, responsesTogetherAreBounded)
+{
+    http_client_limits limits;
+    limits.maxHeldBytes = 2000;
+    client = makeCurlClient(loop, limits);
+    scripted_server server(loop, next_connection::Refused);
+    const std::string answer
+        = "HTTP/1.1 200 OK\r\nContent-Length: 1500\r\n\r\n" + std::string(1500, 'x');
+    server.answers = {answer, answer, answer};
+    for (int i = 0; i < 3; ++i)
+        CHECK(!failureOf(post(server.port())));
+}
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -380,3 +380,66 @@
         CHECK_TEXT(failureOf(makeHttpServer(loop, address, {}, nullptr)) != nullptr, port);
     }
 }
+
+// Guards against a crowd of stalled bodies that takes all the memory, so that no other request is
+// served, and against memory that is not released when these connections end.
+TEST(http_server, dropsStalledBodiesForOtherRequests)
+{
+    http_limits limits;
+    limits.budget = std::make_shared<memory_budget>(200'000);
+    start(limits);
+    const std::string partOfBody
+        = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10001\r\n\r\n" + std::string(10'000, 'x');
+    std::vector<std::unique_ptr<raw_connection>> stalled;
+    for (int i = 0; i < 20; ++i) {
+        stalled.push_back(std::make_unique<raw_connection>(server->listenAddress()));
+        stalled.back()->write(partOfBody);
+        loop.runUntil([] { return false; }, 2ms);
+    }
+    CHECK(wait([&] { return !stalled[0]->poll(); }));
+    LONGS_EQUAL(208, errorCode(stalled[0]->received()));
+    raw_connection client(server->listenAddress());
+    CHECK(exchange(client, post("/", std::string(10'000, 'x')), "seen").find("200") == 9);
+    CHECK(limits.budget->used() <= limits.budget->limit());
+    stalled.clear();
+    CHECK(wait([&] { return server->openConnections() == 1; }));
+    CHECK_COMPARE(limits.budget->used(), <, 10'000); // of the kept connection
+}
+
+// Guards against a stalled body that stays until the timeout of idle connections, and against idle
+// connections that are closed by the deadline of bodies.
+TEST(http_server, deadlineOfBodiesDoesNotApplyToIdleConnections)
+{
+    http_limits limits;
+    limits.headerTimeout = 60s;
+    limits.requestTimes.progress = 300ms;
+    start(limits);
+    raw_connection idle(server->listenAddress());
+    exchange(idle, get("/"), "seen");
+    LONGS_EQUAL(207, errorCode(untilClosed("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")));
+    const time_point later = loop.now() + 1s;
+    CHECK(wait([&] { return loop.now() > later; }));
+    CHECK(idle.poll());
+    CHECK(exchange(idle, get("/again"), "/again").find("/again") != std::string::npos);
+}
+
+// Guards against one-byte chunks whose records are not charged, and against a budget that refuses a
+// whole body in such chunks.
+TEST(http_server, chargesChunkRecords)
+{
+    http_limits limits;
+    limits.budget = std::make_shared<memory_budget>(1'000'000);
+    start(limits);
+    std::string chunks = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 10'000; ++i)
+        chunks += "1\r\nx\r\n";
+    raw_connection client(server->listenAddress());
+    CHECK(exchange(client, chunks + "0\r\n\r\n", "seen").find("200") == 9);
+    LONGS_EQUAL(10'000, last.body.size());
+    raw_connection stalled(server->listenAddress());
+    stalled.write(chunks);
+    CHECK(wait([&] { return limits.budget->used() > 320'000; }));
+    for (int i = 0; i < 3; ++i)
+        chunks += chunks.substr(chunks.find("1\r\nx"));
+    LONGS_EQUAL(208, errorCode(untilClosed(chunks)));
+}
