--- a/goldcrest/http_server.cc
+++ b/goldcrest/http_server.cc
@@ -44,7 +44,7 @@
 constexpr std::size_t headerByteCost = 2;
 constexpr std::size_t fieldCost = 160;
 // The objects of RESTinio and this file, with the read buffer of 4 KiB.
-constexpr std::size_t connectionCost = 8 * 1024;
+constexpr std::size_t connectionCost = 9 * 1024;
 
 class http_socket;
 struct server_state;
