Wait for the planner in the test of link clients

Cause: sidecarTakesLinkMessagesThatStopJustShort opened its last link before the sidecar was elected planner when the crowd was refused at once. A sidecar that is not the planner closes accepted links, so the test waited in vain for a ping. The product was not at fault.

Change: the tests wait for "planner recovered" after they start a sidecar, as platform_process_test does.

--- a/testing/client_limits_process_test.cc
+++ b/testing/client_limits_process_test.cc
@@ -295,6 +295,8 @@
         processes.start("sidecar",
                         {binary("goldcrest-sidecar"), "--settings", directory + "/sidecar.json"});
         CHECK(caller->reaches(200, "GET", addressOf(2) + "/metrics"));
+        // Until then, a sidecar closes the links that it accepts.
+        CHECK(hasLogged("sidecar", "event=\"planner recovered\""));
     }
 
     // Connects clients and lets them send all that the process takes.
