--- a/goldcrest/outcome.h
+++ b/goldcrest/outcome.h
@@ -49,6 +49,7 @@
     TooManyRequests = 206,
     HeaderTimeout = 207,
     NoTimelyCapacity = 208,
+    MemoryLimit = 209,
 
     // 300-399: the job was started.
     TaskFailed = 300,
