--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -261,18 +261,18 @@
 
 // Guards deployments with settings of their own: the policies are off unless the file asks for
 // them, and a reload that changes only them is noticed.
-TEST(settings, policiesAreOffByDefaultAndOnInTheTemplate)
+TEST(settings, policiesAreOffByDefaultAndAsMeasuredInTheTemplate)
 {
     const run_planner_options usual = optionsFor(planner_bounds{});
     CHECK(!usual.teamShares && !usual.preemptionLimits);
     const std::string text = filled("deploy/sidecar.json", nodeValues());
     const run_planner_options deployed
         = optionsFor(platform::parseSidecarSettings(text).value.bounds);
-    CHECK(deployed.teamShares && deployed.preemptionLimits);
+    CHECK(!deployed.teamShares && deployed.preemptionLimits);
     const auto changed = platform::parseSidecarSettings(
-        replaced(text, "\"teamShares\": true", "\"teamShares\": false"));
+        replaced(text, "\"teamShares\": false", "\"teamShares\": true"));
     CHECK(changed.errors.empty());
-    CHECK(!optionsFor(changed.value.bounds).teamShares);
+    CHECK(optionsFor(changed.value.bounds).teamShares);
     CHECK(!(changed.value.bounds == platform::parseSidecarSettings(text).value.bounds));
     const auto wrong = platform::parseSidecarSettings(
         replaced(text, "\"preemptionLimits\": true", "\"preemptionLimits\": 1"));
