--- a/review/stage-2/stage.cc
+++ b/review/stage-2/stage.cc
@@ -310,6 +310,7 @@
 void stage::submitLater(int front, const std::string &queue, const std::string &id,
                         const json &body)
 {
+    write("caller: submits " + id + " " + body.dump());
     m_client->send(requestFor("POST", front, queue, id, body.dump()),
                    [this, id](const result<http_response> &outcome) {
                        write(fmt::format("caller: {} is answered {}", id,
@@ -395,18 +396,13 @@
 void stage::noteStart(const seen_start &seen)
 {
     m_starts.push_back(seen);
-    // A job may have very many tasks.
-    constexpr std::size_t recordedStarts = 400;
-    if (m_starts.size() <= recordedStarts)
-        write(fmt::format("{}: run {} of {} starts", seen.server, seen.run, seen.task));
+    write(fmt::format("{}: run {} of {} starts", seen.server, seen.run, seen.task));
 }
 
 void stage::noteEnd(const std::string &task, const std::string &how)
 {
     m_ends.emplace_back(task, how);
-    constexpr std::size_t recordedEnds = 400;
-    if (m_ends.size() <= recordedEnds)
-        write(fmt::format("task {} ends {}", task, how));
+    write(fmt::format("task {} ends {}", task, how));
 }
 
 } // namespace goldcrest::review
