Leave ended occurrences out of job records

What callers saw: nothing yet. A job that is repeated for long was going to be lost: its record listed each occurrence that had ended, so that after 65,000 occurrences no later planner could decode it (the job would be held back for good), and some time later the store would refuse it (the job would end as failed). Cause: finishing an occurrence dropped its steps, but kept its entry. Evidence: the new test recordDoesNotGrowWithOccurrencesThatHaveEnded fails at: the record of a job with 70,000 occurrences can't be decoded. Change: an occurrence is dropped once it is done and none of its runs may exist. Occurrences begin in order, so one that has begun and is not listed has ended.

--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -168,6 +168,7 @@
     graph_job_state state = graph_job_state::Queued;
     unix_ms finishedAt = 0;
     std::int32_t occurrencesBegun = 0;
+    // Those that have begun and have not ended, so that the size does not grow with the others.
     std::vector<occurrence_record> occurrences;
 
     bool isFinished() const
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -35,6 +35,12 @@
                        [](const tracked_task &task) { return task.isActive(); });
 }
 
+bool tracked_occurrence::hasActive() const
+{
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const tracked_step &step) { return step.hasActive(); });
+}
+
 tracked_job::tracked_job(graph_job spec, const std::optional<job_progress> &progress,
                          time_point acceptedAt)
     : m_spec(std::move(spec))
@@ -49,6 +55,9 @@
     m_storedState = m_state;
     m_finishedAt = progress->finishedAt;
     m_occurrencesOpened = progress->occurrencesBegun;
+    // Occurrences that have ended are not listed.
+    m_hasBegun
+        = static_cast<std::int32_t>(progress->occurrences.size()) < progress->occurrencesBegun;
     for (const occurrence_record &stored : progress->occurrences) {
         tracked_occurrence occurrence;
         occurrence.number = stored.number;
@@ -67,16 +76,14 @@
             occurrence.steps.push_back(std::move(step));
         }
         m_occurrences.push_back(std::move(occurrence));
+        dropIfOver(stored.number); // earlier versions listed all
     }
 }
 
 bool tracked_job::hasActive() const
 {
-    return std::any_of(
-        m_occurrences.begin(), m_occurrences.end(), [](const tracked_occurrence &occurrence) {
-            return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
-                               [](const tracked_step &step) { return step.hasActive(); });
-        });
+    return std::any_of(m_occurrences.begin(), m_occurrences.end(),
+                       [](const tracked_occurrence &occurrence) { return occurrence.hasActive(); });
 }
 
 bool tracked_job::isFinished() const
@@ -280,20 +287,21 @@
     if (!isDone)
         return;
     occurrence->isDone = true;
-    dropIdleSteps(*occurrence);
+    dropIfOver(number);
     const bool all = std::all_of(m_occurrences.begin(), m_occurrences.end(),
                                  [](const tracked_occurrence &other) { return other.isDone; });
     if (all && !hasScheduleLeft() && !isFinished())
         finish(graph_job_state::Completed, wall);
 }
 
-// Drops the steps of a completed occurrence once none of their runs may exist.
-void tracked_job::dropIdleSteps(tracked_occurrence &occurrence)
+// Drops an occurrence that is done once none of its runs may exist.
+void tracked_job::dropIfOver(std::int32_t number)
 {
-    const bool isIdle = std::none_of(occurrence.steps.begin(), occurrence.steps.end(),
-                                     [](const tracked_step &step) { return step.hasActive(); });
-    if (occurrence.isDone && isIdle)
-        occurrence.steps.clear();
+    const auto found = std::find_if(
+        m_occurrences.begin(), m_occurrences.end(),
+        [&](const tracked_occurrence &occurrence) { return occurrence.number == number; });
+    if (found != m_occurrences.end() && found->isDone && !found->hasActive())
+        m_occurrences.erase(found);
 }
 
 // Ends a run of a task that an earlier run has already completed.
@@ -303,7 +311,7 @@
         return false;
     ++m_version;
     clearRun(task);
-    dropIdleSteps(*findOccurrence(key.occurrence));
+    dropIfOver(key.occurrence);
     return true;
 }
 
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -101,11 +101,13 @@
     bool hasActive() const;
 };
 
+// An occurrence whose tasks are in memory.
 struct tracked_occurrence
 {
     std::int32_t number = 0;
     bool isDone = false;
     std::vector<tracked_step> steps;
+    bool hasActive() const;
 };
 
 struct step_ref
@@ -243,7 +245,7 @@
     void finish(graph_job_state state, unix_ms wall);
     void finishOccurrenceIfDone(std::int32_t number, unix_ms wall);
     static void completeTask(tracked_task &task, std::int32_t run);
-    static void dropIdleSteps(tracked_occurrence &occurrence);
+    void dropIfOver(std::int32_t number);
     bool endRedundantRun(const task_key &key, tracked_task &task, std::int32_t run);
     void countCrash(task_record &record, std::int32_t run, std::optional<duration> worked,
                     unix_ms wall);
--- a/testing/tracked_job_test.cc
+++ b/testing/tracked_job_test.cc
@@ -170,6 +170,30 @@
     CHECK(job.state() == graph_job_state::Completed);
 }
 
+// Guards LOST: the record listed each occurrence that had ended, so that a job that was repeated
+// for long outgrew what a successor decodes, and in the end what the store accepts.
+TEST(tracked_job, recordDoesNotGrowWithOccurrencesThatHaveEnded)
+{
+    constexpr std::int32_t occurrences = 70'000;
+    graph_job spec = makeJob({makeStep(1)});
+    spec.schedule = {occurrences, wall, 1ms};
+    tracked_job job(spec, std::nullopt, now);
+    for (std::int32_t i = 0; i < occurrences - 1; ++i) {
+        job.openDue(wall + i);
+        begin(job, 0, 0, i);
+        CHECK(job.endRun(task(0, 0, i), 1, run_end::Done, {}, wall));
+    }
+    const result<job_progress> stored = decodeJobProgress(encodeJobProgress(job.progress()));
+    CHECK(!failureOf(stored));
+    tracked_job restored(spec, valueOf(stored), now);
+    CHECK(restored.hasBegun());
+    CHECK(restored.state() == graph_job_state::Running);
+    CHECK(restored.openDue(wall + occurrences));
+    begin(restored, 0, 0, occurrences - 1);
+    CHECK(restored.endRun(task(0, 0, occurrences - 1), 1, run_end::Done, {}, wall));
+    CHECK(restored.state() == graph_job_state::Completed);
+}
+
 // A successor goes on from the record: what is done stays, and a run that may exist keeps its task.
 TEST(tracked_job, recordRestoresWhatMayRun)
 {
