Begin only as many due occurrences of a job as fit and may start soon

With 1,000,000 occurrences each planner exceeded its machine's memory in its first pass; with 60,000 the job was shown as failed, since its record had outgrown the store's values; with 2,500 occurrences of 10 tasks no later planner could decode the record. Cause: a pass began all occurrences that were due, with all of their tasks in memory and in the record. Change: a job's further occurrences begin while its record stays within what the store accepts and what a planner decodes, and while fewer of its tasks wait than a pass can place; repeated jobs share these places. The others are counted from the schedule. A job without a schedule has one occurrence, which begins in the next pass. The forecast for new jobs counts what is due and has not begun, as before. Why it works: the bounds hold whatever the schedule is, and occurrences begin in order, so the number of those that have begun is all the record needs to know of the rest.

--- a/goldcrest/graph_job.cc
+++ b/goldcrest/graph_job.cc
@@ -168,17 +168,38 @@
     return encodeRecord(progress);
 }
 
-std::size_t largestProgressBytes(const graph_job &job)
+const std::size_t maxProgressItems = positional::maxItems;
+
+progress_size largestProgress(const graph_job &job, std::size_t occurrences)
 {
     // The name of a worker, its incarnation and a checkpoint have at most 24, 32 and 24 bytes on
     // the users' platform; the counters have one byte each while they are below 24.
-    constexpr std::size_t bytesPerTask = 96;
-    constexpr std::size_t bytesPerStep = 16;
-    constexpr std::size_t otherBytes = 256;
-    std::size_t bytes = otherBytes;
-    for (const step_spec &step : job.steps)
-        bytes += bytesPerStep + bytesPerTask * static_cast<std::size_t>(step.count);
-    return bytes;
+    constexpr progress_size perTask{96, 11};
+    constexpr progress_size perStep{16, 3};
+    constexpr progress_size perOccurrence{16, 4};
+    constexpr progress_size other{256, 7};
+    progress_size one = perOccurrence;
+    for (const step_spec &step : job.steps) {
+        const auto tasks = static_cast<std::size_t>(step.count);
+        one.bytes += perStep.bytes + perTask.bytes * tasks;
+        one.items += perStep.items + perTask.items * tasks;
+    }
+    return {other.bytes + one.bytes * occurrences, other.items + one.items * occurrences};
+}
+
+std::size_t largestProgressBytes(const graph_job &job)
+{
+    return largestProgress(job).bytes;
+}
+
+std::size_t maxOverlappingOccurrences(const graph_job &job, std::size_t maxRecordBytes)
+{
+    const progress_size one = largestProgress(job);
+    const progress_size two = largestProgress(job, 2);
+    const std::size_t further = std::min(
+        (maxRecordBytes - std::min(maxRecordBytes, one.bytes)) / (two.bytes - one.bytes),
+        (maxProgressItems - std::min(maxProgressItems, one.items)) / (two.items - one.items));
+    return 1 + further;
 }
 
 result<job_progress> decodeJobProgress(std::string_view value)
--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -179,10 +179,29 @@
 
 std::string encodeJobProgress(const job_progress &progress);
 
-// Returns the size that the encoded progress of a job may grow to while all of its tasks have a run
-// and a checkpoint, with names of the usual lengths. Occurrences that overlap are not counted.
+// Size of the encoded progress of a job.
+struct progress_size
+{
+    std::size_t bytes = 0;
+    std::size_t items = 0; // of CBOR, arrays included
+};
+
+// Most items of a record that decodeJobProgress() accepts.
+extern const std::size_t maxProgressItems;
+
+// Returns the size that the encoded progress of a job may grow to while all tasks of an occurrence
+// have a run and a checkpoint, with names of the usual lengths.
+// @param occurrences number of those that overlap
+progress_size largestProgress(const graph_job &job, std::size_t occurrences = 1);
+
+// Returns largestProgress().bytes of one occurrence.
 std::size_t largestProgressBytes(const graph_job &job);
 
+// Returns the most occurrences that may overlap so that the record of a job is neither larger than
+// the store accepts nor than decodeJobProgress() does; at least 1.
+// @param maxRecordBytes size of the largest value that the store accepts
+std::size_t maxOverlappingOccurrences(const graph_job &job, std::size_t maxRecordBytes);
+
 // Errors: MalformedMessage, UnsupportedVersion.
 result<job_progress> decodeJobProgress(std::string_view value);
 
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -118,6 +118,8 @@
     bool preemptionLimits = false;
     // A long-running task whose worker has not reported for this long counts as absent.
     duration absenceNotice = 1s;
+    // Size of the largest record that the store accepts.
+    std::size_t maxRecordBytes = 1'048'576;
 };
 
 // A version of a job's progress record that must be stored.
@@ -413,8 +415,15 @@
     // Input of the admission forecast.
     void addForecastWorkers(admission_state &state, time_point now) const;
     void addForecastWaiting(admission_state &state, time_point now) const;
+    void addForecastStep(admission_state &state, const tracked_job &job, const step_spec &step,
+                         std::int64_t count, time_point now) const;
     void addForecastQueues(admission_state &state) const;
 
+    // Occurrences of repeated jobs (run_planner_occurrences.cc).
+    void openDueOccurrences(unix_ms wall);
+    std::size_t wantedOccurrences(const tracked_job &job, std::size_t waitingLimit,
+                                  unix_ms wall) const;
+
     // Planning.
     void endRunsWithExpiredLeases(unix_ms wall, time_point now);
     void stopStalledRuns(time_point now);
@@ -584,6 +593,7 @@
     // By job: the worker of each task with an active run, in key order, as entered in the pool.
     std::map<std::string, std::vector<std::pair<task_key, worker_id>>> m_activeRuns;
     std::set<std::string> m_unfinished;
+    unix_ms m_passWall = 0; // wall-clock time of the last pass
     bool m_needsPass = true;
     std::set<std::string> m_changed; // jobs whose current version is not stored
     std::set<std::string> m_changedByCheckpoint; // the same, with new checkpoints only
--- a/goldcrest/run_planner_admission.cc
+++ b/goldcrest/run_planner_admission.cc
@@ -80,26 +80,35 @@
         const tracked_job &job = m_jobs.at(id);
         if (advisedQueueOf(job))
             continue;
-        for (const step_ref &ref : job.readySteps()) {
-            const step_spec &step = job.specOf(ref);
-            if (isRestricted(step) || step.longRunning)
-                continue;
-            forecast_waiting next;
-            next.service = policyOf(job).service;
-            next.team = job.spec().team;
-            next.priority = policyOf(job).priority;
-            next.demand = demandOf(step);
-            next.count = waitingTasks(*job.find(ref));
-            next.estimate = expectedTimeOf(job, step);
-            next.isGang = step.gang && step.count > 1;
-            next.toTarget = std::max<duration>(0ms, targetOf(job) - now);
-            next.isAhead = latenessOf(job, now + next.estimate) == job_lateness::OnTime;
-            if (next.count > 0)
-                state.waiting.push_back(std::move(next));
+        for (const step_ref &ref : job.readySteps())
+            addForecastStep(state, job, job.specOf(ref), waitingTasks(*job.find(ref)), now);
+        const std::int64_t due = job.dueOccurrences(m_passWall);
+        for (const step_spec &step : job.spec().steps) {
+            if (step.after.empty())
+                addForecastStep(state, job, step, due * step.count, now);
         }
     }
 }
 
+// Adds tasks of a step that wait, whether they are in memory or not.
+void run_planner::addForecastStep(admission_state &state, const tracked_job &job,
+                                  const step_spec &step, std::int64_t count, time_point now) const
+{
+    if (count == 0 || isRestricted(step) || step.longRunning)
+        return;
+    forecast_waiting next;
+    next.service = policyOf(job).service;
+    next.team = job.spec().team;
+    next.priority = policyOf(job).priority;
+    next.demand = demandOf(step);
+    next.count = count;
+    next.estimate = expectedTimeOf(job, step);
+    next.isGang = step.gang && step.count > 1;
+    next.toTarget = std::max<duration>(0ms, targetOf(job) - now);
+    next.isAhead = latenessOf(job, now + next.estimate) == job_lateness::OnTime;
+    state.waiting.push_back(std::move(next));
+}
+
 // Adds the queues with the run times of the work that they have now.
 void run_planner::addForecastQueues(admission_state &state) const
 {
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -30,8 +30,7 @@
     m_needsPass = false;
     m_adviceRequest.reset(); // the units that it was about may have changed
     endRunsWithExpiredLeases(wall, now);
-    for (const std::string &id : m_unfinished)
-        m_jobs.at(id).openDue(wall);
+    openDueOccurrences(wall);
     stopStalledRuns(now);
     findSlowWorkers(now);
     refreshSpeeds(now);
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -46,11 +46,8 @@
     : m_spec(std::move(spec))
     , m_acceptedAt(acceptedAt)
 {
-    if (!progress) {
-        if (m_spec.schedule.occurrences == 0)
-            openOccurrence(0);
+    if (!progress)
         return;
-    }
     m_state = progress->state;
     m_storedState = m_state;
     m_finishedAt = progress->finishedAt;
@@ -123,33 +120,57 @@
     return stored;
 }
 
-void tracked_job::openOccurrence(std::int32_t number)
+std::int32_t tracked_job::occurrenceCount() const
 {
-    tracked_occurrence occurrence;
-    occurrence.number = number;
-    for (const step_spec &step : m_spec.steps)
-        occurrence.steps.emplace_back().tasks.resize(static_cast<std::size_t>(step.count));
-    m_occurrences.push_back(std::move(occurrence));
-    m_occurrencesOpened = std::max(m_occurrencesOpened, number + 1);
+    return std::max(1, m_spec.schedule.occurrences);
 }
 
 bool tracked_job::hasScheduleLeft() const
 {
-    return m_occurrencesOpened < m_spec.schedule.occurrences;
+    return m_occurrencesOpened < occurrenceCount();
+}
+
+bool tracked_job::isNextDue(unix_ms wall) const
+{
+    return dueOccurrences(wall) > 0;
+}
+
+std::int64_t tracked_job::dueOccurrences(unix_ms wall) const
+{
+    if (isFinished() || !hasScheduleLeft())
+        return 0;
+    const job_schedule &schedule = m_spec.schedule;
+    if (schedule.occurrences == 0)
+        return 1;
+    const unix_ms interval = schedule.interval.count();
+    const unix_ms nextDue = schedule.firstDue + m_occurrencesOpened * interval;
+    if (wall < nextDue)
+        return 0;
+    const std::int64_t left = occurrenceCount() - m_occurrencesOpened;
+    return interval == 0 ? left : std::min(left, (wall - nextDue) / interval + 1);
+}
+
+void tracked_job::openNext()
+{
+    tracked_occurrence occurrence;
+    occurrence.number = m_occurrencesOpened++;
+    occurrence.steps.reserve(m_spec.steps.size());
+    for (const step_spec &step : m_spec.steps)
+        occurrence.steps.emplace_back().tasks.resize(static_cast<std::size_t>(step.count));
+    m_occurrences.push_back(std::move(occurrence));
 }
 
-bool tracked_job::openDue(unix_ms wall)
+std::size_t tracked_job::waitingTasks() const
 {
-    bool opened = false;
-    while (!isFinished() && hasScheduleLeft()) {
-        const unix_ms due
-            = m_spec.schedule.firstDue + m_occurrencesOpened * m_spec.schedule.interval.count();
-        if (wall < due)
-            break;
-        openOccurrence(m_occurrencesOpened);
-        opened = true;
+    std::size_t count = 0;
+    for (const step_ref &ref : readySteps()) {
+        const std::vector<tracked_task> &tasks = find(ref)->tasks;
+        count += static_cast<std::size_t>(
+            std::count_if(tasks.begin(), tasks.end(), [](const tracked_task &task) {
+                return !task.record.isDone && !task.isActive();
+            }));
     }
-    return opened;
+    return count;
 }
 
 tracked_occurrence *tracked_job::findOccurrence(std::int32_t number)
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -4,6 +4,8 @@
 // start.
 //
 //   tracked_job job(spec, progress, now);
+//   if (job.isNextDue(wall))
+//       job.openNext();
 //   for (const step_ref &step : job.readySteps()) ...
 //   job.beginRuns(step, {{0, "w1", "i-1/5", 10s}}, now);
 //   job.endRun(task, run, run_end::Done, checkpoint, wall);
@@ -101,7 +103,7 @@
     bool hasActive() const;
 };
 
-// An occurrence whose tasks are in memory.
+// An occurrence that has begun: its tasks are in memory and in the record.
 struct tracked_occurrence
 {
     std::int32_t number = 0;
@@ -134,6 +136,7 @@
 class tracked_job
 {
 public:
+    // No occurrence is open except those in `progress`.
     // @param acceptedAt time of acceptance on the planner's clock
     tracked_job(graph_job spec, const std::optional<job_progress> &progress, time_point acceptedAt);
 
@@ -158,11 +161,21 @@
     // Returns the record of the current version, without a writer token.
     job_progress progress() const;
 
-    // Opens the occurrences that are due. Returns whether any was opened.
-    bool openDue(unix_ms wall);
-    // Returns whether the schedule has occurrences that were not opened yet.
+    // Returns whether the next occurrence that has not begun is due. A job without a schedule has
+    // one, which is due at once.
+    bool isNextDue(unix_ms wall) const;
+    // Returns the number of occurrences that are due and have not begun.
+    std::int64_t dueOccurrences(unix_ms wall) const;
+    // Begins the next occurrence, so that its tasks are in memory and may start.
+    void openNext();
+    // Returns whether there are occurrences that have not begun.
     bool hasScheduleLeft() const;
 
+    // Returns the number of occurrences in memory: those that have begun and have not ended.
+    std::size_t openOccurrences() const { return m_occurrences.size(); }
+    // Returns the number of tasks that may start now.
+    std::size_t waitingTasks() const;
+
     // Returns the steps with tasks that may start now: all preceding steps are done, and no member
     // of a gang is active.
     std::vector<step_ref> readySteps() const;
@@ -241,7 +254,7 @@
     }
 
 private:
-    void openOccurrence(std::int32_t number);
+    std::int32_t occurrenceCount() const;
     void finish(graph_job_state state, unix_ms wall);
     void finishOccurrenceIfDone(std::int32_t number, unix_ms wall);
     static void completeTask(tracked_task &task, std::int32_t run);
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -2401,3 +2401,68 @@
     LONGS_EQUAL(1, orders.starts.size());
     STRCMP_EQUAL("b.0.0.0", orders.starts[0].run.task.c_str());
 }
+
+// ---- work beyond what is held --------------------------------------------------------------
+
+TEST_GROUP_BASE(run_planner_backlog, TEST_GROUP_CppUTestGrouprun_planner)
+{
+    run_planner_options options;
+
+    // Repeats a step as often as given, at once.
+    void addRepeated(const std::string &id, std::int32_t priority, const step_spec &step,
+                     std::int32_t occurrences)
+    {
+        graph_job job;
+        job.id = id;
+        job.queue = "q" + std::to_string(priority);
+        job.team = "t";
+        job.policy = catalogue->queues[static_cast<std::size_t>(priority)].policy;
+        job.steps.push_back(step);
+        job.acceptedAt = wall;
+        job.schedule.occurrences = occurrences;
+        job.schedule.firstDue = wall;
+        planner.addJob(job, std::nullopt, wall, now);
+    }
+
+    // Plans, and checks the records that are written. Returns the tasks that have begun.
+    std::set<task_key> planAndCheckRecords()
+    {
+        confirm();
+        planner.plan(wall, now);
+        while (planner.hasChanges()) {
+            const std::vector<stored_change> changes = planner.takeChanges(15);
+            for (const stored_change &change : changes) {
+                const std::string record = encodeJobProgress(change.progress);
+                CHECK(record.size() <= options.maxRecordBytes);
+                CHECK(!failureOf(decodeJobProgress(record)));
+                CHECK(change.state != graph_job_state::Failed);
+            }
+            planner.onStored(changes);
+        }
+        std::set<task_key> begun;
+        for (const auto &[id, worker] : planner.workers().workers())
+            begun.insert(worker.active.begin(), worker.active.end());
+        return begun;
+    }
+
+    static bool hasJob(const std::set<task_key> &tasks, const std::string &id)
+    {
+        return std::any_of(tasks.begin(), tasks.end(),
+                           [&](const task_key &task) { return task.job == id; });
+    }
+};
+
+// Guards LOST (review/8): all occurrences that were due were begun in one pass. The planner
+// exceeded its memory, or the record what the store accepts, so that the job ended as failed, or
+// what the next planner reads.
+TEST(run_planner_backlog, manyDueOccurrencesNeitherExceedMemoryNorTheRecord)
+{
+    for (const std::int32_t occurrences : {2'500, 60'000, 1'000'000}) {
+        planner = run_planner(options, someEpoch, now);
+        planner.onReport(reportOf("w1"), wall, now);
+        addRepeated("a", 2, makeStep(10, 0), occurrences);
+        CHECK(hasJob(planAndCheckRecords(), "a"));
+        addJob("b", 0, makeStep(1, 1));
+        CHECK(hasJob(planAndCheckRecords(), "b"));
+    }
+}
--- a/testing/tracked_job_test.cc
+++ b/testing/tracked_job_test.cc
@@ -42,6 +42,16 @@
         return {"5c0e7a21d94b36f8", occurrence, step, index};
     }
 
+    // Returns a job whose first occurrence has begun.
+    tracked_job openJob(const graph_job &spec)
+    {
+        tracked_job job(spec, std::nullopt, now);
+        CHECK(job.isNextDue(wall));
+        job.openNext();
+        CHECK(!job.isNextDue(wall));
+        return job;
+    }
+
     void begin(tracked_job & job, std::int32_t step, std::int32_t index,
                std::int32_t occurrence = 0)
     {
@@ -52,7 +62,7 @@
 // Guards against a start before the steps that come first are done.
 TEST(tracked_job, stepWaitsForAllTasksOfEarlierSteps)
 {
-    tracked_job job(makeJob({makeStep(2), makeStep(1, {0})}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(2), makeStep(1, {0})}));
     LONGS_EQUAL(1, job.readySteps().size());
     begin(job, 0, 0);
     begin(job, 0, 1);
@@ -71,7 +81,7 @@
 // Only ends through a task's own fault count as attempts.
 TEST(tracked_job, failsAfterMaxAttemptsOfOneTask)
 {
-    tracked_job job(makeJob({makeStep(1)}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(1)}));
     begin(job, 0, 0);
     CHECK(job.endRun(task(0, 0), 1, run_end::Lapsed, {}, wall));
     begin(job, 0, 0);
@@ -87,7 +97,7 @@
 {
     step_spec gang = makeStep(2);
     gang.gang = true;
-    tracked_job job(makeJob({gang}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({gang}));
     job.beginRuns({0, 0}, {{0, "w1", "a", 1s}, {1, "w2", "b", 1s}}, now);
     CHECK(job.endRun(task(0, 0), 1, run_end::Failed, "save", wall));
     CHECK(job.find(task(0, 1))->stopWanted);
@@ -106,7 +116,7 @@
 // Guards against a task that runs again although an earlier run, given up as lost, did the work.
 TEST(tracked_job, doneOfAnEarlierRunCounts)
 {
-    tracked_job job(makeJob({makeStep(1), makeStep(1, {0})}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(1), makeStep(1, {0})}));
     begin(job, 0, 0);
     CHECK(job.endRun(task(0, 0), 1, run_end::Lapsed, {}, wall));
     begin(job, 0, 0);
@@ -123,7 +133,7 @@
 
 TEST(tracked_job, finishedJobKeepsARunThatMayExist)
 {
-    tracked_job job(makeJob({makeStep(1)}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(1)}));
     begin(job, 0, 0);
     CHECK(job.endRun(task(0, 0), 1, run_end::Lapsed, {}, wall));
     begin(job, 0, 0);
@@ -141,7 +151,7 @@
 {
     step_spec lasting = makeStep(1);
     lasting.longRunning = true;
-    tracked_job job(makeJob({lasting}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({lasting}));
     for (std::int32_t run = 1; run < 6; ++run) {
         begin(job, 0, 0);
         CHECK(job.endRun(task(0, 0), run, run % 2 ? run_end::Failed : run_end::Done, {}, wall));
@@ -157,11 +167,15 @@
     graph_job spec = makeJob({makeStep(1)});
     spec.schedule = {2, wall + 1000, 500ms};
     tracked_job job(spec, std::nullopt, now);
-    CHECK(!job.openDue(wall + 999));
-    CHECK(job.openDue(wall + 1000));
+    CHECK(!job.isNextDue(wall + 999));
+    CHECK(job.isNextDue(wall + 1000));
+    job.openNext();
     LONGS_EQUAL(1, job.readySteps().size());
-    CHECK(job.openDue(wall + 1500));
+    CHECK(!job.isNextDue(wall + 1499));
+    CHECK(job.isNextDue(wall + 1500));
+    job.openNext();
     LONGS_EQUAL(2, job.readySteps().size());
+    CHECK(!job.isNextDue(wall + 1'000'000));
     begin(job, 0, 0, 0);
     CHECK(job.endRun(task(0, 0, 0), 1, run_end::Done, {}, wall));
     CHECK(!job.isFinished());
@@ -179,7 +193,8 @@
     spec.schedule = {occurrences, wall, 1ms};
     tracked_job job(spec, std::nullopt, now);
     for (std::int32_t i = 0; i < occurrences - 1; ++i) {
-        job.openDue(wall + i);
+        CHECK(job.isNextDue(wall + i));
+        job.openNext();
         begin(job, 0, 0, i);
         CHECK(job.endRun(task(0, 0, i), 1, run_end::Done, {}, wall));
     }
@@ -188,7 +203,8 @@
     tracked_job restored(spec, valueOf(stored), now);
     CHECK(restored.hasBegun());
     CHECK(restored.state() == graph_job_state::Running);
-    CHECK(restored.openDue(wall + occurrences));
+    CHECK(restored.isNextDue(wall + occurrences));
+    restored.openNext();
     begin(restored, 0, 0, occurrences - 1);
     CHECK(restored.endRun(task(0, 0, occurrences - 1), 1, run_end::Done, {}, wall));
     CHECK(restored.state() == graph_job_state::Completed);
@@ -197,7 +213,7 @@
 // A successor goes on from the record: what is done stays, and a run that may exist keeps its task.
 TEST(tracked_job, recordRestoresWhatMayRun)
 {
-    tracked_job job(makeJob({makeStep(2)}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(2)}));
     begin(job, 0, 0);
     CHECK(job.endRun(task(0, 0), 1, run_end::Done, {}, wall));
     begin(job, 0, 1);
@@ -213,7 +229,7 @@
 
 TEST(tracked_job, cancelAfterTheEndChangesNothing)
 {
-    tracked_job job(makeJob({makeStep(1)}), std::nullopt, now);
+    tracked_job job = openJob(makeJob({makeStep(1)}));
     begin(job, 0, 0);
     CHECK(job.endRun(task(0, 0), 1, run_end::Done, {}, wall));
     const std::uint64_t version = job.version();
