Bound the records of one write by the largest that the store accepts

What callers saw: part of the kills for memory with many large jobs. A write contained up to 15 records, each of up to the largest value; encoded, these need many times their size. Cause: only the number of records in one write was bounded. Evidence: oneWriteIsNoLargerThanTheLargestRecord fails before the change: 15 jobs of 10,000 tasks are encoded for one write of over 1 MiB. Change: takeChanges() ends before the records could together be larger than the largest single one. Small records are written together as before.

--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -212,11 +212,14 @@
 std::vector<stored_change> run_planner::takeChanges(std::size_t maxCount) const
 {
     std::vector<stored_change> changes;
+    std::size_t bytes = 0;
     for (const std::set<std::string> *changed : {&m_changed, &m_changedByCheckpoint}) {
         for (const std::string &id : *changed) {
-            if (changes.size() == maxCount)
-                return changes;
             const tracked_job &job = m_jobs.at(id);
+            bytes += largestProgress(job.spec(), job.openOccurrences()).bytes;
+            const bool isFull = changes.size() == maxCount || bytes > m_options.maxRecordBytes;
+            if (!changes.empty() && isFull)
+                return changes;
             changes.push_back({id, job.version(), job.state(), job.progress()});
         }
     }
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -188,7 +188,8 @@
     // next pass should not wait.
     bool needsPass() const { return m_needsPass; }
 
-    // Returns records whose current version is not stored, at most `maxCount`. Those that only have
+    // Returns records whose current version is not stored: at most `maxCount`, and no more than are
+    // together as large as the largest single one may be, but at least one. Those that only have
     // new checkpoints come last, because no order waits for them.
     std::vector<stored_change> takeChanges(std::size_t maxCount) const;
     bool hasChanges() const { return !m_changed.empty() || !m_changedByCheckpoint.empty(); }
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -2528,3 +2528,30 @@
     LONGS_EQUAL(0, planner.jobsWithoutRoom());
     CHECK(planner.heldBytes() < options.maxHeldBytes / 2);
 }
+
+// Guards the memory of the planner: the records of many large jobs were encoded for one write, up
+// to 15 times as much as the largest value that the store accepts.
+TEST(run_planner_backlog, oneWriteIsNoLargerThanTheLargestRecord)
+{
+    options.maxHeldBytes = 200'000'000;
+    planner = run_planner(options, someEpoch, now);
+    planner.onReport(reportOf("w1"), wall, now);
+    constexpr std::size_t jobs = 15;
+    step_spec step = makeStep(10'000, 0);
+    step.maxPerWorker = 1; // so that each job begins
+    for (std::size_t i = 0; i < jobs; ++i)
+        addJob("job" + std::to_string(i), 1, step);
+    confirm();
+    planner.plan(wall, now);
+    std::size_t stored = 0;
+    for (std::size_t writes = 0; planner.hasChanges() && writes < jobs; ++writes) {
+        const std::vector<stored_change> changes = planner.takeChanges(jobs);
+        std::size_t bytes = 0;
+        for (const stored_change &change : changes)
+            bytes += encodeJobProgress(change.progress).size();
+        CHECK(bytes <= options.maxRecordBytes);
+        stored += changes.size();
+        planner.onStored(changes);
+    }
+    LONGS_EQUAL(jobs, stored);
+}
