Refuse jobs whose record a later planner could not decode

What callers saw: nothing yet. Cause: a front compared the bytes of the largest record with the limit of the store, and not its items with the limit of the decoder. Evidence: refusesJobsWhoseRecordMayNotBeDecoded fails before the change. Change: both are compared; the error names what is exceeded and the limit.

--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -75,6 +75,25 @@
     return found == reply.current.end() ? nullptr : &*found;
 }
 
+// Returns an error if the record of a job may become larger than the store accepts, or than the
+// next planner reads.
+std::optional<failure> checkRecordSize(const graph_job &job, std::size_t maxRecordBytes)
+{
+    const progress_size largest = largestProgress(job);
+    const auto tooLarge = [](std::size_t size, std::string_view unit, std::size_t limit) {
+        return makeFailure(code::StoreValueTooLarge,
+                           fmt::format("the record of the job may need {} {}, the limit is {}; "
+                                       "submit fewer tasks in one job",
+                                       size, unit, limit),
+                           "steps");
+    };
+    if (largest.bytes > maxRecordBytes)
+        return tooLarge(largest.bytes, "bytes", maxRecordBytes);
+    if (largest.items > maxProgressItems)
+        return tooLarge(largest.items, "items", maxProgressItems);
+    return std::nullopt;
+}
+
 failure unreachable(const failure &why)
 {
     return makeFailure(code::PlannerUnreachable,
@@ -250,13 +269,8 @@
                          std::function<void(const submit_outcome &)> callback)
 {
     state &self = *m_state;
-    const std::size_t largest = largestProgressBytes(job);
-    if (largest > self.options.maxRecordBytes)
-        return callback({makeFailure(code::StoreValueTooLarge,
-                                     fmt::format("the record of the job may need {} bytes, the "
-                                                 "limit is {}; submit fewer tasks in one job",
-                                                 largest, self.options.maxRecordBytes),
-                                     "steps")});
+    if (std::optional<failure> error = checkRecordSize(job, self.options.maxRecordBytes))
+        return callback({*std::move(error)});
     const auto next = std::make_shared<state::submission>();
     next->job = job;
     next->stored = {job.id, encodeGraphJob(job)};
--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -164,6 +164,33 @@
     LONGS_EQUAL(200, send("POST", "/p/" + someId, "key", jobOf(900)));
 }
 
+// Guards LOST where the store accepts larger values: a job was accepted whose record no later
+// planner can decode, so that it was held back for good.
+TEST(graph_front, refusesJobsWhoseRecordMayNotBeDecoded)
+{
+    graph_front_options options;
+    options.maxRecordBytes = 16 * 1'048'576;
+    graph_front other(loop, store, options, [](const message &) { return false; });
+    graph_job job;
+    job.id = someId;
+    job.steps.resize(3);
+    std::optional<submit_outcome> outcome;
+    const auto submit = [&](std::int32_t count) {
+        for (step_spec &step : job.steps)
+            step.count = count;
+        outcome.reset();
+        other.submit(job, 3s, [&](const submit_outcome &answer) { outcome = answer; });
+        loop.advance(100ms);
+        CHECK(outcome.has_value());
+        return failureOf(outcome->stored);
+    };
+    const failure *error = submit(10'000);
+    CHECK(error && error->number == code::StoreValueTooLarge);
+    STRCMP_CONTAINS("the limit is 262144", error->reason.c_str());
+    CHECK(store.counts().writes == 0);
+    CHECK(submit(7'900) == nullptr);
+}
+
 // Guards the bound above: the record of a job whose tasks all run, with names of the usual lengths,
 // is no larger than was assumed when the job was accepted.
 TEST(graph_front, largestRecordIsNoLargerThanAssumed)
