--- a/testing/graph_front_test.cc
+++ b/testing/graph_front_test.cc
@@ -211,6 +211,28 @@
     CHECK(encodeJobProgress(progress).size() <= largestProgressBytes(job));
 }
 
+// Guards against an error that callers can't act on: it named neither the field nor the bound.
+TEST(graph_front, errorsNameTheFieldAndItsBound)
+{
+    confirm();
+    const auto errorOf = [&](const std::string &fields) {
+        LONGS_EQUAL(400,
+                    send("POST", "/p/" + someId, "key",
+                         R"({"spec":"x","steps":[{"count":1},{"count":1}],)" + fields + "}", 0ms));
+        return lastBody;
+    };
+    const std::string repeats = errorOf(R"("repeat_count":3000000000)");
+    STRCMP_CONTAINS("repeat_count: must be between 0 and 2147483647", repeats.c_str());
+    STRCMP_CONTAINS(R"("field":"repeat_count")", repeats.c_str());
+    STRCMP_CONTAINS("interval_ms: must be between 0 and", errorOf(R"("interval_ms":-1)").c_str());
+    STRCMP_CONTAINS("first_run_ms: must be between -",
+                    errorOf(R"("first_run_ms":9223372036854775807)").c_str());
+    LONGS_EQUAL(
+        400, send("POST", "/p/" + someId, "key", R"({"steps":[{"count":1},{"count":-1}]})", 0ms));
+    STRCMP_CONTAINS("steps[1].count: must be between 0 and", lastBody.c_str());
+    CHECK(store.counts().writes == 0);
+}
+
 TEST(graph_front, answersByConfigurationAndKey)
 {
     LONGS_EQUAL(503, send("POST", "/p/" + someId, "key", someBody, 0ms));
