--- a/goldcrest/metrics.cc
+++ b/goldcrest/metrics.cc
@@ -92,6 +92,10 @@
     {metric::UrgentRoom, "urgent_room_accelerators", gaugeKind, "kind", "sidecar",
      "Accelerators that urgent jobs are expected to need at a time (needed), and those that are "
      "kept free for them (held)."},
+    {metric::HeldWorkBytes, "held_work_bytes", gaugeKind, "", "sidecar",
+     "Memory that the planner is charged for the tasks of accepted jobs."},
+    {metric::JobsWithoutRoom, "jobs_without_room", gaugeKind, "", "sidecar",
+     "Jobs that are due and of which nothing is in the planner's memory yet."},
     {metric::InterferingPairs, "interfering_pairs", gaugeKind, "", "sidecar",
      "Ordered pairs of images of which the tasks of one are found to slow those of the other on "
      "the "
--- a/goldcrest/metrics.h
+++ b/goldcrest/metrics.h
@@ -62,6 +62,8 @@
     // Sidecars.
     RunDecisions,
     UrgentRoom,
+    HeldWorkBytes,
+    JobsWithoutRoom,
     InterferingPairs,
     LongTailRuns,
     RunStops,
--- a/goldcrest/run_planner.cc
+++ b/goldcrest/run_planner.cc
@@ -60,6 +60,7 @@
     }
     if (job.isFinished()) {
         m_unfinished.erase(job.id());
+        m_waitsForRoom.erase(job.id());
         m_failedOn.erase(job.id());
         m_preemption.forgetJob(job.id());
     }
@@ -412,7 +413,7 @@
 {
     std::size_t count = m_failedOn.size() + m_suspects.size() + m_changed.size()
         + m_changedByCheckpoint.size() + m_checkpointed.size() + m_cleared.entryCount()
-        + m_activeRuns.size() + m_preemption.entryCount();
+        + m_activeRuns.size() + m_preemption.entryCount() + m_waitsForRoom.size();
     for (const auto &[step, advice] : m_advice)
         count += 1 + advice.tickets.size() + advice.asked.size() + advice.allowed.size();
     for (const auto &[id, worker] : m_pool.workers())
--- a/goldcrest/run_planner.h
+++ b/goldcrest/run_planner.h
@@ -439,6 +439,7 @@
     void addHeldItems(tracked_job &job, held_pass &pass) const;
     bool mayStartSomewhere(const tracked_job &job) const;
     void closeUntouched(tracked_job &job);
+    void noteJobsWithoutRoom(unix_ms wall, time_point now);
     void logHeldWork(time_point now);
 
     // Planning.
@@ -614,6 +615,7 @@
     time_point m_heldChosenAt{};
     time_point m_heldLoggedAt{};
     std::size_t m_withoutRoom = 0; // jobs, in the last pass
+    std::map<std::string, time_point> m_waitsForRoom; // since when, until a run of the job begins
     unix_ms m_passWall = 0; // wall-clock time of the last pass
     bool m_needsPass = true;
     std::set<std::string> m_changed; // jobs whose current version is not stored
--- a/goldcrest/run_planner_held.cc
+++ b/goldcrest/run_planner_held.cc
@@ -80,7 +80,6 @@
 void run_planner::holdDueWork(unix_ms wall, time_point now)
 {
     m_passWall = wall;
-    m_withoutRoom = 0;
     std::size_t bytes = heldBytes();
     const auto repeated
         = std::count_if(m_unfinished.begin(), m_unfinished.end(), [&](const std::string &id) {
@@ -102,20 +101,41 @@
             for (std::size_t i = 0; i < wanted; ++i)
                 m_jobs.at(id).openNext();
         }
-        return;
+        return noteJobsWithoutRoom(wall, now);
     }
     if (now - m_heldChosenAt >= choiceInterval) {
         m_heldChosenAt = now;
         chooseHeldWork(std::move(pass), now);
     }
-    m_withoutRoom = static_cast<std::size_t>(
-        std::count_if(m_unfinished.begin(), m_unfinished.end(), [&](const std::string &id) {
-            const tracked_job &job = m_jobs.at(id);
-            return job.openOccurrences() == 0 && job.isNextDue(wall);
-        }));
+    noteJobsWithoutRoom(wall, now);
     logHeldWork(now);
 }
 
+// Writes one line for a job when it first waits for memory, and one when it no longer does.
+void run_planner::noteJobsWithoutRoom(unix_ms wall, time_point now)
+{
+    m_withoutRoom = 0;
+    for (const std::string &id : m_unfinished) {
+        const tracked_job &job = m_jobs.at(id);
+        const bool isWaiting = job.openOccurrences() == 0 && job.isNextDue(wall);
+        m_withoutRoom += isWaiting ? 1 : 0;
+        const auto since = m_waitsForRoom.find(id);
+        const bool wasNoted = since != m_waitsForRoom.end();
+        if (isWaiting == wasNoted)
+            continue;
+        if (isWaiting) {
+            m_waitsForRoom.emplace(id, now);
+            recordDecision("job waits for memory", {id, 0, 0, 0}, 0, {}, {},
+                           fmt::format("needs_bytes={} held_bytes={} limit_bytes={}",
+                                       job.bytesPerOccurrence(), heldBytes(), m_held.limit()));
+        } else if (job.untouchedOccurrences() < job.openOccurrences()) {
+            recordDecision("job taken up", {id, 0, 0, 0}, 0, {}, {},
+                           fmt::format("waited_ms={}", (now - since->second).count()));
+            m_waitsForRoom.erase(since);
+        }
+    }
+}
+
 void run_planner::chooseHeldWork(held_pass pass, time_point now)
 {
     for (auto &[id, job] : m_jobs)
