Explain the choice of held work where a newcomer would stop

Cause: the number of tasks that a pass places stood in two places, and the reasons for turns, for the one sort of the ranks and for the second log line of a job were not stated. Change: one shared constant; comments.

--- a/goldcrest/held_work.cc
+++ b/goldcrest/held_work.cc
@@ -26,7 +26,8 @@
     return std::make_tuple(!item.mayStart, !item.isGuaranteed, item.priority, !item.isFirst);
 }
 
-// Returns the items by rank.
+// Returns the items by rank. Taking the team that holds least, time and again, is the same as one
+// sort by what a team holds before each of its items.
 std::vector<ranked_item> rank(gsl::span<const held_item> items,
                               std::map<std::string_view, std::size_t> bytesOfTeam)
 {
@@ -159,6 +160,7 @@
     if (now - m_turnBegan >= turnTime) {
         m_turnBegan = now;
         m_inTurn.clear();
+        // The room for turns is left out here, so that each item that it displaces has its turn.
         selection withoutTurns = selected;
         withoutTurns.bytes += m_limit / parts * turnsPart;
         selectByRank(withoutTurns);
@@ -172,7 +174,8 @@
     return changesFor(selected);
 }
 
-// Sets aside what is held and was not chosen, the lowest ranks first, until the rest has room.
+// Sets aside what is held and was not chosen, the lowest ranks first, until the rest has room. What
+// has room stays, since it may be chosen again.
 held_changes held_work::changesFor(const selection &selected) const
 {
     held_changes changes;
--- a/goldcrest/held_work.h
+++ b/goldcrest/held_work.h
@@ -14,7 +14,8 @@
 //
 // An occurrence of which a run was recorded can't be given up, so that it is fixed until it ends.
 // Lower ranks may therefore use a part of the memory only. A small part goes to the remaining jobs
-// by turns, so that none of them waits for ever behind work that can't start.
+// by turns, so that none of them waits for ever behind work that can't start. The parts and their
+// reasons are in docs/design/held-work.md.
 
 #include "goldcrest/clock.h"
 
@@ -59,7 +60,8 @@
     // What is held by turns stays at least this long, so that it has time to start.
     static constexpr duration turnTime = 2s;
 
-    // @param limitBytes memory for all occurrences that are held. One is held in any case.
+    // @param limitBytes memory for all occurrences that are held. While none is fixed, the first
+    // one by rank is held in any case.
     explicit held_work(std::size_t limitBytes)
         : m_limit(limitBytes)
     { }
@@ -67,11 +69,12 @@
     void setLimit(std::size_t limitBytes) { m_limit = limitBytes; }
     std::size_t limit() const { return m_limit; }
 
-    // Returns whether this much may be held without choosing.
+    // Returns whether this much fits into the part of the lowest rank, so that nothing is chosen.
     // @param bytes of all that is held or should be
     bool hasRoomForAll(std::size_t bytes) const;
 
     // Returns what to close and what to open.
+    // @param items in any order; a job has all untouched occurrences that it holds among them
     // @param fixed bytes of the occurrences that are held and are not in `items`, by team
     held_changes choose(gsl::span<const held_item> items,
                         const std::map<std::string_view, std::size_t> &fixed, time_point now);
--- a/goldcrest/memory_shares.cc
+++ b/goldcrest/memory_shares.cc
@@ -11,8 +11,9 @@
 
 constexpr std::size_t megabyte = 1'000'000;
 
-// Parts of the machine's memory. The rest is for the other state of the process, for responses
-// being sent, for memory that the allocator keeps, and for the buffers of the kernel.
+// Parts of the machine's memory. The rest is for the other state of the process, of up to a sixth
+// of the limit, for responses being sent, for memory that the allocator keeps, and for the buffers
+// of the kernel.
 constexpr std::size_t clientShare = 4;
 constexpr std::size_t responseShare = 8;
 constexpr std::size_t heldWorkShare = 6;
--- a/goldcrest/run_planner_held.cc
+++ b/goldcrest/run_planner_held.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/run_planner.h"
 
+#include "goldcrest/run_planner_unit.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -12,10 +14,6 @@
 
 namespace {
 
-// Waiting tasks of repeated jobs that are held without regard to memory: as many as a pass places
-// in order of rank (planService). More could not start earlier.
-constexpr std::size_t repeatedTasksHeld = 256;
-
 // Least time between two choices of what is held, while not all of it can be.
 constexpr duration choiceInterval = 100ms;
 
@@ -32,7 +30,8 @@
 
 } // namespace
 
-// The occurrences that may be held or set aside, and the jobs that they belong to, by index.
+// A choice of what is held: the occurrences that may be held or set aside, and their jobs at the
+// same indexes.
 struct run_planner::held_pass
 {
     std::vector<held_item> items;
@@ -58,7 +57,8 @@
     return bytes;
 }
 
-// Returns how many further occurrences of a job should be held, if memory allows.
+// Returns how many further occurrences of a job should be held, if memory allows: no more than its
+// record has room for, and than it takes until enough of its tasks wait. One is wanted in any case.
 // @param waitingLimit tasks of a repeated job that may wait
 std::size_t run_planner::wantedOccurrences(const tracked_job &job, std::size_t waitingLimit,
                                            unix_ms wall) const
@@ -77,6 +77,7 @@
 }
 
 // Begins the occurrences that are due, as far as their tasks fit into memory and into their record.
+// Repeated jobs share the places of a pass: more of their tasks could not start earlier.
 void run_planner::holdDueWork(unix_ms wall, time_point now)
 {
     m_passWall = wall;
@@ -87,7 +88,7 @@
               return job.spec().schedule.occurrences > 0 && job.isNextDue(wall);
           });
     const std::size_t waitingLimit = std::max<std::size_t>(
-        1, repeatedTasksHeld / std::max<std::size_t>(1, static_cast<std::size_t>(repeated)));
+        1, unitsByRank / std::max<std::size_t>(1, static_cast<std::size_t>(repeated)));
     held_pass pass;
     for (const std::string &id : m_unfinished) {
         const tracked_job &job = m_jobs.at(id);
@@ -111,7 +112,8 @@
     logHeldWork(now);
 }
 
-// Writes one line for a job when it first waits for memory, and one when it no longer does.
+// Writes one line for a job when it first waits for memory, and one when a run of it is recorded.
+// Until then its tasks may be set aside again, in turn with others.
 void run_planner::noteJobsWithoutRoom(unix_ms wall, time_point now)
 {
     m_withoutRoom = 0;
--- a/goldcrest/run_planner_rank.cc
+++ b/goldcrest/run_planner_rank.cc
@@ -325,11 +325,6 @@
 
 void run_planner::planService(std::vector<unit> &units, const std::string &service, time_point now)
 {
-    // Placement units per pass, to bound its time: those in rank order, and those by turns among
-    // the remaining steps, so that no number of steps of higher rank that can't start hides one
-    // that can.
-    constexpr std::size_t unitsByRank = 256;
-    constexpr std::size_t unitsByTurns = 32;
     service_pass pass;
     pass.capacities = makeCapacities(service, now);
     holdClearedCapacity(pass.capacities, now);
--- a/goldcrest/run_planner_unit.h
+++ b/goldcrest/run_planner_unit.h
@@ -6,6 +6,7 @@
 #include "goldcrest/run_planner.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <iterator>
 #include <map>
@@ -15,6 +16,11 @@
 
 namespace goldcrest {
 
+// Placement units per pass, to bound its time: those in rank order, and those by turns among the
+// remaining steps, so that no number of steps of higher rank that can't start hides one that can.
+constexpr std::size_t unitsByRank = 256;
+constexpr std::size_t unitsByTurns = 32;
+
 struct run_planner::unit
 {
     tracked_job *job = nullptr;
