--- a/review/stage-3/scene.cc
+++ b/review/stage-3/scene.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
@@ -376,6 +377,98 @@
     }
 }
 
+// ---- slow link -----------------------------------------------------------------------------
+
+std::int64_t slow_link::rate::take(std::size_t bytes)
+{
+    const auto now = std::chrono::steady_clock::now();
+    freeAt = std::max(freeAt, now)
+        + std::chrono::microseconds(static_cast<std::int64_t>(bytes) * 8 / mbps);
+    return std::chrono::duration_cast<std::chrono::microseconds>(freeAt - now).count();
+}
+
+// Passes on what it has read once the link has had the time for it, and reads more after that.
+struct slow_link::connection : std::enable_shared_from_this<connection>
+{
+    connection(asio_event_loop &eventLoop, asio::ip::tcp::socket accepted,
+               std::shared_ptr<rate> shared)
+        : loop(eventLoop)
+        , client(std::move(accepted))
+        , target(eventLoop.context())
+        , limit(std::move(shared))
+    { }
+
+    void begin(int port)
+    {
+        target.async_connect({asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)},
+                             [self = shared_from_this()](asio::error_code error) {
+                                 if (error)
+                                     return self->close();
+                                 self->readRequest();
+                                 self->readResponse();
+                             });
+    }
+
+    void readRequest()
+    {
+        client.async_read_some(
+            asio::buffer(requestBytes),
+            [self = shared_from_this()](asio::error_code error, std::size_t size) {
+                if (error)
+                    return self->close();
+                asio::async_write(self->target, asio::buffer(self->requestBytes, size),
+                                  [self](asio::error_code failed, std::size_t) {
+                                      failed ? self->close() : self->readRequest();
+                                  });
+            });
+    }
+
+    void readResponse()
+    {
+        target.async_read_some(
+            asio::buffer(responseBytes),
+            [self = shared_from_this()](asio::error_code error, std::size_t size) {
+                if (error)
+                    return self->close();
+                afterMicroseconds(self->loop, self->limit->take(size),
+                                  [self, size] { self->passResponse(size); });
+            });
+    }
+
+    void passResponse(std::size_t size)
+    {
+        if (!client.is_open())
+            return;
+        asio::async_write(client, asio::buffer(responseBytes, size),
+                          [self = shared_from_this()](asio::error_code error, std::size_t) {
+                              error ? self->close() : self->readResponse();
+                          });
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        client.close(ignored);
+        target.close(ignored);
+    }
+
+    asio_event_loop &loop;
+    asio::ip::tcp::socket client;
+    asio::ip::tcp::socket target;
+    std::shared_ptr<rate> limit;
+    std::array<char, 4096> requestBytes{};
+    std::array<char, 4096> responseBytes{};
+};
+
+slow_link::slow_link(asio_event_loop &loop, int target, int mbps)
+    : m_rate(std::make_shared<rate>())
+    , m_listener(loop, 0, [this, &loop, target](asio::ip::tcp::socket accepted) {
+        std::make_shared<connection>(loop, std::move(accepted), m_rate)->begin(target);
+    })
+{
+    m_rate->mbps = mbps;
+}
+
 // ---- scene ---------------------------------------------------------------------------------
 
 review_scene::review_scene(const std::string &recordPath, scene_options options)
@@ -405,8 +498,13 @@
         m_backends.push_back(
             std::make_unique<review_backend>(*this, i, portOf(name, 0), portOf(name, 1)));
     }
-    for (int i = 0; i < m_options.fronts; ++i)
-        add(fmt::format("front-{}", i + 1));
+    for (int i = 0; i < m_options.fronts; ++i) {
+        const std::string name = fmt::format("front-{}", i + 1);
+        add(name);
+        if (m_options.frontLinkMbps > 0)
+            m_links[name] = std::make_unique<slow_link>(m_loop, m_stores.at(name)->port(),
+                                                        m_options.frontLinkMbps);
+    }
     writeSettings();
 }
 
@@ -427,10 +525,13 @@
 void review_scene::writeSettings()
 {
     for (const auto &[name, port] : m_ports) {
+        const auto link = m_links.find(name);
+        const int storePort
+            = link == m_links.end() ? m_stores.at(name)->port() : link->second->port();
         json settings = {{"name", name},
                          {"failureDomain", "rimouski"},
                          {"metricsListen", addressOf(port + 3)},
-                         {"storeAddress", addressOf(m_stores.at(name)->port())},
+                         {"storeAddress", addressOf(storePort)},
                          {"storeValueBytes", 1048576},
                          {"admission", true}};
         if (name.rfind("front", 0) == 0) {
@@ -486,9 +587,7 @@
 
 bool review_scene::start()
 {
-    store_transaction transaction;
-    transaction.put("op/config", m_options.configuration.dump());
-    m_model.commit(transaction);
+    configure(m_options.configuration);
     for (const auto &[name, port] : m_ports)
         startProcess(name);
     for (const std::unique_ptr<review_backend> &server : m_backends)
@@ -515,6 +614,15 @@
     return isReady;
 }
 
+void review_scene::configure(const nlohmann::json &configuration)
+{
+    store_transaction transaction;
+    transaction.put("op/config", configuration.dump());
+    m_model.commit(transaction);
+    note(fmt::format("operator: version {} acknowledged, {} bytes",
+                     configuration.value("version", 0), configuration.dump().size()));
+}
+
 bool review_scene::wait(duration limit, const std::function<bool()> &condition)
 {
     return m_loop.runUntil(condition, limit);
--- a/review/stage-3/scene.h
+++ b/review/stage-3/scene.h
@@ -20,6 +20,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <fstream>
 #include <functional>
@@ -61,6 +62,7 @@
 {
     int sidecars = 3;
     int fronts = 1;
+    int frontLinkMbps = 0; // rate at which fronts receive from the store; 0: not limited
     nlohmann::json configuration;
     // Returns how a run of a task goes; the task is named ID.OCCURRENCE.STEP.INDEX.
     std::function<run_plan(const std::string &task, std::int32_t run)> planOf;
@@ -86,6 +88,28 @@
 class gang_registry;
 class review_backend;
 
+// A link of limited rate in the direction from the target to the clients, which their connections
+// share. The other direction isn't limited.
+class slow_link
+{
+public:
+    slow_link(asio_event_loop &loop, int target, int mbps);
+    int port() const { return m_listener.port(); }
+
+private:
+    struct connection;
+    struct rate
+    {
+        std::int64_t mbps = 0;
+        std::chrono::steady_clock::time_point freeAt{};
+        // Returns how long the link takes until it has passed the bytes, in microseconds.
+        std::int64_t take(std::size_t bytes);
+    };
+
+    std::shared_ptr<rate> m_rate;
+    soak_listener m_listener;
+};
+
 class review_scene
 {
 public:
@@ -117,6 +141,9 @@
     // Returns the state that callers see; empty if there is no answer.
     std::string stateOf(const review_job &job);
 
+    // The operator writes another configuration, and has it acknowledged at once.
+    void configure(const nlohmann::json &configuration);
+
     // Processes: "side-1" and so on, "front-1".
     process_group &processes() { return m_processes; }
     void startProcess(const std::string &name);
@@ -159,6 +186,7 @@
     one_shot_timers m_timers;
     std::map<std::string, int> m_ports; // first of four, by process
     std::map<std::string, std::unique_ptr<soak_http_server>> m_stores; // by process
+    std::map<std::string, std::unique_ptr<slow_link>> m_links; // to the store, by process
     std::unique_ptr<gang_registry> m_gangs;
     std::vector<std::unique_ptr<review_backend>> m_backends;
     process_group m_processes;
