--- a/review/stage-3/scene.cc
+++ b/review/stage-3/scene.cc
@@ -271,11 +271,24 @@
     const auto found = m_runs.find(task);
     if (found != m_runs.end() && found->second.number == number && !found->second.isStopping) {
         found->second.isStopping = true;
+        if (percentOf(found->second) == 100)
+            m_scene.noteRun({m_scene.now(), m_name, task, number, "stop ordered"});
         m_timers.after(stopTime / 4, [this, task, number] { endRun(task, number, "stopped"); });
     }
     respond(200, json{{"clock_ms", clock()}, {"born", m_born}}.dump());
 }
 
+std::int64_t review_backend::percentOf(const run &one) const
+{
+    if (one.workSince == time_point{})
+        return 0;
+    constexpr std::int64_t startup = 300;
+    const std::int64_t worked = (m_scene.now() - one.workSince).count();
+    if (one.plan.lasts)
+        return std::min<std::int64_t>(100, worked * 100 / startup);
+    return std::min<std::int64_t>(99, worked * 100 / one.plan.length.count());
+}
+
 std::string review_backend::lists() const
 {
     json running = json::array();
@@ -340,6 +353,8 @@
 std::string review_backend::endBeside(const std::string &task, const std::string &how) const
 {
     const auto found = m_runs.find(task);
+    if (found != m_runs.end() && found->second.isStopping)
+        return "stopped";
     const bool failsToo = found != m_runs.end() && found->second.plan.how == "failed";
     return how == "failed" && failsToo ? "failed" : "broken";
 }
--- a/review/stage-3/scene.h
+++ b/review/stage-3/scene.h
@@ -75,7 +75,7 @@
     std::string server;
     std::string task;
     std::int32_t run = 0;
-    std::string event; // "start" or how it has ended
+    std::string event; // "start", "stop ordered" (while at work at 100 percent) or how it has ended
 };
 
 struct http_answer
@@ -211,8 +211,8 @@
     // For the gangs.
     void beginWork(const std::string &task, std::int32_t run);
     void endRun(const std::string &task, std::int32_t run, const std::string &how);
-    // Returns how a member ends once another one has ended. One that fails by the same fault at the
-    // same moment ends as failed, too.
+    // Returns how a member ends once another one has ended. One that is being stopped ends as
+    // stopped, and one that fails by the same fault at the same moment as failed.
     std::string endBeside(const std::string &task, const std::string &how) const;
 
 private:
@@ -239,6 +239,7 @@
     void sendHeartbeat();
     void tick();
     std::int64_t clock() const;
+    std::int64_t percentOf(const run &one) const;
     std::string lists() const;
     void answerHolds();
 
