Read answers of the store that keep arriving to their end

Cause: the time of an attempt bounded the whole answer. It follows the times of small answers, so each read was cut off before its end, and the next began from nothing with what was left of 0.9 s.

Change: the time of an attempt bounds when its answer begins. Only the time until an answer began counts for later calls. A listing goes on after its last complete page.

--- a/goldcrest/config_store.cc
+++ b/goldcrest/config_store.cc
@@ -15,10 +15,10 @@
 
 // The age of a confirmation counts from the time at which its read was sent, so a slow reply is
 // still useful while it is younger than configFreshnessLimit.
-constexpr call_options confirmOptions{call_priority::Urgent, 2500ms};
+const call_options confirmOptions{call_priority::Urgent, 2500ms};
 constexpr int maxReadsInFlight = 3;
 
-constexpr call_options publishOptions{call_priority::Urgent, 2s};
+const call_options publishOptions{call_priority::Urgent, 2s};
 
 constexpr duration initialRewatchDelay = 100ms;
 constexpr duration maxRewatchDelay = 2s;
--- a/goldcrest/http_client.cc
+++ b/goldcrest/http_client.cc
@@ -123,6 +123,8 @@
     std::size_t heldBytes = 0; // of this response
     std::size_t bodySent = 0;
     time_point startedAt{};
+    std::optional<time_point> firstDataAt; // of the response
+    time_point lastDataAt{};
     bool isTooLarge = false;
     bool isPaused = false; // a stream without room for its next piece
     bool isHeadComplete = false; // the blank line after the headers has arrived
@@ -156,6 +158,20 @@
         handle = nullptr;
     }
 
+    void noteData()
+    {
+        lastDataAt = boot_clock().now();
+        if (!firstDataAt)
+            firstDataAt = lastDataAt;
+    }
+
+    // Returns when the exchange is given up unless data arrives; only for requests with limits of
+    // the transfer.
+    time_point dueTime() const
+    {
+        return firstDataAt ? lastDataAt + request.transfer->gap : startedAt + request.timeout;
+    }
+
     bool isStream() const { return static_cast<bool>(onData); }
 
     // Returns the status of the response; 0 if none has arrived.
@@ -177,6 +193,7 @@
 {
     auto &running = *static_cast<exchange *>(context);
     const std::size_t bytes = size * count;
+    running.noteData();
     if (running.isStream() && isSuccess(running.status())) {
         // libcurl passes the same bytes again when the transfer is resumed.
         if (!running.held->fitsPiece(bytes)) {
@@ -202,6 +219,7 @@
 {
     auto &running = *static_cast<exchange *>(context);
     const std::string_view line(data, size * count);
+    running.noteData();
     // A final response may follow an interim one, with a head of its own.
     if (startsWith(line, "HTTP/"))
         running.isHeadComplete = false;
@@ -299,13 +317,14 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &next);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, onHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &next);
-    const duration total = next.request.timeout;
+    const duration total
+        = next.request.transfer ? next.request.transfer->total : next.request.timeout;
+    next.startedAt = boot_clock().now();
     const duration connecting = total > 0ms ? std::min(total, connectTimeout) : connectTimeout;
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connecting.count()));
     if (total > 0ms) {
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(total.count()));
     } else {
-        next.startedAt = boot_clock().now();
         curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
         curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &next);
         curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
@@ -402,8 +421,9 @@
             int active = 0;
             curl_multi_perform(m_multi, &active);
             finishTransfers();
-            const int waitMs = hasPausedStream() ? pausedPollMs : maxPollMs;
-            curl_multi_poll(m_multi, nullptr, 0, waitMs, nullptr);
+            abortOverdue();
+            const duration wait(hasPausedStream() ? pausedPollMs : maxPollMs);
+            curl_multi_poll(m_multi, nullptr, 0, static_cast<int>(waitUpTo(wait).count()), nullptr);
         }
     }
 
@@ -413,6 +433,34 @@
                            [](const auto &entry) { return entry.second->isPaused; });
     }
 
+    // Returns the time until the next exchange is due, at most `longest`.
+    duration waitUpTo(duration longest) const
+    {
+        const time_point now = boot_clock().now();
+        for (const auto &[id, running] : m_running) {
+            if (running->request.transfer)
+                longest = std::min(longest, running->dueTime() - now);
+        }
+        return std::max<duration>(longest, 1ms);
+    }
+
+    // Ends the exchanges whose response does not begin in time or has stopped to arrive. What has
+    // arrived by now has been read before.
+    void abortOverdue()
+    {
+        const time_point now = boot_clock().now();
+        for (auto next = m_running.begin(); next != m_running.end();) {
+            const auto current = next++;
+            const exchange &running = *current->second;
+            if (!running.request.transfer || now < running.dueTime())
+                continue;
+            std::unique_ptr<exchange> ended = std::move(current->second);
+            m_running.erase(current);
+            curl_multi_remove_handle(m_multi, ended->handle);
+            finish(std::move(ended), CURLE_OPERATION_TIMEDOUT);
+        }
+    }
+
     void resumeStreams()
     {
         for (const auto &[id, running] : m_running) {
@@ -480,6 +528,8 @@
     static void finish(std::unique_ptr<exchange> ended, CURLcode outcome)
     {
         ended->response.status = ended->status();
+        if (ended->firstDataAt)
+            ended->response.firstDataAfter = *ended->firstDataAt - ended->startedAt;
         // libcurl reports success if the connection ends within the headers.
         const bool isCut = outcome == CURLE_OK && !ended->isHeadComplete;
         std::optional<failure> error;
--- a/goldcrest/http_client.h
+++ b/goldcrest/http_client.h
@@ -10,10 +10,12 @@
 
 #include "goldcrest/event_loop.h"
 #include "goldcrest/outcome.h"
+#include "goldcrest/transfer_limits.h"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,6 +30,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     duration timeout = 2s; // of the whole exchange; 0 means no timeout, for streams
+    // If set, `timeout` only bounds the time until the response begins to arrive. Not for streams.
+    std::optional<transfer_limits> transfer = std::nullopt;
 };
 
 struct http_response
@@ -35,6 +39,7 @@
     int status = 0;
     std::vector<std::pair<std::string, std::string>> headers; // names in lower case
     std::string body;
+    duration firstDataAfter{}; // time from the start of the exchange until the response began
 };
 
 // Handle of a streamed exchange. Destroying it ends the exchange; no callback runs afterwards.
--- a/goldcrest/learned_state_keeper.cc
+++ b/goldcrest/learned_state_keeper.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr call_options readOptions{call_priority::Normal, 2s};
-constexpr call_options writeOptions{call_priority::Background, 2s};
+const call_options readOptions{call_priority::Normal, 2s, largeAnswer};
+const call_options writeOptions{call_priority::Background, 2s};
 
 } // namespace
 
--- a/goldcrest/maintenance_service.cc
+++ b/goldcrest/maintenance_service.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr duration tickInterval = 200ms;
-constexpr call_options storeOptions{call_priority::Normal, 2s};
+const call_options storeOptions{call_priority::Normal, 2s, largeAnswer};
 constexpr duration storeRetryPause = 1s;
 // A service that never ends its list must not keep the reading going for ever.
 constexpr int maxPages = 1000;
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -18,8 +18,8 @@
 // The leader key is read back after this many renewals, in case it was removed without its lease.
 constexpr int renewalsPerKeyCheck = 5;
 
-constexpr call_options electionOptions{call_priority::Urgent, electionDeadline};
-constexpr call_options resignOptions{call_priority::Urgent, resignDeadline};
+const call_options electionOptions{call_priority::Urgent, electionDeadline};
+const call_options resignOptions{call_priority::Urgent, resignDeadline};
 
 enum class role { Idle, Candidate, Leader };
 
--- a/goldcrest/planner_finder.cc
+++ b/goldcrest/planner_finder.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr call_options searchOptions{call_priority::Urgent, 800ms};
+const call_options searchOptions{call_priority::Urgent, 800ms};
 
 // Timeout of an answer of a connected planner. A planner answers each report and query at once; one
 // that does not may have lost its role without knowing it.
--- a/goldcrest/planner_service.cc
+++ b/goldcrest/planner_service.cc
@@ -13,7 +13,7 @@
 namespace {
 
 // An agent whose read takes longer is itself cut off from the store.
-constexpr call_options takeoverOptions{call_priority::Urgent, 400ms};
+const call_options takeoverOptions{call_priority::Urgent, 400ms};
 constexpr duration takeoverInterval = 200ms;
 // A failed renewal proves nothing about the store if the planner has had fewer ticks since the last
 // confirmed one.
--- a/goldcrest/planner_service_probes.cc
+++ b/goldcrest/planner_service_probes.cc
@@ -23,7 +23,7 @@
 constexpr duration addressInterval = 1s;
 // The address of a worker without runs that has not reported for this long is removed.
 constexpr duration addressLifetime = 60s;
-constexpr call_options addressOptions{call_priority::Background, 2s};
+const call_options addressOptions{call_priority::Background, 2s, largeAnswer};
 // The platform accepts 32 entries in one transaction, one of which is the condition.
 constexpr std::size_t addressesPerCommit = 30;
 
--- a/goldcrest/planner_service_recovery.cc
+++ b/goldcrest/planner_service_recovery.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr call_options loadOptions{call_priority::Urgent, 2s};
+const call_options loadOptions{call_priority::Urgent, 2s, largeAnswer};
 constexpr duration loadRetryPause = 100ms;
 
 } // namespace
--- a/goldcrest/planner_service_state.h
+++ b/goldcrest/planner_service_state.h
@@ -18,7 +18,7 @@
 
 namespace goldcrest {
 
-constexpr call_options commitOptions{call_priority::Urgent, 1500ms};
+const call_options commitOptions{call_priority::Urgent, 1500ms};
 constexpr duration commitRetryPause = 50ms;
 
 // Planning also runs periodically, because leases expire and occurrences fall due without an event.
--- a/goldcrest/platform_store.h
+++ b/goldcrest/platform_store.h
@@ -10,6 +10,7 @@
 
 #include "goldcrest/clock.h"
 #include "goldcrest/outcome.h"
+#include "goldcrest/transfer_limits.h"
 
 #include <cstdint>
 #include <functional>
@@ -38,10 +39,24 @@
 
 enum class call_priority { Urgent, Normal, Background };
 
+// What a store tells of a call beside its outcome. A store may leave all of it empty.
+struct call_progress
+{
+    // Time until the answer of the last attempt began to arrive.
+    std::optional<duration> firstDataAfter;
+    // Of list(): the complete pages so far, and the key after which the next one begins. Another
+    // attempt of the same call goes on from there.
+    std::vector<store_entry> listed;
+    std::string listedUpTo;
+};
+
 struct call_options
 {
     call_priority priority = call_priority::Normal;
     duration deadline = 2s; // for the whole call with its retries
+    // If set, an answer that keeps arriving is read within these limits, also beyond the deadline.
+    std::optional<transfer_limits> transfer = std::nullopt;
+    std::shared_ptr<call_progress> progress = nullptr; // may be empty
 };
 
 // A write that takes effect if all its conditions hold, else not at all.
--- a/goldcrest/store_client.cc
+++ b/goldcrest/store_client.cc
@@ -77,6 +77,10 @@
     time_point startedAt{};
     time_point deadline{};
     time_point attemptedAt{};
+    duration wholeTime{}; // from the start, or from the last progress, to the deadline
+    std::optional<transfer_limits> transfer;
+    std::shared_ptr<call_progress> progress;
+    std::size_t listedBefore = 0; // when the last attempt began
     timer_handle deadlineTimer;
     timer_handle retryTimer;
     failure lastError
@@ -110,11 +114,13 @@
     { }
 
     void start(const operation_ptr &next, const call_options &chosen);
+    void setDeadlineTimer(const operation_ptr &next);
     void enqueue(const operation_ptr &next);
     bool makeQueueSpace(call_priority priority);
     void dispatchQueued();
     void run(const operation_ptr &next);
     void retry(const operation_ptr &failed);
+    void extendAfterProgress(operation &failed) const;
     void enqueueAfter(const operation_ptr &waiting, duration delay);
     void end(const operation_ptr &ended);
     void failFast(const operation_ptr &refused);
@@ -349,16 +355,15 @@
 {
     next->priority = chosen.priority;
     next->startedAt = loop.now();
+    next->wholeTime = chosen.deadline;
     next->deadline = next->startedAt + chosen.deadline;
+    next->transfer = chosen.transfer;
+    next->progress = chosen.progress ? chosen.progress : std::make_shared<call_progress>();
     openCalls.insert(next);
     if (!breaker.mayAllow(loop.now()))
         return failFast(next);
     retries.recordCall();
-    next->deadlineTimer
-        = loop.after(chosen.deadline, [this, weak = std::weak_ptr<operation>(next)] {
-              if (const operation_ptr late = weak.lock())
-                  deadlinePassed(late);
-          });
+    setDeadlineTimer(next);
     if (!makeQueueSpace(next->priority)) {
         ++counts.overBudget;
         return failLater(
@@ -367,6 +372,15 @@
     enqueue(next);
 }
 
+void store_client::state::setDeadlineTimer(const operation_ptr &next)
+{
+    next->deadlineTimer
+        = loop.after(next->deadline - loop.now(), [this, weak = std::weak_ptr<operation>(next)] {
+              if (const operation_ptr late = weak.lock())
+                  deadlinePassed(late);
+          });
+}
+
 void store_client::state::failFast(const operation_ptr &refused)
 {
     ++counts.failedFast;
@@ -456,7 +470,10 @@
     next->isInFlight = true;
     const duration left = std::max(next->deadline - now, duration(1));
     next->attemptedAt = now;
-    next->attempt({next->priority, std::min(left, timeoutOf(*next, left))});
+    next->progress->firstDataAfter.reset();
+    next->listedBefore = next->progress->listed.size();
+    next->attempt(
+        {next->priority, std::min(left, timeoutOf(*next, left)), next->transfer, next->progress});
 }
 
 duration store_client::state::timeoutOf(const operation &next, duration left) const
@@ -475,12 +492,22 @@
 void store_client::state::retry(const operation_ptr &failed)
 {
     ++failed->failures;
+    extendAfterProgress(*failed);
     if (!retries.take())
         return failLater(failed, failed->lastError);
     ++counts.retries;
     enqueueAfter(failed, backoff.delayOf(failed->failures));
 }
 
+// A listing that has got further since its last attempt is not lost, and needs time for the rest.
+void store_client::state::extendAfterProgress(operation &failed) const
+{
+    if (!failed.transfer || failed.progress->listed.size() <= failed.listedBefore)
+        return;
+    failed.failures = 1;
+    failed.deadline = std::max(failed.deadline, loop.now() + failed.wholeTime);
+}
+
 void store_client::state::enqueueAfter(const operation_ptr &waiting, duration delay)
 {
     if (loop.now() + delay >= waiting->deadline)
@@ -504,6 +531,8 @@
 
 void store_client::state::deadlinePassed(const operation_ptr &late)
 {
+    if (late->deadline > loop.now())
+        return setDeadlineTimer(late); // it was extended
     // An attempt in flight times out now too, and its result is more specific.
     if (!late->isInFlight)
         failLater(late, late->lastError);
@@ -513,8 +542,11 @@
 {
     if (!error || !isNoResponse(error->number)) {
         lastContactAt = loop.now();
-        // Rises at once and falls over about ten responses.
-        recentResponseTime = std::max(loop.now() - ended.attemptedAt, recentResponseTime * 9 / 10);
+        // Rises at once and falls over about ten responses. The time of a large answer says little
+        // about the next one, so only the time until it began counts where it is known.
+        const duration responseTime
+            = ended.progress->firstDataAfter.value_or(loop.now() - ended.attemptedAt);
+        recentResponseTime = std::max(responseTime, recentResponseTime * 9 / 10);
         breaker.succeeded();
         return;
     }
--- a/goldcrest/store_client.h
+++ b/goldcrest/store_client.h
@@ -12,6 +12,10 @@
 // - StoreUnavailable: no attempt took effect.
 // - StoreAmbiguous: a write may have taken effect, or may still do so.
 //
+// Large answers: the timeout of an attempt bounds the time until its answer begins. With
+// call_options::transfer an answer that keeps arriving is then read to its end, and a listing goes
+// on after its last complete page, with a new deadline for the rest.
+//
 // Ambiguous transactions: the longest value of a transaction must contain a unique writer token.
 // After a write with unknown outcome the client reads that key: an equal value proves that the
 // transaction took effect. Without this proof the client sends the transaction again only if it is
--- a/standins/kv_service.cc
+++ b/standins/kv_service.cc
@@ -90,19 +90,58 @@
         });
     }
     if (path == "/v1/kv-watch")
-        return watch(query, std::move(callback));
+        return watch(query, request, std::move(callback));
     http_response response = answer(request.method, path, query, request.body);
     if (m_faults.misreport > 0) {
         --m_faults.misreport;
         response = respond(m_faults.misreportedStatus, json::object());
     }
-    if (m_faults.loseAnswers > 0) {
-        --m_faults.loseAnswers;
+    const bool losesPage = m_faults.losePages > 0 && query.count("after") > 0;
+    if (m_faults.loseAnswers > 0 || losesPage) {
+        --(losesPage ? m_faults.losePages : m_faults.loseAnswers);
         return m_timers.after(request.timeout, [callback] {
             callback(makeFailure(code::StoreAmbiguous, "no answer"));
         });
     }
-    m_timers.after(responseDelay, [callback, response] { callback(response); });
+    deliver(request, std::move(response), std::move(callback));
+}
+
+// Sends a response over the caller's link, one after the other. A response that is cut off stops at
+// once, but for what the link has taken already.
+void kv_service::deliver(const http_request &request, http_response response,
+                         callback_type callback)
+{
+    constexpr std::size_t linkBuffer = 65'536; // bytes
+    const std::size_t bytes = response.body.size();
+    if (m_faults.bytesPerMs == 0) {
+        m_sentBytes += bytes;
+        return m_timers.after(responseDelay,
+                              [callback = std::move(callback), response = std::move(response)] {
+                                  callback(response);
+                              });
+    }
+    const time_point now = m_loop.now();
+    const time_point begin = std::max(now + responseDelay, m_linkFreeAt);
+    const auto transferTime
+        = [this](std::size_t size) { return duration(size / m_faults.bytesPerMs); };
+    const time_point end = begin + transferTime(bytes);
+    const time_point cutAt = now + (request.transfer ? request.transfer->total : request.timeout);
+    if (begin > now + request.timeout || end > cutAt) {
+        const time_point givenUpAt = std::min(now + request.timeout, cutAt);
+        const time_point linkFreeAt
+            = std::min(end, std::max(begin, givenUpAt) + transferTime(linkBuffer));
+        m_sentBytes += static_cast<std::size_t>((linkFreeAt - begin).count()) * m_faults.bytesPerMs;
+        m_linkFreeAt = linkFreeAt;
+        return m_timers.after(givenUpAt - now, [callback = std::move(callback)] {
+            callback(makeFailure(code::StoreAmbiguous, "the response did not arrive in time"));
+        });
+    }
+    m_sentBytes += bytes;
+    m_linkFreeAt = end;
+    response.firstDataAfter = begin - now;
+    m_timers.after(end - now, [callback = std::move(callback), response = std::move(response)] {
+        callback(response);
+    });
 }
 
 std::unique_ptr<http_stream> kv_service::stream(http_request, std::function<void(std::string_view)>,
@@ -191,7 +230,8 @@
 }
 
 // Responds with the first batch of events, or with an empty list after wait_ms.
-void kv_service::watch(const std::map<std::string, std::string> &query, callback_type callback)
+void kv_service::watch(const std::map<std::string, std::string> &query, const http_request &request,
+                       callback_type callback)
 {
     struct pending
     {
@@ -201,13 +241,16 @@
     };
     const auto waiting = std::make_shared<pending>();
     waiting->callback = std::move(callback);
-    const auto respondOnce = [this, waiting](const result<http_response> &outcome) {
+    const auto respondOnce = [this, waiting, request](const result<http_response> &outcome) {
         if (std::exchange(waiting->isAnswered, true))
             return;
-        m_timers.after(responseDelay, [this, waiting, outcome] {
+        const auto end = [this, waiting](const result<http_response> &answered) {
             m_model.cancelWatch(waiting->id);
-            waiting->callback(outcome);
-        });
+            waiting->callback(answered);
+        };
+        if (!failureOf(outcome))
+            return deliver(request, valueOf(outcome), end);
+        m_timers.after(responseDelay, [end, outcome] { end(outcome); });
     };
     const std::string prefix = query.at("prefix");
     const std::int64_t after = std::stoll(query.at("after"));
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -33,6 +33,8 @@
     int misreportedStatus = 500;
     bool failWatches = false; // watches without events fail instead of returning an empty response
     std::size_t pageItems = 500; // most items of one response to a range request
+    std::size_t bytesPerMs = 0; // of the caller's link, on which all responses arrive; 0: no limit
+    int losePages = 0; // this many of the next pages after the first of a range get no response
 };
 
 class kv_service final : public http_client
@@ -45,6 +47,10 @@
     // Returns the requests so far, each as "METHOD /path?query".
     const std::vector<std::string> &calls() const { return m_calls; }
 
+    // Returns the bytes of the bodies that were sent on the caller's link, with those of responses
+    // that were cut off.
+    std::size_t sentBytes() const { return m_sentBytes; }
+
     void send(http_request request, std::function<void(result<http_response>)> callback) override;
     std::unique_ptr<http_stream> stream(http_request request,
                                         std::function<void(std::string_view)> onData,
@@ -57,13 +63,17 @@
                          const std::map<std::string, std::string> &query, const std::string &body);
     http_response range(const std::map<std::string, std::string> &query) const;
     http_response transact(const nlohmann::json &body);
-    void watch(const std::map<std::string, std::string> &query, callback_type callback);
+    void watch(const std::map<std::string, std::string> &query, const http_request &request,
+               callback_type callback);
+    void deliver(const http_request &request, http_response response, callback_type callback);
 
     event_loop &m_loop;
     store_model &m_model;
     kv_service_faults m_faults;
     std::vector<std::string> m_calls;
     one_shot_timers m_timers;
+    time_point m_linkFreeAt{};
+    std::size_t m_sentBytes = 0;
 };
 
 } // namespace goldcrest
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -44,7 +44,8 @@
 {
 public:
     scripted_server(asio_event_loop &loop, next_connection next)
-        : m_acceptor(loop.context())
+        : m_loop(loop)
+        , m_acceptor(loop.context())
         , m_connection(loop.context())
         , m_next(next)
     {
@@ -65,6 +66,8 @@
     std::vector<std::string> answers = {completeAnswer};
     bool closesAfterLastAnswer = false;
     bool closesWithReset = false;
+    std::size_t pieceBytes = 0; // answers are sent in pieces of this size; 0: at once
+    std::size_t mostPieces = SIZE_MAX; // after which nothing follows
     int received = 0;
 
     void close()
@@ -112,11 +115,30 @@
         const auto index = static_cast<std::size_t>(received++);
         if (index >= answers.size())
             return close();
+        if (pieceBytes > 0)
+            return sendPieces(answers[index]);
         asio::write(m_connection, asio::buffer(answers[index]));
         if (closesAfterLastAnswer && index + 1 == answers.size())
             close();
     }
 
+    // Sends a piece each 20 ms.
+    void sendPieces(const std::string &answer)
+    {
+        m_unsent = answer;
+        m_pieceTimer = m_loop.every(20ms, [this] {
+            if (m_unsent.empty() || mostPieces == 0)
+                return;
+            --mostPieces;
+            const std::size_t bytes = std::min(pieceBytes, m_unsent.size());
+            asio::write(m_connection, asio::buffer(m_unsent.data(), bytes));
+            m_unsent.erase(0, bytes);
+        });
+    }
+
+    event_loop &m_loop;
+    timer_handle m_pieceTimer;
+    std::string m_unsent;
     tcp::acceptor m_acceptor;
     tcp::socket m_connection;
     next_connection m_next;
@@ -133,10 +155,9 @@
     asio_event_loop loop;
     std::unique_ptr<http_client> client = makeCurlClient(loop);
 
-    result<http_response> post(int port)
+    result<http_response> post(int port, http_request request = {})
     {
         std::optional<result<http_response>> outcome;
-        http_request request;
         request.method = "POST";
         request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
         request.body = requestBody;
@@ -287,3 +308,54 @@
     CHECK_TEXT(!error, error ? error->reason.c_str() : "");
     LONGS_EQUAL(size, received);
 }
+
+// Guards CONFIG (review/13): a large answer on a slow link was cut off before its end each time it
+// was read, though its data kept arriving.
+TEST(http_client, responseThatKeepsArrivingIsNotCutOff)
+{
+    scripted_server server(loop, next_connection::Refused);
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')};
+    server.pieceBytes = 100;
+    http_request request;
+    request.timeout = 300ms;
+    request.transfer = transfer_limits{300ms, 10s};
+    const auto outcome = post(server.port(), request);
+    CHECK(!failureOf(outcome));
+    LONGS_EQUAL(4000, valueOf(outcome).body.size());
+    CHECK(valueOf(outcome).firstDataAfter <= 300ms);
+}
+
+// Guards the limits for lost answers: one that does not begin, or stops, is given up in time.
+TEST(http_client, responseWithoutDataIsGivenUp)
+{
+    scripted_server server(loop, next_connection::Refused);
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')};
+    server.pieceBytes = 100;
+    server.mostPieces = 5;
+    http_request request;
+    request.timeout = 200ms;
+    request.transfer = transfer_limits{300ms, 10s};
+    const time_point startedAt = loop.now();
+    expectFailure(code::StoreAmbiguous, post(server.port(), request));
+    CHECK(loop.now() - startedAt >= 300ms);
+    CHECK(loop.now() - startedAt < 5s);
+
+    scripted_server silent(loop, next_connection::Refused);
+    silent.answers = {""};
+    const time_point askedAt = loop.now();
+    expectFailure(code::StoreAmbiguous, post(silent.port(), request));
+    CHECK(loop.now() - askedAt >= 200ms);
+    CHECK(loop.now() - askedAt < 5s);
+}
+
+// Guards against a response that goes on for good.
+TEST(http_client, slowResponseIsGivenUpAfterItsTotalTime)
+{
+    scripted_server server(loop, next_connection::Refused);
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')};
+    server.pieceBytes = 1;
+    http_request request;
+    request.timeout = 200ms;
+    request.transfer = transfer_limits{300ms, 500ms};
+    expectFailure(code::StoreAmbiguous, post(server.port(), request));
+}
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -5,6 +5,8 @@
 #include "testing/quiet_log.h"
 #include "testing/virtual_event_loop.h"
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -51,6 +53,27 @@
     return page.append(first).append(",").append(second).append("]}");
 }
 
+// Returns a configuration with this many routes.
+std::string configurationOf(int version, int routes)
+{
+    nlohmann::json body = {{"version", version},
+                           {"services", nlohmann::json::array()},
+                           {"tenants", nlohmann::json::array()}};
+    for (int i = 0; i < routes; ++i)
+        body["routes"].push_back({{"name", "r-more" + std::to_string(i)},
+                                  {"host", "more.example"},
+                                  {"prefix", "/more" + std::to_string(i) + "/"},
+                                  {"kind", "non_idempotent"},
+                                  {"timeout_ms", 3000},
+                                  {"target_completion_ms", 3000},
+                                  {"priority", 2},
+                                  {"service", "svc"},
+                                  {"max_attempts", 3},
+                                  {"slack_factor", 3.0},
+                                  {"public", false}});
+    return body.dump();
+}
+
 } // namespace
 
 TEST_GROUP(platform_store)
@@ -83,6 +106,48 @@
             [&](auto callback) { store.commit(transaction, options, callback); });
     }
 
+    void put(const std::string &key, const std::string &value)
+    {
+        store_transaction write;
+        write.put(key, value);
+        CHECK(!failureOf(model.commit(write)));
+    }
+
+    // Limits like those of the real processes.
+    static store_client_options quickOptions()
+    {
+        store_client_options quick;
+        quick.attemptTimeout = 700ms;
+        quick.initialTimeout = 120ms;
+        quick.initialBackoff = 15ms;
+        quick.initialOpenTime = quick.maxOpenTime = 200ms;
+        return quick;
+    }
+
+    // Lets the store fail for a while, publishes a configuration of this many routes, and returns
+    // the version in force 3 s later. Meanwhile the process also reads small keys.
+    std::int64_t versionAfterAnOutage(std::size_t bytesPerMs, int routes, bool isSilent)
+    {
+        service.faults().bytesPerMs = bytesPerMs;
+        put("op/config", configurationOf(7, 1));
+        store_client client(store, loop, quickOptions());
+        std::int64_t version = 0;
+        platform::operator_feed feed(loop, client, 600ms, [&](const operator_view &view) {
+            version = view.catalogue->version;
+        });
+        const timer_handle others = loop.every(250ms, [&] {
+            client.get("cells/main/leader", {call_priority::Urgent, 900ms}, [](const auto &) {});
+        });
+        loop.advance(4s);
+        LONGS_EQUAL(7, version);
+        (isSilent ? service.faults().loseAnswers : service.faults().refuse) = 1'000'000;
+        loop.advance(4500ms);
+        service.faults().loseAnswers = service.faults().refuse = 0;
+        put("op/config", configurationOf(8, routes));
+        loop.advance(3s);
+        return version;
+    }
+
     result<std::optional<store_entry>> get(const std::string &key)
     {
         return finish<std::optional<store_entry>>(
@@ -305,11 +370,6 @@
 // Guards against a view that looks newer than its last successful read.
 TEST(platform_store, operatorViewCarriesTheTimeOfItsRead)
 {
-    const auto put = [&](const std::string &key, const std::string &value) {
-        store_transaction write;
-        write.put(key, value);
-        commit(write);
-    };
     put("op/config", R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
         "service":"s","priority":1,"max_attempts":4,"slack_factor":3.0,
         "target_completion_ms":1000}],"services":[],"tenants":[]})");
@@ -409,3 +469,70 @@
                    body);
     }
 }
+
+// Guards CONFIG (review/13): after an outage of the store, fronts with a slow link never read a
+// configuration of many routes, since each attempt was cut off before its end.
+TEST(platform_store, largeConfigurationIsReadOnASlowLink)
+{
+    constexpr std::size_t mbps = 125; // bytes in a millisecond
+    LONGS_EQUAL(8, versionAfterAnOutage(10 * mbps, 1400, false));
+    LONGS_EQUAL(8, versionAfterAnOutage(10 * mbps, 1400, true));
+    LONGS_EQUAL(8, versionAfterAnOutage(2 * mbps, 350, false));
+    LONGS_EQUAL(8, versionAfterAnOutage(2 * mbps, 350, true));
+}
+
+// Guards takeovers: a planner that reads a long list began anew after each lost page, with as
+// little time as for the whole.
+TEST(platform_store, listingGoesOnAfterALostPage)
+{
+    for (int i = 100; i < 400; ++i)
+        put("gc/run/" + std::to_string(i), "record");
+    service.faults().pageItems = 50;
+    store_client client(store, loop, quickOptions());
+    std::optional<result<std::vector<store_entry>>> outcome;
+    client.list("gc/run/", 0, {call_priority::Urgent, 400ms, largeAnswer},
+                [&](auto listed) { outcome = std::move(listed); });
+    // One in two pages is lost.
+    std::size_t pages = 0;
+    for (int lost = 0; lost < 3; ++lost) {
+        pages = service.calls().size();
+        CHECK(loop.advanceUntil([&] { return service.calls().size() > pages; }, 1s, 1ms));
+        service.faults().losePages = 1;
+        CHECK(loop.advanceUntil([&] { return service.faults().losePages == 0; }, 1s, 1ms));
+    }
+    loop.advance(3s);
+    CHECK(outcome && !failureOf(*outcome));
+    LONGS_EQUAL(300, valueOf(*outcome).size());
+    STRCMP_EQUAL("gc/run/399", valueOf(*outcome).back().key.c_str());
+    LONGS_EQUAL(6 + 3, service.calls().size());
+}
+
+// Guards the limit of a listing that makes no progress.
+TEST(platform_store, listingWithoutProgressEndsByItsDeadline)
+{
+    put("gc/run/1", "record");
+    service.faults().loseAnswers = 100;
+    store_client client(store, loop, quickOptions());
+    bool hasFailed = false;
+    client.list("gc/run/", 0, {call_priority::Urgent, 400ms, largeAnswer},
+                [&](const auto &listed) { hasFailed = failureOf(listed) != nullptr; });
+    loop.advance(410ms);
+    CHECK(hasFailed);
+}
+
+// Guards callers with 250 ms: a large answer on a slow link does not lengthen the time after which
+// a small one counts as lost.
+TEST(platform_store, largeAnswersDoNotDelayTheRepetitionOfSmallOnes)
+{
+    put("op/config", configurationOf(7, 1400));
+    service.faults().bytesPerMs = 1250;
+    store_client client(store, loop, quickOptions());
+    client.list("op/", 0, {call_priority::Urgent, 900ms, largeAnswer}, [](const auto &) {});
+    loop.advance(2s);
+    service.faults().loseAnswers = 1;
+    bool isAnswered = false;
+    client.get("gc/in/job/1", {call_priority::Normal, 900ms},
+               [&](const auto &outcome) { isAnswered = !failureOf(outcome); });
+    loop.advance(200ms);
+    CHECK(isAnswered);
+}
