Count a failed run of a gang once across planners

Cause: both members fail in one run. The planner counts it when it hears of the first end, stores the count and ends. Its successor hears of the second end and counts it again, since the mark of the counted run was not stored.

Change: the number of the run is stored in task_record::failedRuns of the member whose failure was counted, which gangs did not use. The record has no further field, as planners of the version before would refuse it during restarts in turn. Their records are read as before.

Evidence: tracked_job.gangRunCountsOnceAcrossPlanners fails on the code before ("third.state() == Running"), with four members and three planners.

--- a/goldcrest/graph_job.h
+++ b/goldcrest/graph_job.h
@@ -135,6 +135,8 @@
 struct task_record
 {
     bool isDone = false;
+    // Of a member of a gang: number of the last run of which its failure was counted, in
+    // step_record::failedRuns. Earlier versions ignore it there, but would refuse another field.
     std::int32_t failedRuns = 0;
     std::int32_t lastRun = 0; // highest run number assigned so far
     worker_id worker; // where a run may exist now; empty: none
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -49,6 +49,14 @@
                        [](const tracked_task &task) { return task.record.isDone; });
 }
 
+std::int32_t tracked_step::lastFailedRun() const
+{
+    std::int32_t last = 0;
+    for (const tracked_task &task : tasks)
+        last = std::max(last, task.record.failedRuns);
+    return last;
+}
+
 bool tracked_step::hasActive() const
 {
     return std::any_of(tasks.begin(), tasks.end(),
@@ -352,9 +360,10 @@
         ++task.record.failedRuns;
         return;
     }
-    if (run <= step.lastFailedRun)
+    // Several members may fail in one run, and their ends may reach different planners.
+    if (run <= step.lastFailedRun())
         return;
-    step.lastFailedRun = run;
+    task.record.failedRuns = run;
     ++step.failedRuns;
 }
 
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -98,8 +98,10 @@
     static constexpr std::size_t maxTaskTimes = 64;
     std::vector<tracked_task> tasks;
     std::int32_t failedRuns = 0; // of a gang
-    std::int32_t lastFailedRun = 0; // failures of several members in one run count once
     bool isDone() const;
+    // Returns the number of the last run that is counted in `failedRuns`, by this planner or an
+    // earlier one; 0: none.
+    std::int32_t lastFailedRun() const;
     bool hasActive() const;
 };
 
--- a/testing/tracked_job_test.cc
+++ b/testing/tracked_job_test.cc
@@ -1,5 +1,7 @@
 #include "goldcrest/tracked_job.h"
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 #include <vector>
 
@@ -231,6 +233,58 @@
     CHECK(restored.state() == graph_job_state::Running);
 }
 
+// Guards LOST (review/11): a gang was shown as failed before its last attempt, since the failures
+// of two members in one run reached two planners, and each counted one.
+TEST(tracked_job, gangRunCountsOnceAcrossPlanners)
+{
+    step_spec gang = makeStep(4);
+    gang.gang = true;
+    tracked_job first = openJob(makeJob({gang}));
+    const auto beginAll = [this](tracked_job &job) {
+        job.beginRuns({0, 0},
+                      {{0, "w1", "life", 1s},
+                       {1, "w2", "life", 1s},
+                       {2, "w3", "life", 1s},
+                       {3, "w4", "life", 1s}},
+                      now);
+    };
+    const auto successorOf = [this](const tracked_job &job) {
+        const result<job_progress> stored = decodeJobProgress(encodeJobProgress(job.progress()));
+        CHECK(!failureOf(stored));
+        return tracked_job(job.spec(), valueOf(stored), now);
+    };
+    beginAll(first);
+    CHECK(first.endRun(task(0, 2), 1, run_end::Failed, {}, wall));
+    tracked_job second = successorOf(first);
+    CHECK(second.endRun(task(0, 0), 1, run_end::Failed, {}, wall));
+    tracked_job third = successorOf(second);
+    CHECK(third.endRun(task(0, 1), 1, run_end::Failed, {}, wall));
+    CHECK(third.endRun(task(0, 3), 1, run_end::Stopped, {}, wall));
+    CHECK(third.state() == graph_job_state::Running);
+    LONGS_EQUAL(1, third.readySteps().size());
+
+    beginAll(third);
+    tracked_job fourth = successorOf(third);
+    CHECK(fourth.endRun(task(0, 3), 2, run_end::Failed, {}, wall));
+    CHECK(fourth.state() == graph_job_state::Failed);
+}
+
+// Guards restarts in turn: planners of the version before refuse a record with fields that they
+// don't know, so the count above must not add one.
+TEST(tracked_job, recordOfAFailedGangHasNoFurtherFields)
+{
+    step_spec gang = makeStep(2);
+    gang.gang = true;
+    tracked_job job = openJob(makeJob({gang}));
+    job.beginRuns({0, 0}, {{0, "w1", "life", 1s}, {1, "w2", "life", 1s}}, now);
+    CHECK(job.endRun(task(0, 0), 1, run_end::Failed, {}, wall));
+    const auto record = nlohmann::json::from_cbor(encodeJobProgress(job.progress()));
+    LONGS_EQUAL(6, record.size());
+    const nlohmann::json &step = record.back().at(0).back().at(0);
+    LONGS_EQUAL(2, step.size());
+    LONGS_EQUAL(10, step.at(0).at(0).size());
+}
+
 // Guards TWICE: what is set aside begins again later, so that it must not be, nor must any before
 // it, once a run was recorded.
 TEST(tracked_job, onlyUntouchedOccurrencesAtTheEndAreSetAside)
