Count crashes of lapsed runs after a takeover

The crash was not counted, so that a task which crashes its servers is started more often than its count says (BUDGET). No caller is known to have seen it.

Cause: which run ended so is known to the planner that ended it only.

Change: a successor counts the crash for a run that an earlier planner had recorded and that the agent has not seen to end. For how long it had worked is not known, so it counts as a crash that did not come at the start.

Evidence: run_planner.crashOfARunThatEndedWithItsLeaseIsCountedByASuccessor fails on the code before, which counts nothing there.

--- a/goldcrest/run_planner_reports.cc
+++ b/goldcrest/run_planner_reports.cc
@@ -220,10 +220,13 @@
 void run_planner::noteCrashOfLapsedRuns(const pool_worker &worker,
                                         const worker_report_message &report, unix_ms wall)
 {
+    std::set<run_id> ended;
+    for (const ended_task &end : report.ended)
+        ended.insert(end.run);
     for (const run_id &run : report.startedRuns) {
         const result<task_key> key = parseTask(run.task);
         const auto job = failureOf(key) ? m_jobs.end() : m_jobs.find(valueOf(key).job);
-        if (job == m_jobs.end())
+        if (job == m_jobs.end() || ended.count(run) > 0)
             continue;
         const graph_job_state before = job->second.state();
         if (job->second.noteCrashOfLapsedRun(valueOf(key), run.number, wall))
--- a/goldcrest/tracked_job.cc
+++ b/goldcrest/tracked_job.cc
@@ -13,10 +13,12 @@
     task_record record = std::move(task.record);
     record.worker.clear();
     record.workerIncarnation.clear();
+    const std::int32_t restoredRun = task.restoredRun;
     const std::int32_t lapsedRun = task.lapsedRun;
     const duration lapsedRunWorked = task.lapsedRunWorked;
     task = tracked_task{};
     task.record = std::move(record);
+    task.restoredRun = restoredRun;
     task.lapsedRun = lapsedRun;
     task.lapsedRunWorked = lapsedRunWorked;
 }
@@ -103,6 +105,7 @@
             m_hasBegun = m_hasBegun || step.failedRuns > 0;
             for (const task_record &record : storedStep.tasks) {
                 step.tasks.emplace_back().record = record;
+                step.tasks.back().restoredRun = record.lastRun;
                 m_hasBegun
                     = m_hasBegun || record.isDone || record.failedRuns > 0 || !record.saved.empty();
                 step.tasks.back().stopWanted = progress->isFinished() || record.isDone;
@@ -459,8 +462,15 @@
 bool tracked_job::noteCrashOfLapsedRun(const task_key &key, std::int32_t run, unix_ms wall)
 {
     tracked_task *task = find(key);
-    if (!task || task->lapsedRun != run || task->record.countedCrash >= run)
+    if (!task || task->record.countedCrash >= run)
         return false;
+    const bool isPresent = task->isActive() && run == task->record.lastRun;
+    if (task->lapsedRun != run) {
+        if (isPresent || run > task->restoredRun)
+            return false;
+        task->lapsedRun = run;
+        task->lapsedRunWorked = startupTime;
+    }
     countCrash(task->record, run, task->lapsedRunWorked, wall);
     return true;
 }
--- a/goldcrest/tracked_job.h
+++ b/goldcrest/tracked_job.h
@@ -59,6 +59,9 @@
     // had been seen to work. Its backend server may have crashed, of which the agent tells later.
     std::int32_t lapsedRun = 0;
     duration lapsedRunWorked = 0ms;
+    // The last run that an earlier planner recorded; 0: none. It may have ended that run because
+    // the lease of the worker had ended.
+    std::int32_t restoredRun = 0;
     // The current run started from the beginning and near its data, so its length tells how long
     // such tasks take.
     bool isTypical = false;
@@ -219,7 +222,9 @@
     bool noteCrash(const task_key &task, std::optional<duration> worked, unix_ms wall);
 
     // The same for a run that had ended with the lease of its worker before the crash was known.
-    // @return false if that was recorded before, or if the run was not the last one to end so
+    // For a run of an earlier planner it is not known for how long it had worked.
+    // @param run that its agent had not seen to end before the crash
+    // @return false if that was recorded before, or if the run did not end so
     bool noteCrashOfLapsedRun(const task_key &task, std::int32_t run, unix_ms wall);
 
     // Records that the current run of a task ends because the lease of its worker has ended.
--- a/testing/run_planner_test.cc
+++ b/testing/run_planner_test.cc
@@ -1366,6 +1366,41 @@
     LONGS_EQUAL(1, counted());
 }
 
+// Guards BUDGET: the same if the planner that ended the run with the lease has a successor when the
+// agent tells of the crash. A run that the agent has seen to end was not lost in it.
+TEST(run_planner, crashOfARunThatEndedWithItsLeaseIsCountedByASuccessor)
+{
+    graph_job job;
+    job.id = "a";
+    job.queue = "q1";
+    job.policy = catalogue->queues[1].policy;
+    job.steps.push_back(makeStep(2, 1));
+    job_progress progress;
+    progress.state = graph_job_state::Running;
+    progress.occurrencesBegun = 1;
+    std::vector<task_record> &tasks
+        = progress.occurrences.emplace_back().steps.emplace_back().tasks;
+    tasks.assign(2, task_record{false, 0, 1, {}, {}, {}});
+    planner.addJob(job, progress, wall, now);
+    worker_report_message final = reportOf("w1");
+    final.isFinal = true;
+    final.startedRuns = {{"a.0.0.0", 1}, {"a.0.0.1", 1}};
+    ended_task ended;
+    ended.number = 1;
+    ended.run = {"a.0.0.1", 1};
+    ended.how = run_end::Failed;
+    final.ended = {ended};
+    planner.onReport(final, wall, now);
+    planner.onReport(final, wall, now);
+    std::vector<std::string> lost;
+    for (const run_decision &decision : planner.takeDecisions()) {
+        if (decision.event == "run lost in a crash")
+            lost.push_back(formatTask(decision.task));
+    }
+    LONGS_EQUAL(1, lost.size());
+    STRCMP_EQUAL("a.0.0.0", lost[0].c_str());
+}
+
 // Guards against tasks that are given up for the crashes of another: in a cell in which half of the
 // workers or more have crashed, the others started beside them (issue 20).
 TEST(run_planner, startsKeepAwayFromASuspectInASmallCell)
