--- a/goldcrest/graph_front.cc
+++ b/goldcrest/graph_front.cc
@@ -337,7 +337,8 @@
     refuse(next);
 }
 
-// Returns whether a submission was certainly sent after its fence was written.
+// Returns whether a submission was sent after its fence was written: certainly, or as far as
+// callers don't cancel a job right after they have handed it in.
 bool graph_front::state::mayReplace(const submission &next, const store_entry &fence) const
 {
     if (fences.wasWrittenBefore(fence.modRevision, next.arrivedAt))
--- a/standins/kv_service.cc
+++ b/standins/kv_service.cc
@@ -89,6 +89,8 @@
             callback(respond(status, json::object()));
         });
     }
+    if (path == "/v1/kv-watch" && m_faults.refuseWatches)
+        return deliver(request, respond(400, json::object()), std::move(callback));
     if (path == "/v1/kv-watch")
         return watch(query, request, std::move(callback));
     http_response response = answer(request.method, path, query, request.body);
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -31,6 +31,7 @@
     int refusalStatus = 503;
     int misreport = 0; // this many of the next calls take effect, but get misreportedStatus
     int misreportedStatus = 500;
+    bool refuseWatches = false; // watches get status 400
     bool hideEvents = false; // watches hear nothing of changes
     bool failWatches = false; // watches without events fail instead of returning an empty response
     std::size_t pageItems = 500; // most items of one response to a range request
--- a/testing/platform_store_test.cc
+++ b/testing/platform_store_test.cc
@@ -133,7 +133,7 @@
         put("op/config", configurationOf(7, 1));
         store_client client(store, loop, quickOptions());
         std::int64_t version = 0;
-        platform::operator_feed feed(loop, client, 600ms, [&](const operator_view &view) {
+        platform::operator_feed feed(loop, client, 600ms, 4s, [&](const operator_view &view) {
             version = view.catalogue->version;
         });
         const timer_handle others = loop.every(250ms, [&] {
@@ -376,7 +376,7 @@
         "target_completion_ms":1000}],"services":[],"tenants":[]})");
     operator_view seen;
     int views = 0;
-    platform::operator_feed feed(loop, store, 500ms, [&](const operator_view &view) {
+    platform::operator_feed feed(loop, store, 500ms, 4s, [&](const operator_view &view) {
         seen = view;
         ++views;
     });
@@ -547,7 +547,7 @@
     put("op/config", large);
     store_client client(store, loop, quickOptions());
     operator_view seen;
-    platform::operator_feed feed(loop, client, 600ms,
+    platform::operator_feed feed(loop, client, 600ms, 4s,
                                  [&](const operator_view &view) { seen = view; });
     loop.advance(2s);
     LONGS_EQUAL(7, seen.catalogue->version);
@@ -578,7 +578,7 @@
 {
     put("op/config", configurationOf(7, 400));
     operator_view seen;
-    platform::operator_feed feed(loop, store, 600ms,
+    platform::operator_feed feed(loop, store, 600ms, 4s,
                                  [&](const operator_view &view) { seen = view; });
     loop.advance(2s);
     service.faults().hideEvents = true;
@@ -602,8 +602,9 @@
 {
     put("op/config", configurationOf(7, 400));
     std::int64_t version = 0;
-    platform::operator_feed feed(
-        loop, store, 600ms, [&](const operator_view &view) { version = view.catalogue->version; });
+    platform::operator_feed feed(loop, store, 600ms, 4s, [&](const operator_view &view) {
+        version = view.catalogue->version;
+    });
     loop.advance(2s);
     for (int i = 8; i < 30; ++i) {
         put("op/config", configurationOf(i, 400));
@@ -617,3 +618,39 @@
         }));
     CHECK(watches <= 12);
 }
+
+// Guards callers with keys where keys must stop working soon: a view from changes alone would be
+// too old for them after the loss of an answer.
+TEST(platform_store, shortLivedViewsAreReadInFull)
+{
+    put("op/config", configurationOf(7, 400));
+    duration oldest = 0ms;
+    operator_view seen;
+    platform::operator_feed feed(loop, store, 600ms, 2s,
+                                 [&](const operator_view &view) { seen = view; });
+    loop.advance(1s);
+    for (int i = 0; i < 100; ++i) {
+        loop.advance(100ms);
+        oldest = std::max(oldest, loop.now() - seen.confirmedAt);
+    }
+    CHECK(oldest < 700ms);
+    feed.setLongestAge(4s);
+    loop.advance(5s);
+    CHECK(service.calls().back().find("kv-watch") != std::string::npos);
+}
+
+// Guards fronts that are never ready: the store refuses to tell changes.
+TEST(platform_store, refusedChangesAreReplacedByReadsInFull)
+{
+    put("op/config", configurationOf(7, 400));
+    operator_view seen;
+    platform::operator_feed feed(loop, store, 600ms, 4s,
+                                 [&](const operator_view &view) { seen = view; });
+    loop.advance(1s);
+    service.faults().refuseWatches = true;
+    loop.advance(1s);
+    for (int i = 0; i < 100; ++i) {
+        loop.advance(100ms);
+        CHECK(loop.now() - seen.heardAt < 1500ms);
+    }
+}
